--- /dev/null
+++ b/cmake/monsoonlift.cmake
@@ -0,0 +1,51 @@
+# Build rules that every module folder shares.
+
+# monsoonlift_module(NAME SOURCES ... DEPENDS ...): a static library; DEPENDS names libraries or other modules.
+function(monsoonlift_module name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(monsoonlift_${name} STATIC ${ARG_SOURCES})
+    add_library(monsoonlift::${name} ALIAS monsoonlift_${name})
+    target_include_directories(monsoonlift_${name} PUBLIC ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(monsoonlift_${name} PUBLIC monsoonlift_options ${ARG_DEPENDS})
+endfunction()
+
+# monsoonlift_proto(NAME SOURCE): generated code, a library of its own, built without the project's warnings.
+function(monsoonlift_proto name source)
+    add_library(monsoonlift_${name}_proto STATIC ${source})
+    target_include_directories(monsoonlift_${name}_proto PRIVATE ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(monsoonlift_${name}_proto PUBLIC protobuf::libprotobuf)
+    if(MONSOONLIFT_SANITIZE)
+        target_compile_options(monsoonlift_${name}_proto PRIVATE -fsanitize=${MONSOONLIFT_SANITIZE})
+    endif()
+endfunction()
+
+# monsoonlift_tests(NAME SOURCES ... DEPENDS ... [THREADS]): one Catch2 program per module, label "unit";
+# THREADS adds the label "threads", which the thread sanitizer run selects. Sanitized builds leave out the cases
+# tagged [model] or [scale]: long explorations of rules, which the plain build runs.
+function(monsoonlift_tests name)
+    cmake_parse_arguments(ARG "THREADS" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name}_tests ${ARG_SOURCES})
+    add_dependencies(unit_tests ${name}_tests)
+    # NOTE: Catch's main is built without sanitizers; last, its copies of inline functions aren't taken for all.
+    target_link_libraries(${name}_tests PRIVATE monsoonlift_options ${ARG_DEPENDS} monsoonlift_catch_main)
+    target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/src)
+    set(cases "")
+    if(MONSOONLIFT_SANITIZE)
+        set(cases "~[.]~[model]~[scale]")
+    endif()
+    add_test(NAME ${name}_tests COMMAND ${name}_tests --rng-seed 1 ${cases})
+    set(labels unit)
+    if(ARG_THREADS)
+        list(APPEND labels threads)
+        add_dependencies(threads_tests ${name}_tests)
+    endif()
+    set_tests_properties(${name}_tests PROPERTIES LABELS "${labels}" TIMEOUT 120)
+endfunction()
+
+# monsoonlift_program(NAME SOURCES ... DEPENDS ...): an executable in build/bin.
+function(monsoonlift_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE monsoonlift_options ${ARG_DEPENDS})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/operators/tests/test_yaml_text.py
@@ -0,0 +1,49 @@
+"""The printed document."""
+import unittest
+from dataclasses import replace
+from datetime import timedelta
+
+from monsoonlift import InvalidConfiguration, to_yaml
+from monsoonlift.yaml_text import duration
+from tests.test_checks import GOOD
+
+DOCUMENT = """\
+format: 1
+data_centres: [palermo]
+classes: [dispatch, bulk]
+callers:
+  - {name: crew, patience: 8s}
+retries: {attempts_per_root: 2, ratio: 0.1}
+execution: {resend_window: 10m}
+services:
+  - name: squadre
+    endpoints: 3
+    slots: 60
+    connections: 450
+    drain_time: 5s
+    calls:
+      - name: dispatch
+        method: POST
+        path: /dispatches
+        class: dispatch
+        idempotent: false
+        patience: 5s
+"""
+
+
+class YamlTextTest(unittest.TestCase):
+    def test_the_document_of_a_configuration(self) -> None:
+        self.assertEqual(to_yaml(GOOD), DOCUMENT)
+
+    def test_a_faulty_configuration_is_not_printed(self) -> None:
+        with self.assertRaises(InvalidConfiguration):
+            to_yaml(replace(GOOD, classes=()))
+
+    def test_names_that_yaml_reads_as_something_else_are_quoted(self) -> None:
+        self.assertIn('data_centres: ["on", "1a"]', to_yaml(replace(GOOD, data_centres=("on", "1a"))))
+
+    def test_durations(self) -> None:
+        cases = [(250, "250ms"), (5000, "5s"), (1500, "1500ms"), (60_000, "1m"), (90_000, "90s")]
+        for milliseconds, text in cases:
+            with self.subTest(text):
+                self.assertEqual(duration(timedelta(milliseconds=milliseconds)), text)
--- /dev/null
+++ b/scripts/lib/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The steps of scripts/demo."""
--- /dev/null
+++ b/scripts/lib/harness/http.py
@@ -0,0 +1,54 @@
+"""Small HTTP calls."""
+from __future__ import annotations
+
+import http.client
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+PATIENCE_S = 10.0
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+    @property
+    def verdict(self) -> str:
+        return self.headers.get("monsoonlift-verdict", "")
+
+
+def call(address: str, method: str, path: str, *, headers: Mapping[str, str] | None = None,
+         body: bytes | Iterable[bytes] | None = None, patience_s: float = PATIENCE_S) -> Answer:
+    """One request over a connection of its own; raises OSError or HTTPException if no whole answer comes."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=patience_s)
+    try:
+        connection.request(method, path, body=body, headers=dict(headers or {}))
+        response = connection.getresponse()
+        fields = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, fields, response.read())
+    finally:
+        connection.close()
+
+
+def get_json(address: str, path: str) -> Any:
+    """The JSON of a GET that must succeed."""
+    answer = call(address, "GET", path)
+    if answer.status != 200:
+        raise OSError(f"GET {path} at {address}: status {answer.status}")
+    return answer.json()
+
+
+def post_json(address: str, path: str, value: Any, headers: Mapping[str, str] | None = None) -> Answer:
+    """POST of a JSON value."""
+    return call(address, "POST", path, body=json.dumps(value).encode(),
+                headers={"Content-Type": "application/json", **(headers or {})})
--- /dev/null
+++ b/scripts/lib/harness/ledger_backend.py
@@ -0,0 +1,159 @@
+"""A backend server inside the harness: its record of runs outlives every daemon that is killed."""
+from __future__ import annotations
+
+import hashlib
+import http.server
+import json
+import threading
+import time
+from dataclasses import dataclass, field
+
+from harness import http as calls
+
+ANNOUNCE_INTERVAL_S = 0.5
+POISON_MARKER = b"crash-the-server"
+
+
+@dataclass(frozen=True)
+class Run:
+    """One execution of a request."""
+
+    key: str
+    path: str
+    started: float
+    server: str
+
+
+@dataclass
+class Ledger:
+    """All runs on all backend servers of one measurement."""
+
+    runs: list[Run] = field(default_factory=list)
+    crashes: int = 0
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, run: Run) -> None:
+        with self._lock:
+            self.runs.append(run)
+
+    def count_crash(self) -> None:
+        with self._lock:
+            self.crashes += 1
+
+    def by_key(self) -> dict[str, list[Run]]:
+        """Runs of each non-empty key."""
+        found: dict[str, list[Run]] = {}
+        with self._lock:
+            for run in self.runs:
+                if run.key:
+                    found.setdefault(run.key, []).append(run)
+        return found
+
+
+class LedgerBackend:
+    """One backend server. It can lose answers after the run, and a poison request closes it for a while."""
+
+    def __init__(self, name: str, service: str, admin: str, ledger: Ledger, service_s: float, slots: int) -> None:
+        self.name = name
+        self.ledger = ledger
+        self.service_s = service_s
+        self.lose_answers = False
+        self._service = service
+        self._admin = admin
+        self._slots = threading.Semaphore(slots)
+        self._slot_count = slots
+        self._ended = threading.Event()
+        self._server: http.server.ThreadingHTTPServer | None = None
+        self._open()
+        self._announcer = threading.Thread(target=self._announce, daemon=True)
+        self._announcer.start()
+
+    def move_to(self, admin: str) -> None:
+        """Announces to another daemon from now on."""
+        self._admin = admin
+
+    def close(self) -> None:
+        """Ends the server and its announcements."""
+        self._ended.set()
+        self._shut()
+
+    def crash(self, outage_s: float) -> None:
+        """Drops every connection and comes back after `outage_s`, as a restarted process would."""
+        self.ledger.count_crash()
+        self._shut()
+        threading.Timer(outage_s, self._reopen).start()
+
+    def answer(self, handler: http.server.BaseHTTPRequestHandler) -> None:
+        """Runs one request and answers it."""
+        body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+        with self._slots:
+            key = handler.headers.get("Idempotency-Key", "")
+            self.ledger.add(Run(key, handler.path, time.monotonic(), self.name))
+            if POISON_MARKER in body:
+                self.crash(outage_s=1.0)
+                handler.close_connection = True
+                handler.connection.close()
+                return
+            time.sleep(self.service_s)
+        if self.lose_answers:
+            handler.close_connection = True
+            handler.connection.close()
+            return
+        document = {"path": handler.path, "length": len(body), "sha256": hashlib.sha256(body).hexdigest()}
+        text = json.dumps(document).encode()
+        handler.send_response(200)
+        handler.send_header("Content-Type", "application/json")
+        handler.send_header("Content-Length", str(len(text)))
+        handler.end_headers()
+        handler.wfile.write(text)
+
+    def _open(self) -> None:
+        backend = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            """Hands each request to the backend server."""
+
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:  # noqa: N802 (the library's name)
+                backend.answer(self)
+
+            def do_POST(self) -> None:  # noqa: N802 (the library's name)
+                backend.answer(self)
+
+            def log_message(self, *_: object) -> None:
+                """Keeps the library's own log quiet."""
+
+        class Server(http.server.ThreadingHTTPServer):
+            """Threads end with the process; broken connections are no news here."""
+
+            daemon_threads = True
+            request_queue_size = 256
+
+            def handle_error(self, *_: object) -> None:
+                """Keeps connections that broke off quiet."""
+
+        self._server = Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self._server.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
+
+    def _shut(self) -> None:
+        server, self._server = self._server, None
+        if server is not None:
+            threading.Thread(target=server.shutdown, daemon=True).start()
+            server.server_close()
+
+    def _reopen(self) -> None:
+        if not self._ended.is_set() and self._server is None:
+            self._open()
+
+    def _announce(self) -> None:
+        while not self._ended.wait(ANNOUNCE_INTERVAL_S if self._server else 0.05):
+            server = self._server
+            if server is None:
+                continue
+            announcement = {"service": self._service, "address": f"127.0.0.1:{server.server_address[1]}",
+                            "slots": self._slot_count, "connections": 200}
+            try:
+                calls.post_json(self._admin, "/announce", announcement)
+            except OSError:
+                continue
--- /dev/null
+++ b/scripts/lib/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""The measurements, one module each, with a function measure(rounds, seed)."""
--- /dev/null
+++ b/src/admin/internal/admin_server.cpp
@@ -0,0 +1,184 @@
+#include "admin/admin_server.h"
+
+#include "network/address_text.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <openssl/crypto.h>
+
+#include <chrono>
+#include <map>
+#include <utility>
+
+namespace monsoonlift::admin {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto to_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+constexpr std::uint64_t body_limit_bytes = 1024 * 1024;
+constexpr std::chrono::seconds idle_patience = 30s;
+
+struct route_entry {
+    access needed = access::open;
+    admin_handler handler;
+};
+
+bool same_secret(std::string_view left, std::string_view right) {
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+admin_response refusal(unsigned status, const std::string& title) {
+    return {status, "application/problem+json",
+            R"({"type":"about:blank","title":")" + title + R"(","status":)" + std::to_string(status) + "}"};
+}
+
+} // namespace
+
+namespace internal {
+
+/// Acceptor and routes; kept alive by its sessions.
+class admin_state : public std::enable_shared_from_this<admin_state> {
+public:
+    admin_state(network::listening_acceptor connections, std::string token, logging::event_log& log)
+        : m_log(log), m_acceptor(std::move(connections)), m_token(std::move(token)) {}
+
+    void route(const std::string& method, const std::string& path, access needed, admin_handler handler) {
+        m_routes[path][method] = {needed, std::move(handler)};
+    }
+
+    void accept() {
+        const auto accepted = [weak = weak_from_this()](tcp::socket socket) {
+            if (const auto self = weak.lock()) {
+                self->serve(std::move(socket));
+            }
+        };
+        const auto failed = [weak = weak_from_this()](const std::string& why, std::uint64_t left_out) {
+            if (const auto self = weak.lock()) {
+                self->not_accepted(why, left_out);
+            }
+        };
+        m_acceptor.connections->start({accepted, failed});
+    }
+
+    void stop() { m_acceptor.connections->stop(); }
+
+    [[nodiscard]] std::string address() const { return network::to_text(m_acceptor.address); }
+
+private:
+    void not_accepted(const std::string& why, std::uint64_t left_out) {
+        m_log.write(logging::event_id::admin_not_accepted,
+                    {{"why", why}, {"left_out", std::to_string(left_out)}});
+    }
+
+    void serve(tcp::socket socket) {
+        auto strand = socket.get_executor();
+        boost::asio::co_spawn(
+            strand,
+            [self = shared_from_this(), socket = std::move(socket)]() mutable {
+                return self->session(boost::beast::tcp_stream(std::move(socket)));
+            },
+            boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> session(boost::beast::tcp_stream stream) {
+        boost::beast::flat_buffer buffer;
+        bool go_on = true;
+        while (go_on) {
+            stream.expires_after(idle_patience);
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(body_limit_bytes);
+            const auto [failure, got] = co_await http::async_read(stream, buffer, parser, to_tuple);
+            if (failure) {
+                co_return;
+            }
+            auto response = answer(parser.get());
+            go_on = response.keep_alive();
+            const auto [broken, written] = co_await http::async_write(stream, response, to_tuple);
+            go_on = go_on && !broken;
+        }
+    }
+
+    http::response<http::string_body> answer(http::request<http::string_body>& request) {
+        const std::string target(request.target());
+        const auto authorization = request[http::field::authorization];
+        auto told = handle({std::string(request.method_string()), target.substr(0, target.find('?')),
+                            std::move(request.body())},
+                           {authorization.data(), authorization.size()});
+        http::response<http::string_body> response;
+        response.version(request.version());
+        response.result(told.status);
+        response.set(http::field::content_type, told.content_type);
+        response.body() = std::move(told.body);
+        response.content_length(response.body().size());
+        response.keep_alive(request.keep_alive());
+        return response;
+    }
+
+    admin_response handle(const admin_request& request, std::string_view authorization) const {
+        const auto found = m_routes.find(request.path);
+        if (found == m_routes.end()) {
+            return refusal(404, "No such path");
+        }
+        const auto route = found->second.find(request.method);
+        if (route == found->second.end()) {
+            return refusal(405, "Method not allowed here");
+        }
+        const bool allowed = route->second.needed == access::open ||
+                             (!m_token.empty() && same_secret(authorization, "Bearer " + m_token));
+        if (!allowed) {
+            return refusal(401, "This change needs the token of the daemon's settings");
+        }
+        return route->second.handler(request);
+    }
+
+    logging::event_log& m_log;
+    network::listening_acceptor m_acceptor;
+    std::string m_token;
+    std::map<std::string, std::map<std::string, route_entry>> m_routes;
+};
+
+} // namespace internal
+
+admin_server::admin_server(boost::asio::io_context& io, const std::string& address, const std::string& token,
+                           const core::clock& clock, logging::event_log& log)
+    : admin_server(network::listen(io, network::parse_address(address), clock), token, log) {}
+
+admin_server::admin_server(network::listening_acceptor connections, const std::string& token,
+                           logging::event_log& log)
+    : m_state(std::make_shared<internal::admin_state>(std::move(connections), token, log)) {}
+
+admin_server::~admin_server() = default;
+
+void admin_server::route(const std::string& method, const std::string& path, access needed,
+                         admin_handler handler) {
+    m_state->route(method, path, needed, std::move(handler));
+}
+
+void admin_server::start() {
+    m_state->accept();
+}
+
+void admin_server::stop() {
+    m_state->stop();
+}
+
+std::string admin_server::address() const {
+    return m_state->address();
+}
+
+} // namespace monsoonlift::admin
--- /dev/null
+++ b/src/admin/tests/admin_server_tests.cpp
@@ -0,0 +1,78 @@
+#include "admin/admin_server.h"
+
+#include "network/tcp_source.h"
+#include "network/testing/failing_source.h"
+#include "platform/testing/manual_scheduler.h"
+#include "testing/manual_clock.h"
+#include "testing/recording_log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace monsoonlift;
+using namespace std::chrono_literals;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr int failures = 3;
+constexpr int most_turns = 1'000'000;
+
+/// An admin port that runs out of descriptors at first.
+struct exhausted_port {
+    network::listening_acceptor connections() { return {acceptor, real->address()}; }
+
+    void run_until(const std::function<bool()>& reached) {
+        for (int turn = 0; turn < most_turns && !reached(); ++turn) {
+            io.run_one();
+        }
+        REQUIRE(reached());
+    }
+
+    boost::asio::io_context io;
+    testing::manual_clock clock;
+    testing::recording_log log;
+    std::shared_ptr<network::tcp_source> real = std::make_shared<network::tcp_source>(
+        io, io.get_executor(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    std::shared_ptr<network::testing::failing_source> source =
+        std::make_shared<network::testing::failing_source>(io, real, failures);
+    std::shared_ptr<platform::testing::manual_scheduler> timer =
+        std::make_shared<platform::testing::manual_scheduler>(clock);
+    std::shared_ptr<network::acceptor> acceptor = std::make_shared<network::acceptor>(source, timer, clock);
+    admin::admin_server server{connections(), "secret", log};
+};
+
+} // namespace
+
+TEST_CASE("the admin port answers again after accepting failed", "[admin]") {
+    exhausted_port port;
+    port.server.route("GET", "/health", admin::access::open, [](const admin::admin_request&) {
+        return admin::admin_response{200, "text/plain", "up"};
+    });
+    port.server.start();
+    tcp::socket client(port.io);
+    client.connect(port.real->address());
+    boost::asio::write(client, boost::asio::buffer(std::string("GET /health HTTP/1.0\r\n\r\n")));
+    std::string answer;
+    bool ended = false;
+    boost::asio::async_read(client, boost::asio::dynamic_buffer(answer),
+                            [&](const boost::system::error_code&, std::size_t) { ended = true; });
+    for (int number = 1; number <= failures; ++number) {
+        port.run_until([&] { return port.source->failed() == number; });
+        port.timer->run_for(network::acceptor::pause - 1ns);
+        CHECK(port.source->asked() == number);
+        port.timer->run_for(1ns);
+        CHECK(port.source->asked() == number + 1);
+    }
+    CHECK_FALSE(ended);
+    REQUIRE(port.log.lines.size() == 1);
+    CHECK(port.log.lines[0].id == logging::event_id::admin_not_accepted);
+    port.run_until([&] { return ended; });
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.0 200"));
+    CHECK_THAT(answer, Catch::EndsWith("up"));
+}
--- /dev/null
+++ b/src/admission/internal/call_queue.cpp
@@ -0,0 +1,118 @@
+#include "admission/call_queue.h"
+
+#include <algorithm>
+
+namespace monsoonlift::admission {
+
+namespace {
+
+using class_queue = std::deque<waiting_call>;
+
+bool is_hopeless(const call_queue& queue, const waiting_call& call, std::chrono::nanoseconds typical_service,
+                 core::steady_time now) {
+    return now - call.arrived > queue.max_wait || now + typical_service > call.deadline;
+}
+
+void drop_hopeless(call_queue& queue, std::chrono::nanoseconds typical_service, core::steady_time now,
+                   std::vector<waiting_call>& dropped) {
+    for (auto& calls : queue.by_rank) {
+        const auto hopeless = [&](const waiting_call& call) {
+            return is_hopeless(queue, call, typical_service, now);
+        };
+        const auto kept_end = std::stable_partition(calls.begin(), calls.end(),
+                                                    [&](const auto& call) { return !hopeless(call); });
+        dropped.insert(dropped.end(), kept_end, calls.end());
+        queue.length -= static_cast<std::size_t>(calls.end() - kept_end);
+        calls.erase(kept_end, calls.end());
+    }
+}
+
+class_queue::iterator choose_within_class(const call_queue& queue, class_queue& calls,
+                                          core::steady_time now) {
+    const auto newest = std::prev(calls.end());
+    switch (queue.order) {
+    case queue_order::first_come:
+        return calls.begin();
+    case queue_order::last_come:
+        return newest;
+    case queue_order::adaptive:
+        return now - calls.front().arrived > queue.max_wait / 2 ? newest : calls.begin();
+    case queue_order::earliest_deadline:
+        return std::min_element(calls.begin(), calls.end(), [](const auto& left, const auto& right) {
+            return left.deadline < right.deadline;
+        });
+    }
+    return calls.begin();
+}
+
+/// The least preferred class that has calls waiting, or the number of classes if none has.
+std::size_t least_preferred_class(const call_queue& queue) {
+    for (std::size_t rank = queue.by_rank.size(); rank > 0; --rank) {
+        if (!queue.by_rank[rank - 1].empty()) {
+            return rank - 1;
+        }
+    }
+    return queue.by_rank.size();
+}
+
+} // namespace
+
+queue_outcome push(call_queue& queue, const waiting_call& call, core::steady_time now) {
+    queue_outcome outcome;
+    if (now >= call.deadline || queue.max_length == 0) {
+        outcome.refused.push_back(call);
+        return outcome;
+    }
+    if (queue.by_rank.size() <= call.rank) {
+        queue.by_rank.resize(std::size_t{call.rank} + 1);
+    }
+    if (queue.length >= queue.max_length) {
+        const std::size_t victims = least_preferred_class(queue);
+        if (victims <= call.rank) {
+            outcome.refused.push_back(call);
+            return outcome;
+        }
+        outcome.refused.push_back(queue.by_rank[victims].front());
+        queue.by_rank[victims].pop_front();
+        --queue.length;
+    }
+    queue.by_rank[call.rank].push_back(call);
+    ++queue.length;
+    return outcome;
+}
+
+queue_outcome pop(call_queue& queue, std::chrono::nanoseconds typical_service, core::steady_time now) {
+    queue_outcome outcome = expire(queue, typical_service, now);
+    for (auto& calls : queue.by_rank) {
+        if (calls.empty()) {
+            continue;
+        }
+        const auto chosen = choose_within_class(queue, calls, now);
+        outcome.next = *chosen;
+        calls.erase(chosen);
+        --queue.length;
+        return outcome;
+    }
+    return outcome;
+}
+
+queue_outcome expire(call_queue& queue, std::chrono::nanoseconds typical_service, core::steady_time now) {
+    queue_outcome outcome;
+    drop_hopeless(queue, typical_service, now, outcome.refused);
+    return outcome;
+}
+
+bool remove(call_queue& queue, std::uint64_t ticket) {
+    for (auto& calls : queue.by_rank) {
+        const auto found = std::find_if(calls.begin(), calls.end(),
+                                        [&](const waiting_call& call) { return call.ticket == ticket; });
+        if (found != calls.end()) {
+            calls.erase(found);
+            --queue.length;
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace monsoonlift::admission
--- /dev/null
+++ b/src/admission/internal/shedding.cpp
@@ -0,0 +1,199 @@
+#include "admission/shedding.h"
+
+#include <algorithm>
+
+namespace monsoonlift::admission {
+
+namespace {
+
+/// Share of the known capacity that is admitted while the queue stands.
+constexpr double overloaded_share = 1.0;
+
+/// Share of the known capacity that is admitted while the server keeps up.
+constexpr double relaxed_share = 1.1;
+
+/// Weight of the newest window in the rates of arrivals and in the capacity.
+constexpr double newest_rate_weight = 0.2;
+constexpr double newest_rate_weight_if_idle = 0.6;
+constexpr double newest_capacity_weight = 0.5;
+
+/// What is left of the known capacity after a window in which the server was not busy throughout.
+constexpr double capacity_decay = 0.98;
+
+/// What is left of an estimate, window by window, while its calls are refused before they reach the gate.
+constexpr double unseen_decay = 0.85;
+constexpr double unseen_decay_if_idle = 0.5;
+
+/// A window is idle when less of the known capacity was used and this share of the calls found a free slot.
+constexpr double idle_share = 0.9;
+constexpr double idle_at_once_share = 0.25;
+
+/// Mean wait that a busy server may have, in service times; a queue shorter than that leaves its slots idle.
+constexpr double target_service_times = 1.0;
+
+std::size_t rank_index(core::class_rank rank) {
+    return std::min<std::size_t>(rank, shed_ranks - 1);
+}
+
+std::size_t kind_of(const core::call_context& context) {
+    return context.depth == 0 ? 1 : 0;
+}
+
+double blend(double old, double fresh, double weight) {
+    return old == 0 ? fresh : old + weight * (fresh - old);
+}
+
+/// Share of a kind's positions that lies below the threshold.
+double visible_share(const shed_level& level, std::size_t rank, std::size_t kind) {
+    if (rank != level.rank) {
+        return rank < level.rank ? 1 : 0;
+    }
+    const double first = static_cast<double>(kind * root_buckets);
+    return std::clamp((static_cast<double>(level.bucket) - first) / root_buckets, 0.0, 1.0);
+}
+
+void update_estimates(overload_state& state, double seconds, bool idle) {
+    const double weight = idle ? newest_rate_weight_if_idle : newest_rate_weight;
+    const double decay = idle ? unseen_decay_if_idle : unseen_decay;
+    for (std::size_t rank = 0; rank < shed_ranks; ++rank) {
+        for (std::size_t kind = 0; kind < 2; ++kind) {
+            auto& counts = state.arrivals[rank];
+            const double share = visible_share(state.level, rank, kind);
+            if (share < 0.05) {
+                counts.per_second[kind] *= decay;
+            } else {
+                counts.per_second[kind] =
+                    blend(counts.per_second[kind], counts.visible[kind] / seconds / share, weight);
+            }
+            counts.visible[kind] = 0;
+        }
+    }
+}
+
+/// The threshold below which the estimated arrivals add up to `budget` calls a second.
+shed_level level_for(const overload_state& state, double budget) {
+    double left = budget;
+    for (std::size_t rank = 0; rank < shed_ranks; ++rank) {
+        for (std::size_t kind = 0; kind < 2; ++kind) {
+            const double rate = state.arrivals[rank].per_second[kind];
+            if (rate > left) {
+                const auto buckets = static_cast<std::uint32_t>(left / rate * root_buckets);
+                return {static_cast<core::class_rank>(rank),
+                        static_cast<std::uint32_t>(kind) * root_buckets + buckets};
+            }
+            left -= rate;
+        }
+    }
+    return {};
+}
+
+void start_window(overload_state& state, core::steady_time now) {
+    state.window_start = now;
+    state.lowest_wait = std::chrono::nanoseconds::max();
+    state.total_wait = std::chrono::nanoseconds::zero();
+    state.arrived = 0;
+    state.admitted = 0;
+    state.started = 0;
+    state.at_once = 0;
+}
+
+std::chrono::nanoseconds mean_wait(const overload_state& state) {
+    if (state.started == 0) {
+        return std::chrono::nanoseconds::zero();
+    }
+    return state.total_wait / static_cast<std::int64_t>(state.started);
+}
+
+bool is_idle(const overload_state& state, double started_per_second) {
+    const bool found_free_slots =
+        static_cast<double>(state.at_once) >= idle_at_once_share * static_cast<double>(state.started);
+    return found_free_slots && started_per_second < idle_share * state.capacity;
+}
+
+std::chrono::nanoseconds target_wait(const overload_state& state) {
+    const auto service_times = std::chrono::duration_cast<std::chrono::nanoseconds>(
+        target_service_times * std::chrono::duration<double>(state.typical_service));
+    return std::max<std::chrono::nanoseconds>(state.settings.target_wait, service_times);
+}
+
+bool is_overloaded(const overload_state& state) {
+    if (state.started == 0 || state.lowest_wait <= std::chrono::nanoseconds::zero()) {
+        return false;
+    }
+    return mean_wait(state) > target_wait(state) ||
+           static_cast<double>(state.admitted) > 1.2 * static_cast<double>(state.started);
+}
+
+void end_window(overload_state& state, core::steady_time now) {
+    const double seconds = std::chrono::duration<double>(now - state.window_start).count();
+    const bool overloaded = is_overloaded(state);
+    const double started = static_cast<double>(state.started) / seconds;
+    update_estimates(state, seconds, is_idle(state, started));
+    if (overloaded) {
+        state.capacity = blend(state.capacity, started, newest_capacity_weight);
+        state.level = level_for(state, overloaded_share * state.capacity);
+    } else {
+        state.capacity = std::max(capacity_decay * state.capacity, started);
+        if (state.level != shed_level{}) {
+            state.level =
+                std::max(state.level, level_for(state, relaxed_share * state.capacity), is_stricter);
+        }
+    }
+    start_window(state, now);
+}
+
+bool window_is_over(const overload_state& state, core::steady_time now) {
+    const auto age = now - state.window_start;
+    if (age >= state.settings.max_window) {
+        return true;
+    }
+    return age >= state.settings.window && state.started >= state.settings.min_samples;
+}
+
+} // namespace
+
+std::uint32_t position_of(const core::call_context& context) {
+    return static_cast<std::uint32_t>(kind_of(context)) * root_buckets +
+           core::bucket_of(context.root, root_buckets);
+}
+
+bool admits(const shed_level& level, const core::call_context& context) {
+    const auto rank = static_cast<core::class_rank>(rank_index(context.rank));
+    if (rank != level.rank) {
+        return rank < level.rank;
+    }
+    return position_of(context) < level.bucket;
+}
+
+void record_arrival(overload_state& state, const core::call_context& context, bool admitted) {
+    ++state.arrived;
+    if (!admitted) {
+        return;
+    }
+    ++state.admitted;
+    ++state.arrivals[rank_index(context.rank)].visible[kind_of(context)];
+}
+
+void record_service(overload_state& state, std::chrono::nanoseconds typical) {
+    state.typical_service = typical;
+}
+
+void record_wait(overload_state& state, std::chrono::nanoseconds wait, core::steady_time now) {
+    state.lowest_wait = std::min(state.lowest_wait, wait);
+    state.total_wait += wait;
+    ++state.started;
+    state.at_once += wait <= std::chrono::nanoseconds::zero() ? 1 : 0;
+    tick(state, now);
+}
+
+void tick(overload_state& state, core::steady_time now) {
+    if (state.window_start == core::steady_time{}) {
+        start_window(state, now);
+        return;
+    }
+    if (window_is_over(state, now)) {
+        end_window(state, now);
+    }
+}
+
+} // namespace monsoonlift::admission
--- /dev/null
+++ b/src/admission/tests/call_queue_tests.cpp
@@ -0,0 +1,97 @@
+#include "admission/call_queue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift::admission;
+using namespace std::chrono_literals;
+using monsoonlift::core::steady_time;
+
+namespace {
+
+const steady_time start{1h};
+
+waiting_call call(std::uint64_t ticket, std::uint8_t rank, steady_time arrived = start,
+                  std::chrono::milliseconds patience = 1s) {
+    return {ticket, rank, 0, arrived, arrived + patience};
+}
+
+call_queue queue_of(queue_order order, const std::vector<waiting_call>& calls) {
+    call_queue queue;
+    queue.order = order;
+    for (const auto& waiting : calls) {
+        REQUIRE(push(queue, waiting, waiting.arrived).refused.empty());
+    }
+    return queue;
+}
+
+} // namespace
+
+TEST_CASE("the class shed last runs first", "[call_queue]") {
+    auto queue = queue_of(queue_order::adaptive, {call(1, 2), call(2, 0), call(3, 1)});
+    for (const std::uint64_t ticket : {2, 3, 1}) {
+        REQUIRE(pop(queue, 1ms, start).next->ticket == ticket);
+    }
+    REQUIRE_FALSE(pop(queue, 1ms, start).next.has_value());
+    REQUIRE(queue.length == 0);
+}
+
+TEST_CASE("the order decides within a class", "[call_queue]") {
+    struct order_case {
+        queue_order order;
+        std::chrono::milliseconds now; ///< After the first call came.
+        std::uint64_t next;
+    };
+    const order_case cases[] = {
+        {queue_order::first_come, 90ms, 1},        {queue_order::last_come, 20ms, 3},
+        {queue_order::adaptive, 20ms, 1},          {queue_order::adaptive, 90ms, 3},
+        {queue_order::earliest_deadline, 20ms, 2},
+    };
+    for (const auto& tried : cases) {
+        auto queue =
+            queue_of(tried.order, {call(1, 0), call(2, 0, start + 5ms, 300ms), call(3, 0, start + 10ms)});
+        REQUIRE(pop(queue, 1ms, start + tried.now).next->ticket == tried.next);
+    }
+}
+
+TEST_CASE("a full queue pushes out the class shed first", "[call_queue]") {
+    struct full_case {
+        std::uint8_t rank;
+        std::uint64_t refused;
+    };
+    const full_case cases[] = {{0, 2}, {1, 2}, {2, 9}, {3, 9}};
+    for (const auto& tried : cases) {
+        auto queue = queue_of(queue_order::adaptive, {call(1, 1), call(2, 2)});
+        queue.max_length = 2;
+        const auto outcome = push(queue, call(9, tried.rank), start);
+        REQUIRE(outcome.refused.size() == 1);
+        REQUIRE(outcome.refused.front().ticket == tried.refused);
+        REQUIRE(queue.length == 2);
+    }
+}
+
+TEST_CASE("calls that can't finish are refused", "[call_queue]") {
+    struct hopeless_case {
+        std::chrono::milliseconds now;
+        std::chrono::milliseconds patience;
+        std::chrono::milliseconds typical_service;
+        bool refused;
+    };
+    const hopeless_case cases[] = {
+        {10ms, 1000ms, 20ms, false},  {10ms, 25ms, 20ms, true}, // the deadline comes before the run would end
+        {101ms, 1000ms, 20ms, true},                            // the bound on waiting is passed
+        {100ms, 1000ms, 20ms, false}, {30ms, 25ms, 0ms, true},  // the deadline has passed
+    };
+    for (const auto& tried : cases) {
+        auto queue = queue_of(queue_order::adaptive, {call(1, 0, start, tried.patience)});
+        const auto expired = expire(queue, tried.typical_service, start + tried.now);
+        REQUIRE(expired.refused.size() == (tried.refused ? 1 : 0));
+        REQUIRE(pop(queue, tried.typical_service, start + tried.now).next.has_value() != tried.refused);
+    }
+}
+
+TEST_CASE("a cancelled call is removed once", "[call_queue]") {
+    auto queue = queue_of(queue_order::adaptive, {call(1, 1), call(2, 2)});
+    REQUIRE(remove(queue, 2));
+    REQUIRE_FALSE(remove(queue, 2));
+    REQUIRE(queue.length == 1);
+}
--- /dev/null
+++ b/src/app/monsoonctl/control_session.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "core/system_clock.h"
+#include "platform/asio_scheduler.h"
+#include "platform/http_client.h"
+#include "platform/http_object_api.h"
+#include "platform/settled.h"
+
+namespace monsoonlift::monsoonctl {
+
+/// The connections of one run of monsoonctl. Asynchronous calls are waited for.
+class control_session {
+public:
+    /// `platform_address` is "ip:port" of the platform; nothing is connected yet.
+    explicit control_session(const std::string& platform_address);
+
+    /// Begins a call and waits for its end.
+    template <class T>
+    platform::settled<T> wait(const std::function<void(std::function<void(core::result<T>)>)>& begin) {
+        platform::settled<T> answer;
+        begin([&answer](core::result<T> outcome) { answer = platform::settle_result(std::move(outcome)); });
+        run();
+        return answer;
+    }
+
+    /// Runs what has been begun to its end.
+    void run();
+
+    /// The platform.
+    [[nodiscard]] platform::object_api& api() { return m_api; }
+
+    /// For calls of daemons.
+    [[nodiscard]] platform::http_client& http() { return m_http; }
+
+    /// Runs tasks during wait() and run().
+    [[nodiscard]] platform::scheduler& timer() { return m_timer; }
+
+    /// The clock of this process.
+    [[nodiscard]] const core::clock& clock() const { return m_clock; }
+
+private:
+    boost::asio::io_context m_context;
+    core::system_clock m_clock;
+    platform::asio_scheduler m_timer;
+    platform::http_client m_http;
+    platform::http_object_api m_api;
+};
+
+} // namespace monsoonlift::monsoonctl
--- /dev/null
+++ b/src/app/monsoonctl/types/command_line.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace monsoonlift::monsoonctl {
+
+/// What the operator wants done.
+enum class command {
+    validate,
+    submit,
+    show,
+    diff,
+    history,
+    status,
+    drain,
+    quarantine_list,
+    quarantine_hold,
+    quarantine_release,
+    fence
+};
+
+/// The command line, checked.
+struct command_line {
+    command what = command::validate;
+    std::string file;
+    std::string who;
+    std::string message;
+    std::string submission;
+    std::optional<std::uint64_t> base_revision;
+    std::size_t limit = 20;
+    std::string daemon;
+    std::string token_file;
+    std::string request; ///< Fingerprint of a request, as the quarantine list prints it.
+    std::string address; ///< Transport address of a gate.
+    std::string service;
+    std::string platform;
+    bool json = false;
+    std::chrono::milliseconds patience{10'000};
+};
+
+} // namespace monsoonlift::monsoonctl
--- /dev/null
+++ b/src/app/monsoonliftd/daemon.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "admin/admin_server.h"
+#include "configuration/configuration_follower.h"
+#include "configuration/configuration_holder.h"
+#include "configuration/http_peer_source.h"
+#include "core/system_clock.h"
+#include "entry/entry_service.h"
+#include "execution/crash_guard.h"
+#include "execution/execution_ledger.h"
+#include "execution/home_keeper.h"
+#include "gate/gate_service.h"
+#include "lifecycle/daemon_lifecycle.h"
+#include "lifecycle/drain_watch.h"
+#include "logging/event_log.h"
+#include "membership/member_directory.h"
+#include "membership/membership_service.h"
+#include "metrics/metrics_registry.h"
+#include "platform/asio_scheduler.h"
+#include "platform/budgeted_object_api.h"
+#include "platform/http_object_api.h"
+#include "settings/daemon_settings.h"
+#include "transport/tcp_transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace monsoonlift::app {
+
+/// Addresses that were bound.
+struct daemon_addresses {
+    std::string caller;
+    std::string admin;
+    std::string transport;
+    std::string membership;
+};
+
+/// All parts of one daemon process, wired together.
+class daemon {
+public:
+    /// Builds all parts and binds the TCP addresses; throws if one can't be bound. `log` outlives the daemon.
+    daemon(settings::daemon_settings chosen, logging::event_log& log);
+    ~daemon();
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+
+    /// Starts all parts and binds the membership address; throws if that fails.
+    void start();
+
+    /// Works until a planned stop has ended.
+    void run();
+
+    /// The addresses that were bound; call it after start().
+    [[nodiscard]] daemon_addresses addresses() const;
+
+private:
+    using control_strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+    void start_transport();
+    void start_configuration();
+    void start_homes();
+    [[nodiscard]] std::vector<core::endpoint_id> other_gates(const std::string& service) const;
+    [[nodiscard]] bool has_non_idempotent_calls(const std::string& service) const;
+
+    /// Takes part in the homes of the local backend server's service, once both it and its calls are known.
+    void serve_homes();
+    [[nodiscard]] admin::admin_response quarantine(const admin::admin_request& request);
+    [[nodiscard]] std::string quarantined() const;
+    void start_membership();
+    [[nodiscard]] membership::membership_hooks membership_hooks();
+    void wait_until_ready();
+    void add_routes();
+    void add_metrics();
+    void await_signals();
+    void take_frame(transport::frame message);
+    void take_unsent(const transport::unsent_frame& unsent);
+    void member_changed(const membership::member& changed);
+    [[nodiscard]] admin::admin_response announce(const admin::admin_request& request);
+    [[nodiscard]] admin::admin_response withdraw();
+    [[nodiscard]] admin::admin_response ready() const;
+    [[nodiscard]] std::string status() const;
+    void stop_gracefully();
+    void entered(lifecycle::phase now);
+    void drain();
+    [[nodiscard]] std::chrono::milliseconds drain_time() const;
+    void note_long_drain();
+    void wait_until_idle();
+    void leave();
+    void end();
+
+    const settings::daemon_settings m_settings;
+    const core::incarnation m_life;
+    core::system_clock m_clock;
+    logging::event_log& m_log;
+    boost::asio::io_context m_io;
+    control_strand m_control;
+    boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
+    std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
+    lifecycle::daemon_lifecycle m_lifecycle;
+    metrics::metrics_registry m_metrics;
+    membership::member_directory m_directory;
+    platform::asio_scheduler m_scheduler;
+    platform::http_object_api m_platform_client;
+    platform::budgeted_object_api m_platform;
+    configuration::configuration_holder m_configuration;
+    configuration::http_peer_source m_peers;
+    transport::tcp_transport m_transport;
+    gate::nested_budgets m_budgets;
+    execution::execution_ledger m_ledger;
+    execution::crash_guard m_crashes;
+    gate::gate_service m_gate;
+    entry::entry_service m_entry;
+    admin::admin_server m_admin;
+    std::shared_ptr<configuration::configuration_follower> m_follower;
+    std::unique_ptr<membership::membership_service> m_membership;
+    std::unique_ptr<execution::home_keeper> m_homes;
+    lifecycle::drain_watch m_drain_watch{m_clock};
+    bool m_homes_handed_over = false;
+    core::steady_time m_hand_over_until;
+};
+
+} // namespace monsoonlift::app
--- /dev/null
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -0,0 +1,382 @@
+"""Calls through real daemons while processes die, freeze and leave.
+
+Usage: call_process_tests.py ROOT_OF_THE_REPOSITORY
+"""
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import unittest
+from collections.abc import Callable
+
+ROOT = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path(".").resolve()
+sys.path.insert(0, str(ROOT / "scripts" / "lib"))
+
+from harness import http as calls  # noqa: E402
+from harness.fleet import BINARIES, CONVERGE_PATIENCE_S, BackendOptions, Daemon, Fleet, wait_for  # noqa: E402
+from harness.process import ProcessFailed  # noqa: E402
+
+DOCUMENT = """format: 1
+data_centres: [palermo, catania]
+classes: [urgent, lookup]
+services:
+  - name: squadre
+    endpoints: 2
+    slots: 8
+    connections: 200
+    calls:
+      - {name: dispatch, method: POST, path: /dispatches, class: urgent, idempotent: false, patience: 5s}
+      - {name: crews, method: GET, path: /crews, class: lookup, idempotent: true, patience: 5s}
+  - name: priorita
+    endpoints: 1
+    slots: 8
+    connections: 200
+    calls:
+      - {name: flags, method: GET, path: /flags, class: urgent, idempotent: true, patience: 5s}
+      - {name: flag-search, method: POST, path: /flags, class: urgent, idempotent: true, patience: 5s}
+"""
+SLOW_MS = 1500
+PAUSE_S = 5.0
+LONG_ANSWER_BYTES = 64 * 1024 * 1024
+QUOTED_BYTES = 300
+MOST_QUOTED = 5
+BAD_REQUESTS = (
+    # what is sent, status, part of the answer
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\n\r\n", 400, b"Monsoonlift-Service"),
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: nobody\r\n\r\n", 404, b"nobody"),
+    (b"GET /nothing HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\n\r\n", 404, b"/nothing"),
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\nMonsoonlift-Timeout-Ms: soon\r\n\r\n",
+     400, b"Monsoonlift-Timeout-Ms"),
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\nMonsoonlift-Timeout-Ms: 0\r\n\r\n",
+     400, b"Monsoonlift-Timeout-Ms"),
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\nMonsoonlift-Timeout-Ms: 600001\r\n\r\n",
+     400, b"Monsoonlift-Timeout-Ms"),
+    (b"POST /dispatches HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\nContent-Length: 0\r\n"
+     b"Idempotency-Key: " + b"k" * 129 + b"\r\n\r\n", 400, b"Idempotency-Key"),
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\nMonsoonlift-Context: made-up\r\n\r\n",
+     400, b"Monsoonlift-Context"),
+    (b"POST /dispatches HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\n"
+     b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, b"body-incomplete"),
+    (b"nonsense\r\n\r\n", 400, b"problem+json"),
+    (b"GET /crews HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 40000 + b"\r\n\r\n", 413, b"problem+json"),
+)
+
+
+def send_raw(address: str, request: bytes) -> bytes:
+    """Everything that comes back for these bytes until the connection closes or falls silent."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=3) as connection:
+        connection.sendall(request)
+        answer = b""
+        try:
+            while piece := connection.recv(65536):
+                answer += piece
+                if b"\r\n\r\n" in answer and answer.rstrip().endswith(b"}"):
+                    break
+        except TimeoutError:
+            pass
+        return answer
+
+
+def metric(daemon: Daemon, series: str) -> float:
+    """The value of one series on the daemon's admin port."""
+    for line in calls.call(daemon.admin, "GET", "/metrics").body.decode().splitlines():
+        if line.startswith(series + " "):
+            return float(line.removeprefix(series))
+    raise KeyError(series)
+
+
+def events(daemon: Daemon, name: str) -> list[dict[str, str]]:
+    """The events of that name in the daemon's log."""
+    lines = [line.partition(" ")[2] for line in daemon.process.log.read_text().splitlines()]
+    written = [json.loads(line) for line in lines if line.startswith("{")]
+    return [event for event in written if event["name"] == name]
+
+
+def wait_beside_call(condition: Callable[[], bool], what: str, answers: list[calls.Answer],
+                     patience_s: float = CONVERGE_PATIENCE_S) -> None:
+    """Waits as wait_for() does while a call runs; its failure names the last answers that have come."""
+    try:
+        wait_for(condition, what, patience_s)
+    except ProcessFailed as late:
+        told = [f"{one.status} {one.verdict} {one.body[:QUOTED_BYTES]!r}" for one in answers[-MOST_QUOTED:]]
+        raise ProcessFailed(f"{late}; answers so far: {', '.join(told) or 'none'}") from late
+
+
+class WaitBesideCallTests(unittest.TestCase):
+    """What a failed wait tells of the call that it waited beside."""
+
+    def test_the_failure_names_the_answers_so_far(self) -> None:
+        problem = calls.Answer(503, {"monsoonlift-verdict": "not_run"}, b"no backend server of squadre")
+        cases = (
+            # answers, what is named
+            ([], "answers so far: none"),
+            ([problem], "answers so far: 503 not_run b'no backend server of squadre'"),
+            ([problem, calls.Answer(200, {"monsoonlift-verdict": "ran"}, b"x" * 400)], "200 ran b'" + "x" * 300 + "'"),
+        )
+        for answers, named in cases:
+            with self.subTest(answers=len(answers)), self.assertRaises(ProcessFailed) as failed:
+                wait_beside_call(lambda: False, "the dispatch to run", answers, patience_s=0.0)
+            self.assertIn("waited 0.0 s for the dispatch to run; ", str(failed.exception))
+            self.assertTrue(str(failed.exception).endswith(named), str(failed.exception))
+
+
+class CallProcessTests(unittest.TestCase):
+    """One small fleet for each test."""
+
+    def start(self, *options: BackendOptions) -> Fleet:
+        fleet = Fleet()
+        self.enterContext(fleet)
+        fleet.start_servers([(("palermo", "catania")[index % 2], one) for index, one in enumerate(options)])
+        fleet.submit(DOCUMENT)
+        paths = {"squadre": "/crews", "priorita": "/flags"}
+        fleet.wait_until_serving([(one, "GET", paths[one]) for one in sorted({each.service for each in options})])
+        return fleet
+
+    def dispatch(self, entry: str, key: str, patience_s: float = 8.0) -> calls.Answer:
+        return calls.call(entry, "POST", "/dispatches?token=t", body=b"crew=7", patience_s=patience_s,
+                          headers={"Monsoonlift-Service": "squadre", "Idempotency-Key": key})
+
+    def settle(self, fleet: Fleet, entry: str, key: str) -> calls.Answer:
+        """Sends the key until its home has been found."""
+        answers = [self.dispatch(entry, key)]
+        wait_beside_call(
+            lambda: answers[-1].verdict == "ran" or answers.append(self.dispatch(entry, key)) is not None,
+            "the dispatch to run", answers)
+        return answers[-1]
+
+    @staticmethod
+    def runs(fleet: Fleet, key: str) -> int:
+        return sum(backend.runs().get(key, 0) for backend in fleet.backends if backend.process.running)
+
+    def test_bad_requests_get_a_clear_answer_and_the_daemon_goes_on(self) -> None:
+        fleet = self.start(BackendOptions("squadre"))
+        entry = fleet.daemons[0].caller
+        for request, status, part in BAD_REQUESTS:
+            with self.subTest(request=request[:90]):
+                answer = send_raw(entry, request)
+                self.assertEqual(answer.split(b" ")[1:2], [str(status).encode()], answer[:300])
+                self.assertIn(part, answer)
+                self.assertIn(b"not_run", answer)
+        good = calls.call(entry, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+        self.assertEqual((good.status, good.verdict), (200, "ran"))
+
+    def test_a_key_runs_once_through_two_entries_one_of_which_dies(self) -> None:
+        fleet = self.start(BackendOptions("squadre"), BackendOptions("squadre"), BackendOptions("priorita"))
+        self.settle(fleet, fleet.daemons[0].caller, "warm-up")
+        key = "dispatch-1"
+        entry = fleet.daemons[2]
+        first = self.settle(fleet, entry.caller, key)
+        entry.process.signal(signal.SIGKILL)
+        second = self.dispatch(fleet.daemons[0].caller, key)
+        self.assertEqual((second.status, second.verdict, second.body), (200, "ran", first.body))
+        self.assertEqual(self.runs(fleet, key), 1)
+
+    def test_a_gate_that_dies_while_it_runs_a_dispatch_leaves_may_have_run(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        entry = fleet.daemons[1].caller
+        self.settle(fleet, entry, "warm-up")
+        answers: list[calls.Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(self.dispatch(entry, "dispatch-2")))
+        caller.start()
+        wait_beside_call(lambda: self.runs(fleet, "dispatch-2") == 1, "the dispatch to reach its backend server",
+                         answers)
+        fleet.daemons[0].process.signal(signal.SIGKILL)
+        caller.join()
+        self.assertEqual(answers[0].verdict, "may_have_run")
+        again = self.dispatch(entry, "dispatch-2")
+        self.assertEqual(again.verdict, "may_have_run")
+        self.assertEqual(self.runs(fleet, "dispatch-2"), 1)
+
+    def test_a_broken_lookup_that_nobody_else_can_run_is_not_told_not_run(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        answers: list[calls.Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(
+            calls.call(fleet.daemons[1].caller, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})))
+        caller.start()
+        wait_beside_call(lambda: fleet.backends[0].stats()["running"] > 0, "the call to run", answers)
+        fleet.backends[0].process.signal(signal.SIGKILL)
+        caller.join()
+        self.assertEqual(answers[0].verdict, "may_have_run")
+
+    def test_an_answer_cut_short_is_never_whole(self) -> None:
+        fleet = self.start(BackendOptions("squadre"), BackendOptions("priorita"))
+        host, port = fleet.daemons[1].caller.rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        self.addCleanup(connection.close)
+        connection.request("GET", f"/crews?bytes={LONG_ANSWER_BYTES}", headers={"Monsoonlift-Service": "squadre"})
+        response = connection.getresponse()
+        self.assertEqual(response.status, 200)
+        response.read(1024 * 1024)
+        fleet.backends[0].process.signal(signal.SIGKILL)
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            received = 1024 * 1024
+            while piece := response.read(1024 * 1024):
+                received += len(piece)
+            if received < LONG_ANSWER_BYTES:
+                raise http.client.IncompleteRead(b"", LONG_ANSWER_BYTES - received)
+
+    def test_a_caller_that_goes_away_cancels_its_call(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        before = fleet.backends[0].stats()["cancelled"]
+        host, port = fleet.daemons[1].caller.rsplit(":", 1)
+        connection = socket.create_connection((host, int(port)))
+        connection.sendall(b"GET /crews HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: squadre\r\n\r\n")
+        wait_for(lambda: fleet.backends[0].stats()["running"] > 0, "the call to run")
+        connection.close()
+        wait_for(lambda: fleet.backends[0].stats()["cancelled"] > before, "the call to be cancelled")
+
+    def test_a_planned_stop_cuts_nothing(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        answers: list[calls.Answer] = []
+        target = fleet.daemons[1].caller
+        caller = threading.Thread(target=lambda: answers.append(
+            calls.call(target, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})))
+        caller.start()
+        wait_beside_call(lambda: fleet.backends[0].stats()["running"] > 0, "the call to run", answers)
+        code = fleet.daemons[0].process.stop()
+        caller.join()
+        self.assertEqual((code, answers[0].status, answers[0].verdict), (0, 200, "ran"))
+
+    def test_nested_calls_go_through_the_local_daemon(self) -> None:
+        fleet = self.start(BackendOptions("priorita"), BackendOptions("squadre", calls=("priorita:/flags",)))
+        answer = calls.call(fleet.daemons[0].caller, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+        self.assertEqual((answer.status, answer.verdict), (200, "ran"))
+        self.assertGreater(fleet.backends[0].stats()["completed"], 0)
+
+    def test_metrics_and_events_tell_what_became_of_the_calls(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        gate, entry = fleet.daemons
+        answered = 'monsoonlift_calls_ended_total{class="lookup",outcome="answered",verdict="ran"}'
+        refused = 'monsoonlift_calls_ended_total{class="unknown",outcome="problem",verdict="not_run"}'
+        unclear = 'monsoonlift_calls_ended_total{class="urgent",outcome="problem",verdict="may_have_run"}'
+        unknown_service = 'monsoonlift_call_problems_total{class="unknown",reason="unknown-service"}'
+        ran = 'monsoonlift_gate_ended_total{class="lookup",reason="answered"}'
+        broken = 'monsoonlift_gate_ended_total{class="urgent",reason="backend_failed"}'
+        at_entry = {series: metric(entry, series) for series in (answered, refused, unclear, unknown_service)}
+        wait_for(lambda: metric(gate, "monsoonlift_gate_in_flight") == 0, "the gate to be idle")
+        at_gate = {series: metric(gate, series) for series in (ran, broken)}
+
+        calls.call(entry.caller, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+        calls.call(entry.caller, "GET", "/crews", headers={"Monsoonlift-Service": "nobody"})
+        answers: list[calls.Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(
+            calls.call(entry.caller, "POST", "/dispatches?token=t", body=b"crew=7",
+                       headers={"Monsoonlift-Service": "squadre"})))
+        caller.start()
+        wait_beside_call(lambda: fleet.backends[0].stats()["running"] > 0, "the dispatch to run", answers)
+        fleet.backends[0].process.signal(signal.SIGKILL)
+        caller.join()
+        self.assertEqual(answers[0].verdict, "may_have_run")
+
+        for daemon, known in ((entry, at_entry), (gate, at_gate)):
+            for series, before in known.items():
+                wait_for(lambda d=daemon, s=series, b=before: metric(d, s) - b == 1, f"one more {series}")
+        self.assertGreater(metric(gate, 'monsoonlift_gate_admitted_total{class="urgent"}'), 0)
+        told = events(entry, "call_may_have_run")
+        self.assertEqual([(one["event"], one["class"], one["service"], one["left_out"]) for one in told],
+                         [(2004, "urgent", "squadre", "0")])
+        self.assertEqual([(one["event"], one["class"]) for one in events(gate, "backend_broke_off")],
+                         [(3007, "urgent")])
+
+    def test_calls_and_keys_are_served_during_an_outage_of_the_platform(self) -> None:
+        fleet = self.start(BackendOptions("squadre"), BackendOptions("squadre"))
+        for number in range(16):
+            self.settle(fleet, fleet.daemons[0].caller, f"before-{number}")
+        calls.post_json(fleet.platform_address, "/faults", {"outage": True})
+        for number in range(16):
+            answer = self.settle(fleet, fleet.daemons[number % 2].caller, f"during-{number}")
+            self.assertEqual(answer.verdict, "ran")
+            self.assertEqual(self.runs(fleet, f"during-{number}"), 1)
+        lookup = calls.call(fleet.daemons[1].caller, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+        self.assertEqual(lookup.status, 200)
+
+    def test_a_frozen_gate_runs_a_key_once_at_most_and_tells_the_truth(self) -> None:
+        fleet = self.start(BackendOptions("squadre"), BackendOptions("priorita"))
+        entry = fleet.daemons[1].caller
+        self.settle(fleet, entry, "warm-up")
+        fleet.daemons[0].process.signal(signal.SIGSTOP)
+        answer = calls.call(entry, "POST", "/dispatches?token=t", body=b"crew=7",
+                            headers={"Monsoonlift-Service": "squadre", "Idempotency-Key": "late",
+                                     "Monsoonlift-Timeout-Ms": "500"})
+        fleet.daemons[0].process.signal(signal.SIGCONT)
+        lookup = {"Monsoonlift-Service": "squadre"}
+        wait_for(lambda: calls.call(entry, "GET", "/crews", headers=lookup).status == 200, "the gate to serve again")
+        again = [self.dispatch(entry, "late") for _ in range(3)]
+        runs = self.runs(fleet, "late")
+        self.assertLessEqual(runs, 1)
+        if runs == 1 and "ran" not in [one.verdict for one in again]:
+            self.assertEqual({answer.verdict, *(one.verdict for one in again)}, {"may_have_run"})
+
+    def test_a_vm_that_was_paused_serves_at_once_and_keys_run_once(self) -> None:
+        fleet = self.start(BackendOptions("squadre"), BackendOptions("priorita"))
+        entry = fleet.daemons[1].caller
+        self.settle(fleet, entry, "warm-up")
+        paused = (fleet.daemons[0].process, fleet.backends[0].process)
+        for process in paused:
+            process.signal(signal.SIGSTOP)
+        time.sleep(PAUSE_S)
+        for process in paused:
+            process.signal(signal.SIGCONT)
+        lookup = calls.call(entry, "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+        self.assertEqual((lookup.status, lookup.verdict), (200, "ran"), lookup.body)
+        dispatch = self.dispatch(entry, "after-the-pause")
+        self.assertEqual((dispatch.status, dispatch.verdict), (200, "ran"), dispatch.body)
+        self.assertEqual(self.runs(fleet, "after-the-pause"), 1)
+
+    def test_a_restart_that_refuses_no_connection_counts_as_a_crash(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        entry = fleet.daemons[1].caller
+        self.settle(fleet, entry, "warm-up")
+        daemon, backend = fleet.daemons[0], fleet.backends[0]
+        address = backend.address
+        answers: list[calls.Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(self.dispatch(entry, "crashing")))
+        caller.start()
+        wait_beside_call(lambda: self.runs(fleet, "crashing") == 1, "the dispatch to reach its backend server",
+                         answers)
+        daemon.process.signal(signal.SIGSTOP)
+        backend.process.kill()
+        restarted = fleet.start("restarted", ["backend-standin", "--service=squadre", f"--listen={address}",
+                                              f"--daemon={daemon.admin}"])
+        self.addCleanup(restarted.kill)
+        self.assertEqual(restarted.addresses()["address"], address)
+        daemon.process.signal(signal.SIGCONT)
+        wait_beside_call(lambda: [one["crashes"] for one in calls.get_json(daemon.admin, "/quarantine")] == [1],
+                         "the dispatch to be under suspicion", answers)
+        caller.join()
+        self.assertEqual(answers[0].verdict, "may_have_run")
+
+    def test_daemons_that_start_at_once_find_each_other(self) -> None:
+        fleet = self.start(*[BackendOptions("squadre", threads=1)] * 8)
+        for daemon in fleet.daemons:
+            wait_for(lambda d=daemon: len(calls.get_json(d.admin, "/status")["members"]) == len(fleet.daemons),
+                     f"{daemon.name} to know every member")
+
+    def test_an_address_in_use_is_a_clear_error(self) -> None:
+        fleet = self.start(BackendOptions("squadre"))
+        taken = fleet.daemons[0].process.addresses()
+        settings = (fleet.folder / f"{fleet.daemons[0].name}.yaml").read_text()
+        settings = settings.replace('caller_address: "127.0.0.1:0"', f'caller_address: "{taken["caller"]}"')
+        file = fleet.folder / "second.yaml"
+        file.write_text(settings)
+        run = subprocess.run([str(BINARIES / "monsoonliftd"), "--settings", str(file)], capture_output=True,
+                             text=True, check=False, timeout=20)
+        self.assertNotEqual(run.returncode, 0)
+        self.assertIn("in use", run.stderr)
+
+    def test_bad_settings_are_all_reported(self) -> None:
+        run = subprocess.run([str(BINARIES / "monsoonliftd"), "--settings", "/dev/stdin"], capture_output=True,
+                             input="nam: x\nworkers: 0\n", text=True, check=False, timeout=20)
+        self.assertEqual(run.returncode, 2)
+        self.assertIn("nam", run.stderr)
+        self.assertIn("workers", run.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- /dev/null
+++ b/src/app/platform_standin/standin_server.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "app/platform_standin/standin_state.h"
+#include "core/system_clock.h"
+#include "network/acceptor.h"
+
+namespace monsoonlift::platform_standin {
+
+/// A small platform in memory, for tests and measurements: the object API over HTTP, with faults that are
+/// switched on through POST /faults. Its io_context runs on one thread.
+class standin_server {
+public:
+    standin_server(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& listen,
+                   std::uint64_t seed);
+
+    standin_server(const standin_server&) = delete;
+    standin_server& operator=(const standin_server&) = delete;
+    ~standin_server();
+
+    /// Accepts connections from now on.
+    void start();
+
+    /// Accepts no more connections.
+    void stop();
+
+    /// "ip:port" where it listens.
+    [[nodiscard]] std::string address() const;
+
+private:
+    core::system_clock m_clock;
+    network::listening_acceptor m_acceptor;
+    std::shared_ptr<standin_state> m_state;
+};
+
+} // namespace monsoonlift::platform_standin
--- /dev/null
+++ b/src/app/platform_standin/types/call_counts.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace monsoonlift::platform_standin {
+
+/// Calls seen so far, by kind.
+struct call_counts {
+    std::uint64_t get = 0;
+    std::uint64_t list = 0;
+    std::uint64_t update = 0;
+    std::uint64_t remove = 0;
+    std::uint64_t watch = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t refused_in_outage = 0;
+    std::uint64_t answers_lost = 0;
+};
+
+} // namespace monsoonlift::platform_standin
--- /dev/null
+++ b/src/concurrency/internal/concurrency_limit.cpp
@@ -0,0 +1,195 @@
+#include "concurrency/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonlift::concurrency {
+
+namespace {
+
+/// What a refusal leaves of the limit.
+constexpr double refused_factor = 0.9;
+
+/// Share of the bound that a cold backend server starts with, and the time until all of it may be used.
+constexpr double cold_share = 0.25;
+constexpr std::chrono::seconds cold_ramp{2};
+
+/// Weight of the newest run in the smoothed service time.
+constexpr double newest_weight = 0.1;
+
+/// Share of the limit in use from which on service times and growth say something about the limit.
+constexpr double busy_share = 0.5;
+
+/// Runs in a window, at least; a larger limit needs as many runs as it allows.
+constexpr std::uint32_t min_window_runs = 32;
+
+/// Growth of the limit in one round of runs while the server is busy and no slower than at its best.
+constexpr double growth = 0.1;
+
+/// After a refusal the limit grows by one slot in each round for this time.
+constexpr std::chrono::milliseconds cautious_time{500};
+
+/// Multiples of the floor of service times: up to the first the limit grows by `growth`, then by one slot in
+/// each round; above the second it is questioned.
+constexpr double growing_tolerance = 1.25;
+constexpr double questioned_tolerance = 1.6;
+
+/// What a trial leaves of the limit, and the share of the cut that must be seen in service times.
+constexpr double trial_factor = 0.7;
+constexpr double trial_success = 0.5;
+
+/// Rise of the floor in each second, so that it can be learned again.
+constexpr double floor_drift = 0.02;
+
+double highest(const limit_bounds& bounds) {
+    return std::max(1.0, static_cast<double>(std::min(bounds.slots, bounds.connections)));
+}
+
+/// The bound while a cold start lasts.
+double ramped_bound(const limit_state& state, core::steady_time now) {
+    const double age_s = std::chrono::duration<double>(now - state.started).count();
+    const double ramp_s = std::chrono::duration<double>(cold_ramp).count();
+    const double share = std::clamp(cold_share + (1 - cold_share) * age_s / ramp_s, cold_share, 1.0);
+    return std::max(1.0, share * highest(state.bounds));
+}
+
+void set_limit(limit_state& state, double limit) {
+    state.limit = std::clamp(limit, 1.0, highest(state.bounds));
+}
+
+void decrease(limit_state& state, core::steady_time now) {
+    const auto pause = std::chrono::duration_cast<core::steady_time::duration>(
+        std::chrono::duration<double>(state.typical_service_s));
+    if (now - state.last_decrease < pause) {
+        return;
+    }
+    set_limit(state, state.limit * refused_factor);
+    state.last_decrease = now;
+}
+
+void smooth_service_time(limit_state& state, double seconds) {
+    const double old = state.typical_service_s;
+    state.typical_service_s = old == 0 ? seconds : old + newest_weight * (seconds - old);
+}
+
+void start_window(limit_state& state, std::uint32_t to_skip, core::steady_time now) {
+    state.window = {};
+    state.window.started = now;
+    state.window.to_skip = to_skip;
+}
+
+void start_trial(limit_state& state, double service_s, core::steady_time now) {
+    const double allowed = std::min(state.limit, ramped_bound(state, now));
+    state.trial = {true, allowed, service_s};
+    start_window(state, state.running, now);
+    set_limit(state, allowed * trial_factor);
+}
+
+/// Ends a trial: a lower limit that made runs faster is kept; otherwise the server is slow for another
+/// reason.
+void end_trial(limit_state& state, double service_s) {
+    const double expected_cut = 1 - state.limit / state.trial.limit_before;
+    const double seen_cut = 1 - service_s / state.trial.service_before_s;
+    state.trial.under_way = false;
+    if (seen_cut >= trial_success * expected_cut) {
+        return;
+    }
+    set_limit(state, state.trial.limit_before);
+    state.fastest_service_s = service_s;
+}
+
+void end_window(limit_state& state, core::steady_time now) {
+    const double service_s = state.window.total_s / state.window.runs;
+    const bool busy = state.window.busy_runs * 2 > state.window.runs;
+    const double age_s = std::chrono::duration<double>(now - state.window.started).count();
+    start_window(state, 0, now);
+    if (state.trial.under_way) {
+        end_trial(state, service_s);
+        return;
+    }
+    const double drifted = state.fastest_service_s * (1 + floor_drift * age_s);
+    const double floor = state.fastest_service_s == 0 ? service_s : drifted;
+    state.fastest_service_s = std::min(service_s, floor);
+    if (busy && state.limit > 1 && service_s > questioned_tolerance * state.fastest_service_s) {
+        start_trial(state, service_s, now);
+    }
+}
+
+void record_run(limit_state& state, double seconds, bool busy, core::steady_time now) {
+    auto& window = state.window;
+    if (window.to_skip > 0) {
+        --window.to_skip;
+        return;
+    }
+    ++window.runs;
+    window.busy_runs += busy ? 1 : 0;
+    window.total_s += seconds;
+    if (window.runs >= std::max<double>(min_window_runs, state.limit)) {
+        end_window(state, now);
+    }
+}
+
+void grow(limit_state& state, core::steady_time now) {
+    if (state.trial.under_way) {
+        return;
+    }
+    const double slow_s = growing_tolerance * state.fastest_service_s;
+    const bool slowed = slow_s > 0 && state.typical_service_s > slow_s;
+    const bool refused = now - state.last_decrease < cautious_time;
+    const double one_each_round = 1 / state.limit;
+    set_limit(state, state.limit + (slowed || refused ? one_each_round : std::max(one_each_round, growth)));
+}
+
+} // namespace
+
+limit_state cold_start(const limit_bounds& bounds, core::steady_time now) {
+    limit_state state;
+    state.bounds = bounds;
+    state.limit = highest(bounds);
+    state.started = now;
+    state.last_decrease = now;
+    return state;
+}
+
+bool try_acquire(limit_state& state, core::steady_time now) {
+    const double allowed = std::min(state.limit, ramped_bound(state, now));
+    if (static_cast<double>(state.running) + 1 > allowed) {
+        return false;
+    }
+    ++state.running;
+    return true;
+}
+
+void release(limit_state& state, run_outcome outcome, std::chrono::nanoseconds service_time,
+             core::steady_time now) {
+    const double allowed = std::floor(std::min(state.limit, ramped_bound(state, now)));
+    const bool busy = state.running >= busy_share * allowed;
+    const double seconds = std::chrono::duration<double>(service_time).count();
+    state.running -= state.running > 0 ? 1 : 0;
+    switch (outcome) {
+    case run_outcome::finished:
+        smooth_service_time(state, seconds);
+        record_run(state, seconds, busy, now);
+        if (busy) {
+            grow(state, now);
+        }
+        return;
+    case run_outcome::refused:
+        decrease(state, now);
+        return;
+    case run_outcome::timed_out:
+        // NOTE: the run would have taken longer still, so only a rise is learned from it.
+        smooth_service_time(state, std::max(seconds, state.typical_service_s));
+        return;
+    case run_outcome::failed:
+    case run_outcome::cancelled:
+        return;
+    }
+}
+
+std::chrono::nanoseconds typical_service(const limit_state& state) {
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::chrono::duration<double>(state.typical_service_s));
+}
+
+} // namespace monsoonlift::concurrency
--- /dev/null
+++ b/src/configuration/http_peer_source.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "configuration/peer_source.h"
+#include "platform/http_client.h"
+
+namespace monsoonlift::configuration {
+
+/// Pulls by GET /configuration from peers' administration ports.
+class http_peer_source final : public peer_source {
+public:
+    /// Handlers run on `executor`.
+    explicit http_peer_source(const boost::asio::any_io_executor& executor);
+
+    void fetch(const std::string& admin_address, std::chrono::milliseconds patience, handler done) override;
+
+private:
+    platform::http_client m_client;
+};
+
+} // namespace monsoonlift::configuration
--- /dev/null
+++ b/src/configuration/internal/document_diff.cpp
@@ -0,0 +1,114 @@
+#include "configuration/document_diff.h"
+
+#include <map>
+#include <sstream>
+
+namespace monsoonlift::configuration {
+
+namespace {
+
+using flat_document = std::map<std::string, std::string>;
+
+constexpr auto present = "(present)";
+
+std::string joined(const std::vector<std::string>& words) {
+    std::string text;
+    for (const auto& word : words) {
+        text += (text.empty() ? "" : ", ") + word;
+    }
+    return "[" + text + "]";
+}
+
+std::string duration_text(std::chrono::milliseconds value) {
+    return std::to_string(value.count()) + "ms";
+}
+
+std::string number_text(double value) {
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+void flatten_call(flat_document& flat, const std::string& path, const call_rule& call) {
+    flat[path] = present;
+    flat[path + ".method"] = call.method;
+    flat[path + ".path"] = call.path_prefix;
+    flat[path + ".class"] = call.class_name;
+    flat[path + ".idempotent"] = call.idempotent ? "true" : "false";
+    flat[path + ".patience"] = duration_text(call.patience);
+}
+
+void flatten_service(flat_document& flat, const service_rule& service) {
+    const auto path = "services." + service.name;
+    flat[path] = present;
+    flat[path + ".endpoints"] = std::to_string(service.endpoints);
+    flat[path + ".slots"] = std::to_string(service.slots);
+    flat[path + ".connections"] = std::to_string(service.connections);
+    flat[path + ".drain_time"] = duration_text(service.drain_time);
+    for (const auto& call : service.calls) {
+        flatten_call(flat, path + ".calls." + call.name, call);
+    }
+}
+
+flat_document flatten(const document& whole) {
+    flat_document flat;
+    flat["data_centres"] = joined(whole.data_centres);
+    flat["classes"] = joined(whole.classes);
+    flat["retries.attempts_per_root"] = std::to_string(whole.retries.attempts_per_root);
+    flat["retries.ratio"] = number_text(whole.retries.ratio);
+    flat["execution.resend_window"] = duration_text(whole.execution.resend_window);
+    for (const auto& caller : whole.callers) {
+        flat["callers." + caller.name] = present;
+        flat["callers." + caller.name + ".patience"] = duration_text(caller.patience);
+    }
+    for (const auto& service : whole.services) {
+        flatten_service(flat, service);
+    }
+    return flat;
+}
+
+std::string value_at(const flat_document& flat, const std::string& path) {
+    const auto found = flat.find(path);
+    return found == flat.end() ? std::string{} : found->second;
+}
+
+/// Whether a part that holds `path` is itself new or gone, which says it all.
+bool lies_in_changed_part(const std::string& path, const flat_document& before, const flat_document& after) {
+    for (auto dot = path.find('.'); dot != std::string::npos; dot = path.find('.', dot + 1)) {
+        const auto part = path.substr(0, dot);
+        if (before.contains(part) != after.contains(part)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+std::vector<document_change> diff(const document& before, const document& after) {
+    const auto old_values = flatten(before);
+    const auto new_values = flatten(after);
+    auto all = old_values;
+    all.insert(new_values.begin(), new_values.end());
+    std::vector<document_change> changes;
+    for (const auto& [path, ignored] : all) {
+        document_change change{path, value_at(old_values, path), value_at(new_values, path)};
+        if (change.before != change.after && !lies_in_changed_part(path, old_values, new_values)) {
+            changes.push_back(std::move(change));
+        }
+    }
+    return changes;
+}
+
+std::string to_string(const document_change& change) {
+    if (change.before == present) {
+        return change.path + ": removed";
+    }
+    if (change.after == present) {
+        return change.path + ": added";
+    }
+    return change.path + ": " + (change.before.empty() ? "(none)" : change.before) + " -> " +
+           (change.after.empty() ? "(none)" : change.after);
+}
+
+} // namespace monsoonlift::configuration
--- /dev/null
+++ b/src/configuration/internal/follower_rules.cpp
@@ -0,0 +1,127 @@
+#include "configuration/follower_rules.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace monsoonlift::configuration {
+
+namespace {
+
+constexpr std::size_t max_offers = 8;
+
+/// Between half and one and a half times `typical`, so that a fleet's checks spread out.
+std::chrono::milliseconds spread(std::chrono::milliseconds typical, platform::random_engine& random) {
+    const auto half = typical.count() / 2;
+    return std::chrono::milliseconds(
+        std::uniform_int_distribution<std::int64_t>(half, half + typical.count())(random));
+}
+
+std::pair<std::uint64_t, std::string> score_of(const std::string& address) {
+    return {XXH3_64bits(address.data(), address.size()), address};
+}
+
+bool counts(const membership::member& candidate, const std::string& data_centre) {
+    return candidate.data_centre == data_centre && candidate.status == membership::member_status::alive &&
+           !candidate.draining;
+}
+
+bool is_stuck(const follower_state& state, std::uint64_t in_force, const follower_rule& rule,
+              core::steady_time now) {
+    return state.heard > in_force && now - state.behind_since >= rule.stuck_after;
+}
+
+core::steady_time soon(const follower_rule& rule, platform::random_engine& random, core::steady_time now) {
+    return now + std::chrono::milliseconds(
+                     std::uniform_int_distribution<std::int64_t>(0, rule.pull_jitter.count())(random));
+}
+
+void drop_old_offers(follower_state& state, std::uint64_t in_force) {
+    std::erase_if(state.offers, [in_force](const peer_offer& offer) { return offer.revision <= in_force; });
+}
+
+} // namespace
+
+bool is_watcher(const std::string& address, const std::string& data_centre,
+                const std::vector<membership::member>& members, std::size_t watchers) {
+    const auto own = score_of(address);
+    const auto better = std::count_if(members.begin(), members.end(), [&](const membership::member& other) {
+        return counts(other, data_centre) && other.id.address != address && score_of(other.id.address) > own;
+    });
+    return static_cast<std::size_t>(better) < watchers;
+}
+
+void note_offer(follower_state& state, const peer_offer& offer, std::uint64_t in_force,
+                const follower_rule& rule, platform::random_engine& random, core::steady_time now) {
+    drop_old_offers(state, in_force);
+    if (offer.revision <= in_force) {
+        return;
+    }
+    if (state.heard <= in_force) {
+        state.behind_since = now;
+        state.next_pull = soon(rule, random, now);
+    }
+    state.heard = std::max(state.heard, offer.revision);
+    const auto known = std::find_if(state.offers.begin(), state.offers.end(), [&](const peer_offer& each) {
+        return each.admin_address == offer.admin_address;
+    });
+    if (known != state.offers.end()) {
+        known->revision = std::max(known->revision, offer.revision);
+        return;
+    }
+    if (state.offers.size() < max_offers) {
+        state.offers.push_back(offer);
+    }
+}
+
+std::optional<peer_offer> next_pull(follower_state& state, std::uint64_t in_force, core::steady_time now) {
+    drop_old_offers(state, in_force);
+    if (state.pull_busy || state.offers.empty() || now < state.next_pull) {
+        return std::nullopt;
+    }
+    const auto best = std::max_element(
+        state.offers.begin(), state.offers.end(),
+        [](const peer_offer& left, const peer_offer& right) { return left.revision < right.revision; });
+    auto chosen = *best;
+    state.offers.erase(best);
+    return chosen;
+}
+
+store_call next_store_call(const follower_state& state, std::uint64_t in_force, const follower_rule& rule,
+                           core::steady_time now) {
+    if (state.store_busy || now < state.retry_at) {
+        return store_call::none;
+    }
+    const bool needs_cursor = state.is_watcher && !state.has_cursor;
+    if (needs_cursor || now >= state.next_check || is_stuck(state, in_force, rule, now)) {
+        return store_call::list;
+    }
+    return state.is_watcher ? store_call::watch : store_call::none;
+}
+
+void record_list(follower_state& state, std::uint64_t cursor, std::uint64_t in_force,
+                 const follower_rule& rule, platform::random_engine& random, core::steady_time now) {
+    state.store_failures = 0;
+    state.has_cursor = true;
+    state.cursor = cursor;
+    state.heard = 0;
+    state.next_check = now + spread(in_force == 0 ? rule.start_check : rule.store_check, random);
+}
+
+void record_watch(follower_state& state, std::uint64_t cursor) {
+    state.store_failures = 0;
+    state.cursor = std::max(state.cursor, cursor);
+}
+
+void record_pull_failure(follower_state& state, const follower_rule& rule, platform::random_engine& random,
+                         core::steady_time now) {
+    state.next_pull = soon(rule, random, now);
+}
+
+void record_store_failure(follower_state& state, const follower_rule& rule, platform::random_engine& random,
+                          core::steady_time now) {
+    state.retry_at = now + platform::next_delay(rule.store_backoff, state.store_failures++, random);
+}
+
+} // namespace monsoonlift::configuration
--- /dev/null
+++ b/src/configuration/internal/history_reader.cpp
@@ -0,0 +1,81 @@
+#include "configuration/internal/history_reader.h"
+
+#include <utility>
+
+#include "configuration/stored_configuration_json.h"
+#include "platform/settled.h"
+
+namespace monsoonlift::configuration::internal {
+
+history_reader::history_reader(platform::object_api& api, const history_query& query,
+                               std::chrono::milliseconds patience, handler done)
+    : m_api(api), m_query(query), m_patience(patience), m_done(std::move(done)) {}
+
+void history_reader::start() {
+    m_api.get(current_object, m_patience,
+              [self = shared_from_this()](core::result<platform::object> answered) {
+                  const auto answer = platform::settle_result(std::move(answered));
+                  if (!answer.value) {
+                      self->fail(answer.failure);
+                      return;
+                  }
+                  const auto stored = parse_stored_configuration(answer.value->value);
+                  if (!stored) {
+                      self->fail({core::error_code::internal, "configuration/current can't be read"});
+                      return;
+                  }
+                  self->start(*stored);
+              });
+}
+
+void history_reader::start(const stored_configuration& stored) {
+    add(stored.audit);
+    follow(stored.previous_archive);
+}
+
+void history_reader::add(const std::vector<audit_entry>& entries) {
+    for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+        if (entry->revision <= m_query.after_revision) {
+            m_passed_oldest = true;
+            return;
+        }
+        if (!satisfied()) {
+            m_entries.push_back(*entry);
+        }
+    }
+}
+
+bool history_reader::satisfied() const {
+    return m_passed_oldest || (m_query.limit != 0 && m_entries.size() >= m_query.limit);
+}
+
+void history_reader::follow(const std::string& archive_name) {
+    if (archive_name.empty() || satisfied()) {
+        m_done(std::move(m_entries));
+        return;
+    }
+    m_api.get(archive_name, m_patience, [self = shared_from_this()](core::result<platform::object> answered) {
+        self->on_archive(std::move(answered));
+    });
+}
+
+void history_reader::on_archive(core::result<platform::object> answered) {
+    const auto answer = platform::settle_result(std::move(answered));
+    if (!answer.value) {
+        fail(answer.failure);
+        return;
+    }
+    const auto archive = parse_audit_archive(answer.value->value);
+    if (!archive) {
+        fail({core::error_code::internal, answer.value->name + " can't be read"});
+        return;
+    }
+    add(archive->entries);
+    follow(archive->previous_archive);
+}
+
+void history_reader::fail(core::error failure) {
+    m_done(core::captured_failure<std::vector<audit_entry>>(std::move(failure)));
+}
+
+} // namespace monsoonlift::configuration::internal
--- /dev/null
+++ b/src/configuration/internal/service_reader.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "configuration/types/document.h"
+#include "settings/yaml_reader.h"
+
+namespace monsoonlift::configuration::internal {
+
+/// Reads the list of services; faults go to the reader's error list.
+[[nodiscard]] std::vector<service_rule> read_services(settings::yaml_reader& root,
+                                                      const std::vector<std::string>& classes);
+
+/// Reads a name, made of letters, digits, "-" and "_".
+[[nodiscard]] std::string read_name(settings::yaml_reader& reader, std::string_view key);
+
+/// Whether a text is such a name.
+[[nodiscard]] bool is_name(std::string_view text);
+
+/// What is_name allows, for messages.
+inline constexpr auto name_rule = "1 to 64 letters, digits, \"-\" or \"_\"";
+
+} // namespace monsoonlift::configuration::internal
--- /dev/null
+++ b/src/configuration/tests/recording_log.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <algorithm>
+#include <initializer_list>
+#include <mutex>
+#include <vector>
+
+#include "logging/event_log.h"
+
+namespace monsoonlift::configuration::tests {
+
+/// Keeps the numbers of the events.
+class recording_log final : public logging::event_log {
+public:
+    void write(logging::event_id id, std::initializer_list<logging::field>) override {
+        const std::lock_guard lock(m_mutex);
+        m_events.push_back(id);
+    }
+
+    [[nodiscard]] std::size_t count(logging::event_id id) const {
+        const std::lock_guard lock(m_mutex);
+        return static_cast<std::size_t>(std::count(m_events.begin(), m_events.end(), id));
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<logging::event_id> m_events;
+};
+
+} // namespace monsoonlift::configuration::tests
--- /dev/null
+++ b/src/core/system_clock.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/clock.h"
+
+namespace monsoonlift::core {
+
+/// The clocks of the machine.
+class system_clock final : public clock {
+public:
+    [[nodiscard]] steady_time now() const override;
+    [[nodiscard]] wall_time wall_now() const override;
+};
+
+} // namespace monsoonlift::core
--- /dev/null
+++ b/src/entry/internal/answer_exchange.cpp
@@ -0,0 +1,189 @@
+// The part of call_exchange that follows an attempt and passes its answer on.
+#include "entry/internal/call_exchange.h"
+#include "transfer/body_digest.h"
+
+#include <utility>
+
+namespace monsoonlift::entry::internal {
+
+using core::verdict;
+using transport::end_reason;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long the gate's word on a cancelled attempt is awaited.
+constexpr std::chrono::milliseconds cancel_patience = 50ms;
+
+transport::attempt_end local_end(verdict run, end_reason reason, std::string detail) {
+    transport::attempt_end end;
+    end.run = run;
+    end.reason = reason;
+    end.detail = std::move(detail);
+    if (run == verdict::not_run) {
+        end.nested_attempts = 0;
+    }
+    return end;
+}
+
+} // namespace
+
+boost::asio::awaitable<call_exchange::attempt_outcome> call_exchange::follow_attempt() {
+    while (true) {
+        auto event = co_await m_channel->events.next(m_call.context.deadline);
+        if (!event) {
+            co_return co_await give_up(end_reason::deadline);
+        }
+        if (auto* head = std::get_if<transport::response_head>(&*event)) {
+            co_return co_await take_answer(std::move(*head));
+        }
+        if (auto* end = std::get_if<transport::attempt_end>(&*event)) {
+            co_return attempt_outcome{false, std::move(*end), true};
+        }
+        const auto* local = std::get_if<local_event>(&*event);
+        if (local != nullptr && *local == local_event::caller_gone) {
+            m_caller_gone = true;
+            co_return co_await give_up(end_reason::cancelled);
+        }
+        if (local != nullptr) {
+            co_return outcome_of(*local);
+        }
+    }
+}
+
+call_exchange::attempt_outcome call_exchange::outcome_of(local_event event) const {
+    switch (event) {
+    case local_event::not_sent:
+        return {false, local_end(verdict::not_run, end_reason::no_backend,
+                                 "the daemon of the backend server can't be reached")};
+    case local_event::link_broken:
+        return {false, local_end(verdict::may_have_run, end_reason::backend_failed,
+                                 "the link to the daemon of the backend server broke off")};
+    case local_event::endpoint_gone:
+        return {false, local_end(verdict::may_have_run, end_reason::backend_failed,
+                                 "the backend server was lost while the request was there")};
+    case local_event::caller_gone:
+        break;
+    }
+    return {true, local_end(verdict::may_have_run, end_reason::cancelled, "the caller went away")};
+}
+
+boost::asio::awaitable<call_exchange::attempt_outcome> call_exchange::give_up(end_reason reason) {
+    send(transport::cancel{});
+    const auto until = m_shared.clock.now() + cancel_patience;
+    bool from_gate = false;
+    auto end = local_end(verdict::may_have_run, reason, "the deadline passed and the request may have run");
+    while (true) {
+        auto event = co_await m_channel->events.next(until);
+        if (!event) {
+            break;
+        }
+        auto* head = std::get_if<transport::response_head>(&*event);
+        if (head != nullptr && head->total && !m_caller_gone) {
+            co_return co_await take_whole_answer(std::move(*head));
+        }
+        const auto* said = std::get_if<transport::attempt_end>(&*event);
+        if (said == nullptr) {
+            continue;
+        }
+        end = *said;
+        from_gate = true;
+        end.reason = reason;
+        end.detail = said->run == verdict::not_run ? "the deadline passed before the request could run"
+                                                   : "the deadline passed and the request may have run";
+        break;
+    }
+    if (m_caller_gone) {
+        m_connection->abort();
+        co_return attempt_outcome{true, std::move(end)};
+    }
+    co_return attempt_outcome{false, std::move(end), from_gate};
+}
+
+boost::asio::awaitable<call_exchange::attempt_outcome>
+call_exchange::take_answer(transport::response_head head) {
+    m_answer_status = head.status;
+    if (head.total) {
+        co_return co_await take_whole_answer(std::move(head));
+    }
+    co_return co_await stream_answer(std::move(head));
+}
+
+boost::asio::awaitable<call_exchange::attempt_outcome>
+call_exchange::take_whole_answer(transport::response_head head) {
+    auto end = head.end;
+    if (!transfer::matches(transfer::total_of(head.body), *head.total)) {
+        m_shared.log.write(logging::event_id::body_broken, {{"call", std::to_string(m_call_number)}});
+        co_return attempt_outcome{
+            false, local_end(verdict::ran, end_reason::backend_failed, "the answer was damaged on its way")};
+    }
+    m_connection->stop_watching();
+    const answer_notes notes{end.run, attempts_spent() + end.nested_attempts.value_or(0)};
+    co_await m_connection->write_answer(std::move(head), notes);
+    co_return attempt_outcome{true, std::move(end)};
+}
+
+boost::asio::awaitable<call_exchange::attempt_outcome>
+call_exchange::stream_answer(transport::response_head head) {
+    m_connection->stop_watching();
+    extend_patience();
+    transfer::body_receiver intake(m_shared.options.body_credit_chunks);
+    intake.begin(head.body);
+    const answer_notes notes{verdict::ran, attempts_spent()};
+    const bool begun = co_await m_connection->begin_answer(head, notes);
+    if (!begun) {
+        m_caller_gone = true;
+        co_return broken_off("the caller went away");
+    }
+    send(transport::credit{intake.first_credit()});
+    while (true) {
+        auto event = co_await m_channel->events.next(m_shared.clock.now() + m_shared.options.stall_patience);
+        auto* chunk = event ? std::get_if<transport::body_chunk>(&*event) : nullptr;
+        if (chunk != nullptr) {
+            const bool passed = co_await pass_chunk(std::move(*chunk), intake);
+            if (!passed) {
+                co_return broken_off("a chunk could not be passed on");
+            }
+            continue;
+        }
+        const auto* local = event ? std::get_if<local_event>(&*event) : nullptr;
+        m_caller_gone = m_caller_gone || (local != nullptr && *local == local_event::caller_gone);
+        auto* end = event ? std::get_if<transport::body_end>(&*event) : nullptr;
+        const bool whole = end != nullptr && end->end && intake.is_complete(end->total);
+        if (!whole) {
+            co_return broken_off("the answer was cut short");
+        }
+        co_await m_connection->end_answer();
+        co_return attempt_outcome{true, std::move(*end->end)};
+    }
+}
+
+boost::asio::awaitable<bool> call_exchange::pass_chunk(transport::body_chunk chunk,
+                                                       transfer::body_receiver& intake) {
+    if (!intake.accept(chunk)) {
+        co_return false;
+    }
+    const bool written = co_await m_connection->write_piece(chunk.data);
+    if (!written) {
+        m_caller_gone = true;
+        co_return false;
+    }
+    extend_patience();
+    const auto more = intake.consumed();
+    if (more > 0) {
+        send(transport::credit{more});
+    }
+    co_return true;
+}
+
+call_exchange::attempt_outcome call_exchange::broken_off(std::string_view why) {
+    if (!m_caller_gone) {
+        m_shared.events.cut_short(subject(), why);
+    }
+    send(transport::cancel{});
+    m_connection->abort();
+    return {true, local_end(verdict::ran, end_reason::backend_failed, std::string(why))};
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/attempt_channel.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "transfer/async_queue.h"
+#include "transfer/credit_gate.h"
+#include "transport/types/frame.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <memory>
+#include <utility>
+#include <variant>
+
+namespace monsoonlift::entry::internal {
+
+/// What this daemon itself notices of an attempt.
+enum class local_event {
+    not_sent,      ///< The request never left.
+    link_broken,   ///< A later frame could not be sent.
+    endpoint_gone, ///< Membership says that this life of the endpoint is over.
+    caller_gone
+};
+
+using attempt_event = std::variant<transport::response_head, transport::body_chunk, transport::body_end,
+                                   transport::attempt_end, local_event>;
+
+/// Where the frames of one attempt arrive. `deliver` and `notify` are safe on any thread; the rest belongs to
+/// the strand.
+class attempt_channel : public std::enable_shared_from_this<attempt_channel> {
+public:
+    attempt_channel(const boost::asio::any_io_executor& strand, core::endpoint_id endpoint)
+        : events(strand), credit(strand), m_strand(strand), m_endpoint(std::move(endpoint)) {}
+
+    [[nodiscard]] const core::endpoint_id& endpoint() const { return m_endpoint; }
+
+    void deliver(decltype(transport::frame::payload) payload) {
+        boost::asio::dispatch(m_strand, [self = shared_from_this(), payload = std::move(payload)]() mutable {
+            self->take(std::move(payload));
+        });
+    }
+
+    void notify(local_event event) {
+        boost::asio::post(m_strand, [self = shared_from_this(), event] { self->events.push(event); });
+    }
+
+    transfer::async_queue<attempt_event> events;
+    transfer::credit_gate credit;
+
+private:
+    void take(decltype(transport::frame::payload) payload) {
+        if (const auto* granted = std::get_if<transport::credit>(&payload)) {
+            credit.grant(granted->chunks);
+        } else if (auto* head = std::get_if<transport::response_head>(&payload)) {
+            events.push(std::move(*head));
+        } else if (auto* chunk = std::get_if<transport::body_chunk>(&payload)) {
+            events.push(std::move(*chunk));
+        } else if (auto* end = std::get_if<transport::body_end>(&payload)) {
+            events.push(std::move(*end));
+        } else if (auto* failure = std::get_if<transport::attempt_end>(&payload)) {
+            events.push(std::move(*failure));
+        }
+    }
+
+    boost::asio::any_io_executor m_strand;
+    core::endpoint_id m_endpoint;
+};
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/attempt_judgement.cpp
@@ -0,0 +1,44 @@
+#include "entry/internal/attempt_judgement.h"
+
+namespace monsoonlift::entry::internal {
+
+using transport::end_reason;
+
+namespace {
+
+constexpr unsigned first_server_error = 500;
+
+/// Whether the attempt ended for a reason that says nothing of its backend server.
+bool is_no_fault_of_server(end_reason reason) {
+    switch (reason) {
+    case end_reason::shed:
+    case end_reason::draining:
+    case end_reason::wrong_home:
+    case end_reason::home_unknown:
+    case end_reason::key_conflict:
+    case end_reason::already_running:
+    case end_reason::refused_key:
+    case end_reason::quarantined:
+    case end_reason::body_damaged:
+    case end_reason::cancelled:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+routing::attempt_result judge_attempt(const transport::attempt_end& end, unsigned answer_status,
+                                      bool caller_gone, std::chrono::nanoseconds latency) {
+    routing::attempt_result result;
+    result.run = end.run;
+    result.succeeded = end.reason == end_reason::answered && answer_status < first_server_error;
+    const bool broken_by_caller = caller_gone && end.reason != end_reason::answered;
+    result.shed = broken_by_caller || is_no_fault_of_server(end.reason);
+    result.latency = latency;
+    result.report = end.load;
+    return result;
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/call_exchange.cpp
@@ -0,0 +1,389 @@
+#include "entry/internal/call_exchange.h"
+#include "entry/internal/attempt_judgement.h"
+
+#include "entry/internal/attempt_problem.h"
+#include "transfer/body_digest.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonlift::entry::internal {
+
+using core::verdict;
+using transport::end_reason;
+
+namespace {
+
+/// Attempts of one call that may end with a backend server breaking off: a request that crashes servers must
+/// not crash a third one before the reports of the first two have met.
+constexpr std::uint32_t most_broken_attempts = 2;
+
+using namespace std::chrono_literals;
+
+/// Bytes of a request body that are kept, so that the request can be sent again.
+constexpr std::size_t replay_bytes = 64 * 1024;
+
+/// What a caller is given beyond its deadline to read its answer.
+constexpr std::chrono::seconds writing_patience = 5s;
+
+/// Between two looks for a backend server that can be reached.
+constexpr std::chrono::milliseconds route_pause = 20ms;
+
+/// Whether another attempt would end the same way.
+bool is_final(end_reason reason) {
+    switch (reason) {
+    case end_reason::cancelled:
+    case end_reason::key_conflict:
+    case end_reason::already_running:
+    case end_reason::refused_key:
+    case end_reason::quarantined:
+        return true;
+    default:
+        return false;
+    }
+}
+
+problem no_configuration() {
+    return {503,
+            verdict::not_run,
+            "no-configuration",
+            "The daemon is not ready",
+            "no configuration has been adopted yet",
+            std::chrono::seconds(1)};
+}
+
+problem incomplete_body() {
+    return {400,
+            verdict::not_run,
+            "body-incomplete",
+            "The request body is not whole",
+            "the request body ended early or is malformed",
+            {}};
+}
+
+} // namespace
+
+call_exchange::call_exchange(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
+                             std::shared_ptr<caller_connection> connection,
+                             std::shared_ptr<transfer::watchdog> watchdog)
+    : m_shared(shared), m_keep_alive(std::move(keep_alive)), m_connection(std::move(connection)),
+      m_watchdog(std::move(watchdog)), m_class(&shared.classes.unknown()) {}
+
+boost::asio::awaitable<void> call_exchange::run() {
+    if (asks_for_permit()) {
+        co_await give_permit();
+        co_return;
+    }
+    auto trouble = parse();
+    if (trouble) {
+        co_await refuse(*trouble);
+        co_return;
+    }
+    m_watchdog->allow_until(m_call.context.deadline + writing_patience);
+    const auto began = m_shared.clock.now();
+    co_await serve();
+    m_class->call_time.record(m_shared.clock.now() - began);
+    m_connection->stop_watching();
+    give_budget_back();
+}
+
+std::optional<problem> call_exchange::parse() {
+    const auto configuration = m_shared.configuration();
+    if (!configuration) {
+        return no_configuration();
+    }
+    const parsing_rules rules{*configuration, m_shared.options.default_patience, m_shared.sender.self().life};
+    auto parsed = parse_call(m_connection->request(), rules, m_shared.clock.now());
+    if (auto* trouble = std::get_if<problem>(&parsed)) {
+        return std::move(*trouble);
+    }
+    m_call = std::move(std::get<parsed_call>(parsed));
+    m_class = &m_shared.classes.of(m_call.context.rank);
+    begin_context(*configuration);
+    return std::nullopt;
+}
+
+void call_exchange::begin_context(const configuration::document& configuration) {
+    if (!m_call.parent) {
+        m_call.context.root = m_shared.routes.draw_root();
+        m_call.context.attempts_left = configuration.retries.attempts_per_root;
+        m_shared.routes.set_retry_ratio(configuration.retries.ratio);
+        m_shared.routes.grant(m_call.context);
+        return;
+    }
+    const bool is_ours = m_call.parent->issuer == m_shared.sender.self().life;
+    m_call.context.attempts_left = is_ours ? m_shared.budgets.reserve(m_call.parent->run) : 0;
+}
+
+void call_exchange::give_budget_back() {
+    if (!m_call.parent) {
+        m_shared.routes.give_back(m_call.context.attempts_left);
+        return;
+    }
+    if (m_call.parent->issuer == m_shared.sender.self().life) {
+        const auto spent = m_spent_retries + m_nested_attempts;
+        m_shared.budgets.give_back(m_call.parent->run, m_call.context.attempts_left, spent);
+    }
+}
+
+boost::asio::awaitable<void> call_exchange::serve() {
+    const bool invited = co_await m_connection->invite_body();
+    if (!invited) {
+        m_class->count_end(call_outcome::caller_gone, verdict::not_run);
+        m_connection->abort();
+        co_return;
+    }
+    const bool read = co_await read_first_bytes();
+    if (!read) {
+        const auto trouble = incomplete_body();
+        co_await refuse(trouble);
+        co_return;
+    }
+    watch_caller();
+    co_await make_attempts();
+}
+
+boost::asio::awaitable<bool> call_exchange::read_first_bytes() {
+    while (!m_connection->is_body_read() && m_first_bytes.size() < replay_bytes) {
+        const auto wanted = replay_bytes - m_first_bytes.size();
+        const bool read = co_await m_connection->read_body(m_first_bytes, wanted);
+        if (!read) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+boost::asio::awaitable<void> call_exchange::make_attempts() {
+    m_call_number = m_shared.next_call();
+    while (true) {
+        auto trouble = begin_attempt();
+        const bool found = trouble && co_await wait_for_route(*trouble);
+        if (found) {
+            continue;
+        }
+        if (trouble) {
+            const auto told = final_problem(m_earlier, *trouble);
+            co_await refuse(told);
+            co_return;
+        }
+        const auto outcome = co_await follow_attempt();
+        end_attempt(outcome);
+        if (outcome.settled) {
+            co_return;
+        }
+        const bool again = co_await wait_for_next(outcome);
+        if (!again) {
+            const auto told = final_problem(m_earlier, last_problem(outcome));
+            co_await refuse(told);
+            co_return;
+        }
+        if (!is_about_home(outcome.end.reason)) {
+            m_earlier = final_problem(m_earlier, last_problem(outcome));
+        }
+    }
+}
+
+boost::asio::awaitable<bool> call_exchange::wait_for_route(const problem& trouble) {
+    // NOTE: a backend server whose VM was paused, or that was suspected wrongly, is back within moments.
+    const bool nothing_tried = m_attempts == 0 && m_redirects == 0;
+    const bool too_late = m_waited_for_route >= m_shared.options.route_patience ||
+                          m_shared.clock.now() + route_pause >= m_call.context.deadline;
+    if (!is_without_backend(trouble) || !nothing_tried || too_late || m_caller_gone) {
+        co_return false;
+    }
+    m_waited_for_route += route_pause;
+    co_return co_await pause(route_pause);
+}
+
+boost::asio::awaitable<bool> call_exchange::wait_for_next(const attempt_outcome& outcome) {
+    if (is_about_home(outcome.end.reason)) {
+        co_return co_await look_for_home(outcome);
+    }
+    const auto delay = next_delay(outcome);
+    if (!delay) {
+        co_return false;
+    }
+    co_return co_await pause(*delay);
+}
+
+std::optional<problem> call_exchange::begin_attempt() {
+    auto chosen = choose_destination();
+    if (auto* trouble = std::get_if<problem>(&chosen)) {
+        return std::move(*trouble);
+    }
+    const auto& endpoint = std::get<core::endpoint_id>(chosen);
+    m_attempt = {m_shared.sender.self().life, m_call_number, m_attempts + m_redirects};
+    m_attempt_began = m_shared.clock.now();
+    m_answer_status = 0;
+    m_channel = std::make_shared<attempt_channel>(m_connection->strand(), endpoint);
+    m_shared.routes.record_sent(endpoint, m_attempts == 0);
+    m_shared.open(m_attempt, m_channel);
+    ++m_attempts;
+    ++m_shared.attempts;
+    send_request();
+    return std::nullopt;
+}
+
+void call_exchange::send_request() {
+    transport::request_head head;
+    head.reply_address = m_shared.sender.self().address;
+    m_lent = retry::lend(m_call.context);
+    head.context = m_call.context;
+    head.context.attempts_left = m_lent;
+    head.service = m_call.service;
+    head.method = m_connection->request().method;
+    head.target = m_connection->request().target;
+    head.headers = m_call.headers;
+    head.body = m_first_bytes;
+    head.expires = m_shared.clock.wall_now() + std::chrono::duration_cast<core::wall_time::duration>(
+                                                   core::time_left(m_call.context, m_shared.clock.now()));
+    head.homes_version = m_homes_version;
+    if (m_connection->is_body_read()) {
+        head.total = transfer::total_of(head.body);
+    }
+    const bool whole = head.total.has_value();
+    send(std::move(head));
+    if (!whole) {
+        boost::asio::co_spawn(
+            m_connection->strand(),
+            [self = shared_from_this(), channel = m_channel, attempt = m_attempt] {
+                return self->upload(channel, attempt);
+            },
+            boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> call_exchange::upload(std::shared_ptr<attempt_channel> channel,
+                                                   core::attempt_id attempt) {
+    transfer::body_digest digest;
+    digest.add(m_first_bytes);
+    while (!m_connection->is_body_read()) {
+        const bool allowed = co_await channel->credit.take(core::steady_time::max());
+        if (!allowed) {
+            co_return;
+        }
+        m_replayable = false;
+        transport::body_chunk chunk{digest.length(), {}};
+        const bool read = co_await m_connection->read_body(chunk.data, m_shared.options.body_chunk_bytes);
+        if (!read) {
+            channel->events.push(local_event::caller_gone);
+            co_return;
+        }
+        extend_patience();
+        if (!chunk.data.empty()) {
+            digest.add(chunk.data);
+            m_shared.send(attempt, channel->endpoint(), std::move(chunk));
+        }
+    }
+    m_shared.send(attempt, channel->endpoint(), transport::body_end{digest.total(), {}});
+    watch_caller();
+}
+
+void call_exchange::end_attempt(const attempt_outcome& outcome) {
+    m_shared.close(m_attempt);
+    m_channel->credit.close();
+    m_channel->events.close();
+    const auto& end = outcome.end;
+    m_nested_attempts += end.nested_attempts.value_or(m_lent);
+    retry::settle(m_call.context, m_lent, end.nested_attempts);
+    const auto now = m_shared.clock.now();
+    m_shared.routes.record_result(m_channel->endpoint(),
+                                  judge_attempt(end, m_answer_status, m_caller_gone, now - m_attempt_began),
+                                  now);
+    m_tried.push_back(m_channel->endpoint());
+    if (outcome.settled) {
+        count_end(end);
+    }
+}
+
+void call_exchange::count_end(const transport::attempt_end& end) {
+    const bool whole = end.reason == end_reason::answered;
+    ++(whole ? m_shared.answered : m_shared.failed);
+    if (whole) {
+        m_class->count_end(call_outcome::answered, end.run);
+    } else {
+        m_class->count_end(m_caller_gone ? call_outcome::caller_gone : call_outcome::cut_short, end.run);
+    }
+}
+
+std::optional<std::chrono::nanoseconds> call_exchange::next_delay(const attempt_outcome& outcome) {
+    m_broken_attempts += outcome.end.reason == end_reason::backend_failed ? 1 : 0;
+    const bool may_crash_servers = m_broken_attempts >= most_broken_attempts;
+    if (!m_replayable || m_caller_gone || may_crash_servers || is_final(outcome.end.reason)) {
+        return std::nullopt;
+    }
+    // NOTE: only the home of a key may run its request, so that one is asked again.
+    if (!is_bound_to_home() && !m_shared.routes.has_untried({m_call.service, m_call.context, m_tried})) {
+        return std::nullopt;
+    }
+    const retry::attempt_outcome ended{outcome.end.run, m_attempts - 1, outcome.end.service_time,
+                                       outcome.end.retry_after};
+    const auto delay = m_shared.routes.next_attempt(m_call.context, ended, m_shared.clock.now());
+    if (delay) {
+        ++m_spent_retries;
+        ++m_shared.retries;
+        m_class->retries.add();
+    } else {
+        note_spent_budget(outcome.end.run);
+    }
+    return delay;
+}
+
+void call_exchange::note_spent_budget(verdict run) {
+    const bool repeatable =
+        run == verdict::not_run || (run == verdict::may_have_run && m_call.context.idempotent);
+    const bool call_spent = m_call.context.attempts_left == 0;
+    if (!repeatable || !m_shared.options.decisions_on || (!call_spent && m_shared.routes.may_retry())) {
+        return;
+    }
+    const auto budget = call_spent ? spent_budget::root_call : spent_budget::daemon;
+    m_class->count_withheld(budget);
+    m_shared.events.budget_spent(subject(), budget);
+}
+
+boost::asio::awaitable<bool> call_exchange::pause(std::chrono::nanoseconds delay) {
+    boost::asio::steady_timer timer(m_connection->strand());
+    timer.expires_after(std::chrono::duration_cast<boost::asio::steady_timer::duration>(delay));
+    const auto [failure] = co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_return !failure && !m_caller_gone;
+}
+
+boost::asio::awaitable<void> call_exchange::refuse(const problem& trouble) {
+    ++(trouble.run == verdict::not_run ? m_shared.refused : m_shared.failed);
+    if (m_caller_gone) {
+        m_class->count_end(call_outcome::caller_gone, trouble.run);
+        m_connection->abort();
+        co_return;
+    }
+    m_class->count_end(call_outcome::problem, trouble.run);
+    m_class->count_problem(trouble);
+    m_shared.events.told(subject(), trouble);
+    co_await m_connection->write_problem(trouble, attempts_spent());
+}
+
+void call_exchange::watch_caller() {
+    if (!m_connection->is_body_read()) {
+        return;
+    }
+    m_connection->watch([self = shared_from_this()] {
+        self->m_caller_gone = true;
+        if (self->m_channel) {
+            self->m_channel->events.push(local_event::caller_gone);
+        }
+    });
+}
+
+void call_exchange::extend_patience() {
+    const auto until = m_shared.clock.now() + m_shared.options.stall_patience;
+    m_watchdog->allow_until(std::max(until, m_call.context.deadline + writing_patience));
+}
+
+void call_exchange::send(decltype(transport::frame::payload) payload) {
+    m_shared.send(m_attempt, m_channel->endpoint(), std::move(payload));
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/caller_connection.cpp
@@ -0,0 +1,242 @@
+#include "entry/internal/caller_connection.h"
+
+#include "transfer/http_headers.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace monsoonlift::entry::internal {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto to_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+constexpr std::size_t discard_bytes = 16 * 1024;
+
+std::string_view view(boost::beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+bool has_no_body(unsigned status) {
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+caller_connection::caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit)
+    : m_socket(std::move(socket)), m_head_limit(head_limit) {
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+boost::asio::awaitable<caller_connection::head_outcome> caller_connection::read_head() {
+    m_request = {};
+    m_parser.emplace();
+    m_parser->header_limit(m_head_limit);
+    m_parser->body_limit(boost::none);
+    const auto [failure, got] = co_await http::async_read_header(m_socket, m_buffer, *m_parser, to_tuple);
+    if (!failure) {
+        keep_request();
+        co_return head_outcome::arrived;
+    }
+    m_can_go_on = false;
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
+        co_return head_outcome::too_large;
+    }
+    const bool spoke = failure.category() == http::make_error_code(http::error::bad_method).category() &&
+                       failure != http::error::end_of_stream && failure != http::error::partial_message;
+    co_return spoke ? head_outcome::malformed : head_outcome::closed;
+}
+
+void caller_connection::keep_request() {
+    const auto& message = m_parser->get();
+    m_can_go_on = message.keep_alive();
+    m_request.method = view(message.method_string());
+    m_request.target = view(message.target());
+    m_request.headers.clear();
+    for (const auto& field : message) {
+        m_request.headers.push_back(
+            {std::string(view(field.name_string())), std::string(view(field.value()))});
+    }
+}
+
+boost::asio::awaitable<bool> caller_connection::invite_body() {
+    const bool asks = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+    if (!asks || m_parser->is_done()) {
+        co_return true;
+    }
+    static constexpr std::string_view invitation = "HTTP/1.1 100 Continue\r\n\r\n";
+    const auto [failure, written] =
+        co_await boost::asio::async_write(m_socket, boost::asio::buffer(invitation), to_tuple);
+    co_return !failure;
+}
+
+boost::asio::awaitable<bool> caller_connection::read_body(std::string& into, std::size_t limit) {
+    if (m_parser->is_done()) {
+        co_return true;
+    }
+    const auto before = into.size();
+    into.resize(before + limit);
+    auto& body = m_parser->get().body();
+    body.data = into.data() + before;
+    body.size = limit;
+    const auto [failure, got] = co_await http::async_read(m_socket, m_buffer, *m_parser, to_tuple);
+    into.resize(before + limit - body.size);
+    co_return !failure || failure == http::error::need_buffer;
+}
+
+template <class Body>
+void caller_connection::fill_response(http::response<Body>& response, const transport::response_head& head,
+                                      answer_notes notes) {
+    response.version(m_parser->get().version());
+    response.result(head.status);
+    response.reason(head.reason);
+    for (const auto& field : head.headers) {
+        response.insert(field.name, field.value);
+    }
+    response.set("Monsoonlift-Verdict", core::to_string(notes.run));
+    response.set("Monsoonlift-Attempts", std::to_string(notes.attempts));
+    m_can_go_on = m_can_go_on && !m_last && m_parser->is_done();
+    response.keep_alive(m_can_go_on);
+}
+
+boost::asio::awaitable<bool> caller_connection::write_answer(transport::response_head head,
+                                                             answer_notes notes) {
+    http::response<http::string_body> response;
+    fill_response(response, head, notes);
+    response.body() = std::move(head.body);
+    const bool bodiless = m_request.method == "HEAD" || has_no_body(head.status);
+    if (bodiless) {
+        response.body().clear();
+    } else {
+        response.content_length(response.body().size());
+    }
+    const auto [failure, written] = co_await http::async_write(m_socket, response, to_tuple);
+    m_can_go_on = m_can_go_on && !failure;
+    co_return !failure;
+}
+
+boost::asio::awaitable<bool> caller_connection::begin_answer(const transport::response_head& head,
+                                                             answer_notes notes) {
+    m_response.emplace();
+    fill_response(*m_response, head, notes);
+    const bool has_length = m_response->find(http::field::content_length) != m_response->end();
+    if (!has_length && m_response->version() >= 11) {
+        m_response->chunked(true);
+    } else if (!has_length) {
+        m_can_go_on = false;
+        m_response->keep_alive(false);
+    }
+    m_serializer.emplace(*m_response);
+    co_return co_await write_piece(head.body);
+}
+
+boost::asio::awaitable<bool> caller_connection::write_piece(std::string_view bytes) {
+    auto& body = m_response->body();
+    body.data = const_cast<char*>(bytes.data());
+    body.size = bytes.size();
+    body.more = true;
+    const auto [failure, written] = co_await http::async_write(m_socket, *m_serializer, to_tuple);
+    co_return !failure || failure == http::error::need_buffer;
+}
+
+boost::asio::awaitable<bool> caller_connection::end_answer() {
+    auto& body = m_response->body();
+    body.data = nullptr;
+    body.size = 0;
+    body.more = false;
+    const auto [failure, written] = co_await http::async_write(m_socket, *m_serializer, to_tuple);
+    m_can_go_on = m_can_go_on && !failure;
+    co_return !failure;
+}
+
+boost::asio::awaitable<bool> caller_connection::write_problem(const problem& trouble,
+                                                              std::uint32_t attempts) {
+    transport::response_head head;
+    head.status = trouble.status;
+    head.reason = http::obsolete_reason(static_cast<http::status>(trouble.status));
+    head.headers.push_back({"Content-Type", "application/problem+json"});
+    if (trouble.retry_after) {
+        head.headers.push_back({"Retry-After", std::to_string(trouble.retry_after->count())});
+    }
+    head.body = to_json(trouble);
+    co_return co_await write_answer(std::move(head), {trouble.run, attempts});
+}
+
+boost::asio::awaitable<bool> caller_connection::write_json(unsigned status, std::string document) {
+    transport::response_head head;
+    head.status = status;
+    head.reason = http::obsolete_reason(static_cast<http::status>(status));
+    head.headers.push_back({"Content-Type", "application/json"});
+    head.body = std::move(document);
+    co_return co_await write_answer(std::move(head), {core::verdict::ran, 0});
+}
+
+void caller_connection::watch(std::function<void()> gone) {
+    m_gone = std::move(gone);
+    if (std::exchange(m_watching, true)) {
+        return;
+    }
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code& failure) {
+                            self->m_watching = false;
+                            if (!failure) {
+                                self->watched();
+                            }
+                        });
+}
+
+void caller_connection::watched() {
+    if (!m_gone) {
+        return;
+    }
+    char byte = 0;
+    const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool closed = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    if (closed) {
+        std::exchange(m_gone, nullptr)();
+    }
+}
+
+void caller_connection::abort() {
+    m_can_go_on = false;
+    m_gone = nullptr;
+    if (!m_socket.is_open()) {
+        return;
+    }
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+boost::asio::awaitable<void> caller_connection::close() {
+    m_gone = nullptr;
+    if (!m_socket.is_open()) {
+        co_return;
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    // NOTE: closing with unread bytes would reset the connection before the caller has read the answer.
+    std::array<char, discard_bytes> unread{};
+    boost::system::error_code failure;
+    while (!failure) {
+        std::tie(failure, std::ignore) =
+            co_await m_socket.async_read_some(boost::asio::buffer(unread), to_tuple);
+    }
+    m_socket.close(ignored);
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/caller_connection.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "entry/request_parsing.h"
+#include "entry/types/problem.h"
+#include "transport/types/frame.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace monsoonlift::entry::internal {
+
+/// What the caller is told besides the answer itself.
+struct answer_notes {
+    core::verdict run = core::verdict::ran;
+    std::uint32_t attempts = 0;
+};
+
+/// HTTP with one caller. Used on one strand only.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+public:
+    template <class T> using awaitable = boost::asio::awaitable<T>;
+
+    /// Outcome of waiting for a request head.
+    enum class head_outcome { arrived, closed, malformed, too_large };
+
+    caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit);
+
+    [[nodiscard]] boost::asio::any_io_executor strand() { return m_socket.get_executor(); }
+
+    /// Reads the next head; what it says is then in request().
+    awaitable<head_outcome> read_head();
+    [[nodiscard]] const request_fields& request() const { return m_request; }
+
+    /// Tells a caller who asks first that it may send its body.
+    awaitable<bool> invite_body();
+
+    /// Appends up to `limit` bytes of the body; false if the caller broke off.
+    awaitable<bool> read_body(std::string& into, std::size_t limit);
+    [[nodiscard]] bool is_body_read() const { return m_parser->is_done(); }
+
+    /// Writes a whole answer.
+    awaitable<bool> write_answer(transport::response_head head, answer_notes notes);
+
+    /// Writes an answer in pieces.
+    awaitable<bool> begin_answer(const transport::response_head& head, answer_notes notes);
+    awaitable<bool> write_piece(std::string_view bytes);
+    awaitable<bool> end_answer();
+
+    /// Writes a problem document.
+    awaitable<bool> write_problem(const problem& trouble, std::uint32_t attempts);
+
+    /// Writes a small JSON document.
+    awaitable<bool> write_json(unsigned status, std::string document);
+
+    /// Calls `gone` if the caller closes its side while an answer is awaited.
+    void watch(std::function<void()> gone);
+    void stop_watching() { m_gone = nullptr; }
+
+    /// From now on each answer says that the connection will be closed.
+    void close_after_answer() { m_last = true; }
+    [[nodiscard]] bool can_go_on() const { return m_can_go_on; }
+
+    /// Closes so that the caller can't take what it got for complete.
+    void abort();
+
+    /// Closes after the caller could read the last answer.
+    awaitable<void> close();
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+    using buffer_response = boost::beast::http::response<boost::beast::http::buffer_body>;
+
+    template <class Body>
+    void fill_response(boost::beast::http::response<Body>& response, const transport::response_head& head,
+                       answer_notes notes);
+    void keep_request();
+    void watched();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::uint32_t m_head_limit;
+    std::optional<parser> m_parser;
+    request_fields m_request;
+    std::optional<buffer_response> m_response;
+    std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> m_serializer;
+    std::function<void()> m_gone;
+    bool m_watching = false;
+    bool m_last = false;
+    bool m_can_go_on = true;
+};
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/caller_session.cpp
@@ -0,0 +1,93 @@
+#include "entry/internal/caller_session.h"
+
+#include "entry/internal/call_exchange.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <utility>
+
+namespace monsoonlift::entry::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::seconds close_patience = 2s;
+
+} // namespace
+
+caller_session::caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
+                               boost::asio::ip::tcp::socket socket)
+    : m_shared(shared), m_keep_alive(std::move(keep_alive)),
+      m_connection(std::make_shared<caller_connection>(std::move(socket), shared.options.head_limit_bytes)),
+      m_watchdog(std::make_shared<transfer::watchdog>(m_connection->strand())) {}
+
+void caller_session::start() {
+    boost::asio::co_spawn(
+        m_connection->strand(), [self = shared_from_this()] { return self->run(); },
+        [self = shared_from_this()](const std::exception_ptr& failure) {
+            if (failure) {
+                self->m_connection->abort();
+            }
+            self->m_watchdog->stop();
+        });
+}
+
+boost::asio::awaitable<void> caller_session::run() {
+    m_watchdog->start(m_shared.clock.now() + m_shared.options.idle_patience,
+                      [connection = m_connection] { connection->abort(); });
+    co_await serve_requests();
+    m_watchdog->allow_until(m_shared.clock.now() + close_patience);
+    co_await m_connection->close();
+}
+
+boost::asio::awaitable<void> caller_session::serve_requests() {
+    while (m_connection->can_go_on()) {
+        m_watchdog->allow_until(m_shared.clock.now() + m_shared.options.idle_patience);
+        const auto outcome = co_await m_connection->read_head();
+        if (outcome != caller_connection::head_outcome::arrived) {
+            co_await refuse_head(outcome);
+            co_return;
+        }
+        if (m_shared.is_closing()) {
+            m_connection->close_after_answer();
+        }
+        co_await serve_one();
+    }
+}
+
+boost::asio::awaitable<void> caller_session::serve_one() {
+    ++m_shared.calls;
+    ++m_shared.in_flight;
+    auto exchange = std::make_shared<call_exchange>(m_shared, m_keep_alive, m_connection, m_watchdog);
+    co_await exchange->run();
+    --m_shared.in_flight;
+}
+
+boost::asio::awaitable<void> caller_session::refuse_head(caller_connection::head_outcome outcome) {
+    problem trouble;
+    trouble.title = "The request is malformed";
+    switch (outcome) {
+    case caller_connection::head_outcome::too_large:
+        trouble.status = 413;
+        trouble.type = "head-too-large";
+        trouble.detail = "the request line and headers must fit into " +
+                         std::to_string(m_shared.options.head_limit_bytes) + " bytes";
+        break;
+    case caller_connection::head_outcome::malformed:
+        trouble.status = 400;
+        trouble.type = "malformed-http";
+        trouble.detail = "this is not an HTTP/1.1 request";
+        break;
+    default:
+        co_return;
+    }
+    ++m_shared.calls;
+    ++m_shared.refused;
+    m_shared.classes.unknown().count_end(call_outcome::problem, trouble.run);
+    m_shared.classes.unknown().count_problem(trouble);
+    m_shared.events.malformed(trouble);
+    co_await m_connection->write_problem(trouble, 0);
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/entry_state.cpp
@@ -0,0 +1,116 @@
+#include "entry/internal/entry_state.h"
+
+#include "entry/internal/caller_session.h"
+#include "network/address_text.h"
+
+#include <utility>
+#include <vector>
+
+namespace monsoonlift::entry::internal {
+
+using boost::asio::ip::tcp;
+
+entry_state::entry_state(network::listening_acceptor connections, const entry_options& chosen,
+                         transport::frame_sender& frames, gate::nested_budgets& nested,
+                         configuration_source source, const core::clock& time, logging::event_log& written,
+                         metrics::metrics_registry& metrics)
+    : options(chosen), sender(frames), budgets(nested), configuration(std::move(source)), clock(time),
+      log(written), routes(chosen.decisions_on, chosen.data_centre, chosen.random_seed),
+      classes([&metrics, &time](const std::string& name) {
+          return std::make_unique<call_class>(metrics, time, name);
+      }),
+      events(written, time), m_acceptor(std::move(connections)) {}
+
+void entry_state::start() {
+    const auto accepted = [weak = weak_from_this()](tcp::socket socket) {
+        if (const auto self = weak.lock()) {
+            std::make_shared<caller_session>(*self, self, std::move(socket))->start();
+        }
+    };
+    const auto not_accepted = [weak = weak_from_this()](const std::string& why, std::uint64_t left_out) {
+        if (const auto self = weak.lock()) {
+            self->events.not_accepted(why, left_out);
+        }
+    };
+    m_acceptor.connections->start({accepted, not_accepted});
+}
+
+std::string entry_state::address() const {
+    return network::to_text(m_acceptor.address);
+}
+
+void entry_state::stop_accepting() {
+    m_acceptor.connections->stop();
+}
+
+void entry_state::received(transport::frame message) {
+    const auto channel = find(message.attempt);
+    const bool crossed = channel && channel->endpoint().life != message.sender;
+    if (!channel || crossed) {
+        events.unknown_frame(message.attempt);
+        return;
+    }
+    channel->deliver(std::move(message.payload));
+}
+
+void entry_state::unsent(const core::attempt_id& attempt, bool begins_attempt) {
+    const auto channel = find(attempt);
+    if (channel) {
+        channel->notify(begins_attempt ? local_event::not_sent : local_event::link_broken);
+    }
+}
+
+void entry_state::member_changed(const membership::member& changed) {
+    routes.member_changed(changed, clock.now());
+    notify_gone(changed);
+}
+
+void entry_state::notify_gone(const membership::member& changed) {
+    const bool over = changed.status == membership::member_status::dead ||
+                      changed.status == membership::member_status::left;
+    std::vector<channel_pointer> broken;
+    {
+        const std::scoped_lock lock(m_channels_mutex);
+        for (const auto& [attempt, channel] : m_channels) {
+            const auto& endpoint = channel->endpoint();
+            const bool older = endpoint.life < changed.id.life || (over && endpoint.life == changed.id.life);
+            if (endpoint.address == changed.id.address && older) {
+                broken.push_back(channel);
+            }
+        }
+    }
+    for (const auto& channel : broken) {
+        channel->notify(local_event::endpoint_gone);
+    }
+}
+
+void entry_state::open(const core::attempt_id& attempt, channel_pointer channel) {
+    const std::scoped_lock lock(m_channels_mutex);
+    m_channels.emplace(attempt, std::move(channel));
+}
+
+void entry_state::close(const core::attempt_id& attempt) {
+    const std::scoped_lock lock(m_channels_mutex);
+    m_channels.erase(attempt);
+}
+
+void entry_state::send(const core::attempt_id& attempt, const core::endpoint_id& gate,
+                       decltype(transport::frame::payload) payload) {
+    transport::frame message;
+    message.attempt = attempt;
+    message.target = transport::frame_target::gate;
+    message.payload = std::move(payload);
+    sender.send(gate, std::move(message));
+}
+
+entry_state::channel_pointer entry_state::find(const core::attempt_id& attempt) const {
+    const std::scoped_lock lock(m_channels_mutex);
+    const auto found = m_channels.find(attempt);
+    return found == m_channels.end() ? nullptr : found->second;
+}
+
+entry_counters entry_state::counters() const {
+    return {calls, answered, refused, failed, attempts, retries, in_flight};
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/entry_state.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "entry/entry_service.h"
+#include "entry/internal/attempt_channel.h"
+#include "entry/internal/call_class.h"
+#include "entry/internal/entry_events.h"
+#include "entry/internal/route_book.h"
+#include "execution/home_directory.h"
+#include "network/acceptor.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace monsoonlift::entry::internal {
+
+/// What the sessions of one entry share. Kept alive by them.
+class entry_state : public std::enable_shared_from_this<entry_state> {
+public:
+    entry_state(network::listening_acceptor connections, const entry_options& chosen,
+                transport::frame_sender& frames, gate::nested_budgets& nested, configuration_source source,
+                const core::clock& time, logging::event_log& written, metrics::metrics_registry& metrics);
+
+    void start();
+    void close_connections() { m_closing = true; }
+    void stop_accepting();
+    [[nodiscard]] std::string address() const;
+    void received(transport::frame message);
+    void unsent(const core::attempt_id& attempt, bool begins_attempt);
+    void member_changed(const membership::member& changed);
+    [[nodiscard]] entry_counters counters() const;
+
+    /// A number for the next call of this entry.
+    [[nodiscard]] std::uint64_t next_call() { return m_next_call++; }
+
+    /// A number for the next permit.
+    [[nodiscard]] std::uint64_t next_permit() { return m_next_permit++; }
+
+    /// Makes frames of this attempt arrive at `channel`.
+    void open(const core::attempt_id& attempt, std::shared_ptr<attempt_channel> channel);
+    void close(const core::attempt_id& attempt);
+
+    /// Sends a frame of an attempt to its gate.
+    void send(const core::attempt_id& attempt, const core::endpoint_id& gate,
+              decltype(transport::frame::payload) payload);
+
+    /// Whether connections end after their next answer.
+    [[nodiscard]] bool is_closing() const { return m_closing; }
+
+    const entry_options options;
+    transport::frame_sender& sender;
+    gate::nested_budgets& budgets;
+    const configuration_source configuration;
+    const core::clock& clock;
+    logging::event_log& log;
+    route_book routes;
+    execution::home_directory homes; ///< What answers said of the homes of keys.
+
+    call_classes classes;
+    entry_events events;
+
+    std::atomic<std::uint64_t> calls = 0;
+    std::atomic<std::uint64_t> answered = 0;
+    std::atomic<std::uint64_t> refused = 0;
+    std::atomic<std::uint64_t> failed = 0;
+    std::atomic<std::uint64_t> attempts = 0;
+    std::atomic<std::uint64_t> retries = 0;
+    std::atomic<std::uint64_t> in_flight = 0;
+
+private:
+    using channel_pointer = std::shared_ptr<attempt_channel>;
+
+    [[nodiscard]] channel_pointer find(const core::attempt_id& attempt) const;
+    void notify_gone(const membership::member& changed);
+
+    network::listening_acceptor m_acceptor;
+    std::atomic<bool> m_closing = false;
+    std::atomic<std::uint64_t> m_next_call = 1;
+    std::atomic<std::uint64_t> m_next_permit = 1;
+
+    mutable std::mutex m_channels_mutex;
+    std::map<core::attempt_id, channel_pointer> m_channels;
+};
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/home_exchange.cpp
@@ -0,0 +1,151 @@
+// The part of call_exchange that finds the one gate that may run a keyed non-idempotent request.
+#include "entry/internal/attempt_problem.h"
+#include "entry/internal/call_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonlift::entry::internal {
+
+using core::verdict;
+using transport::end_reason;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view permit_path = "/.monsoonlift/permits";
+constexpr std::chrono::milliseconds home_pause = 100ms;
+constexpr std::uint32_t most_redirects = 50;
+
+/// Gates that are asked one right after the other for a home that the first of them doesn't know.
+constexpr std::uint32_t redirects_without_pause = 4;
+
+/// Answers that name a home which membership doesn't know, after which the home counts as gone.
+constexpr std::uint32_t most_lost_home_answers = 5;
+
+problem home_lost(std::string detail) {
+    transport::attempt_end end;
+    end.run = verdict::may_have_run;
+    end.reason = end_reason::home_unknown;
+    end.detail = std::move(detail);
+    return problem_of(end);
+}
+
+} // namespace
+
+bool call_exchange::is_bound_to_home() const {
+    return !m_call.context.idempotent && !m_call.context.key.empty();
+}
+
+call_exchange::destination call_exchange::choose_destination() {
+    if (!is_bound_to_home()) {
+        return choose_any();
+    }
+    const auto key = execution::parse_key(m_call.context.key);
+    return key ? choose_home(*key) : choose_any();
+}
+
+call_exchange::destination call_exchange::choose_any() {
+    const auto now = m_shared.clock.now();
+    const auto choice = m_shared.routes.choose({m_call.service, m_call.context, m_tried}, now);
+    if (choice.endpoint) {
+        return *choice.endpoint;
+    }
+    auto trouble = problem_of(choice.reason, m_call.service);
+    if (is_bound_to_home()) {
+        // NOTE: an earlier copy of the same key may have run, and only the key's home can tell.
+        trouble.run = verdict::may_have_run;
+    }
+    return trouble;
+}
+
+call_exchange::destination call_exchange::choose_home(const execution::execution_key& key) {
+    if (key.gate) {
+        if (m_shared.routes.is_known(*key.gate)) {
+            return *key.gate;
+        }
+        return home_lost("the gate that the permit names is gone; an earlier copy may have run there");
+    }
+    const auto home = m_shared.homes.find(m_call.service, key.text);
+    if (!home) {
+        return choose_untried();
+    }
+    m_homes_version = home->version;
+    if (m_shared.routes.is_known(home->gate)) {
+        return home->gate;
+    }
+    m_shared.homes.forget(m_call.service, key.text, home->gate);
+    m_tried.clear();
+    return choose_any();
+}
+
+call_exchange::destination call_exchange::choose_untried() {
+    auto chosen = choose_any();
+    if (std::holds_alternative<problem>(chosen) && !m_tried.empty()) {
+        m_tried.clear();
+        return choose_any();
+    }
+    return chosen;
+}
+
+boost::asio::awaitable<bool> call_exchange::look_for_home(const attempt_outcome& outcome) {
+    --m_attempts;
+    ++m_redirects;
+    if (!m_replayable || m_caller_gone || m_redirects > most_redirects) {
+        co_return false;
+    }
+    const auto& end = outcome.end;
+    if (end.reason == end_reason::wrong_home && !end.home.address.empty()) {
+        m_shared.homes.learn(m_call.service, m_call.context.key, {end.home, end.homes_version});
+        if (m_shared.routes.is_known(end.home)) {
+            co_return true;
+        }
+        if (++m_lost_home_answers >= most_lost_home_answers) {
+            co_return false;
+        }
+    }
+    if (end.reason == end_reason::home_unknown && m_redirects <= redirects_without_pause) {
+        co_return true;
+    }
+    if (m_shared.clock.now() + home_pause >= m_call.context.deadline) {
+        co_return false;
+    }
+    co_return co_await pause(home_pause);
+}
+
+problem call_exchange::last_problem(const attempt_outcome& outcome) const {
+    auto trouble = problem_of(outcome.end);
+    if (is_bound_to_home() && (is_about_home(outcome.end.reason) || !outcome.from_gate)) {
+        trouble.run = verdict::may_have_run;
+    }
+    return trouble;
+}
+
+bool call_exchange::asks_for_permit() const {
+    return m_connection->request().target == permit_path;
+}
+
+boost::asio::awaitable<void> call_exchange::give_permit() {
+    const auto service = single_header(m_connection->request(), "Monsoonlift-Service");
+    if (const auto* wrong = std::get_if<problem>(&service)) {
+        co_await refuse(*wrong);
+        co_return;
+    }
+    m_call.service = std::get<std::string_view>(service);
+    m_call.context.deadline = m_shared.clock.now() + m_shared.options.default_patience;
+    const auto chosen = choose_any();
+    if (const auto* trouble = std::get_if<problem>(&chosen)) {
+        co_await refuse(*trouble);
+        co_return;
+    }
+    const auto permit =
+        execution::make_permit(std::get<core::endpoint_id>(chosen), m_shared.sender.self().life,
+                               m_shared.next_permit(), m_shared.clock.wall_now());
+    ++m_shared.answered;
+    m_class->count_end(call_outcome::answered, verdict::ran);
+    constexpr unsigned created = 201;
+    co_await m_connection->write_json(created, R"({"key":")" + permit + R"("})");
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/route_book.cpp
@@ -0,0 +1,129 @@
+#include "entry/internal/route_book.h"
+
+#include <algorithm>
+
+namespace monsoonlift::entry::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Retries at each hop while decisions are off.
+constexpr std::uint32_t blind_retries = 3;
+constexpr std::chrono::nanoseconds blind_delay = 1ms;
+
+} // namespace
+
+route_book::route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed)
+    : m_decisions_on(decisions_on), m_random(random_seed) {
+    m_table.data_centre = std::move(data_centre);
+}
+
+core::root_id route_book::draw_root() {
+    const std::scoped_lock lock(m_mutex);
+    core::root_id root;
+    for (std::size_t index = 0; index < root.bytes.size(); index += sizeof(std::uint64_t)) {
+        const std::uint64_t drawn = m_random();
+        const auto* first = reinterpret_cast<const std::uint8_t*>(&drawn);
+        std::copy_n(first, sizeof(drawn), root.bytes.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return root;
+}
+
+routing::route_choice route_book::choose(const routing::route_request& request, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    if (!m_decisions_on) {
+        return choose_at_random(request);
+    }
+    return routing::choose(m_table, request, m_random, now);
+}
+
+bool route_book::has_untried(const routing::route_request& request) {
+    const std::scoped_lock lock(m_mutex);
+    return !m_decisions_on || routing::has_untried(m_table, request);
+}
+
+bool route_book::is_known(const core::endpoint_id& endpoint) {
+    const std::scoped_lock lock(m_mutex);
+    return std::any_of(m_table.endpoints.begin(), m_table.endpoints.end(),
+                       [&](const routing::endpoint_state& known) { return known.id == endpoint; });
+}
+
+void route_book::record_sent(const core::endpoint_id& endpoint, bool first_attempt) {
+    const std::scoped_lock lock(m_mutex);
+    routing::record_sent(m_table, endpoint);
+    if (first_attempt) {
+        retry::record_first_attempt(m_ratio);
+    }
+}
+
+void route_book::record_result(const core::endpoint_id& endpoint, const routing::attempt_result& result,
+                               core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    routing::record_result(m_table, endpoint, result, now);
+}
+
+std::optional<std::chrono::nanoseconds> route_book::next_attempt(core::call_context& context,
+                                                                 const retry::attempt_outcome& outcome,
+                                                                 core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    if (m_decisions_on) {
+        return retry::next_attempt(m_ratio, context, outcome, m_random, now);
+    }
+    const bool may_repeat = outcome.run != core::verdict::ran && outcome.attempt < blind_retries;
+    if (!may_repeat || now + blind_delay >= context.deadline) {
+        return std::nullopt;
+    }
+    return blind_delay;
+}
+
+bool route_book::may_retry() {
+    const std::scoped_lock lock(m_mutex);
+    return m_ratio.tokens >= 1;
+}
+
+void route_book::set_retry_ratio(double ratio) {
+    const std::scoped_lock lock(m_mutex);
+    m_ratio.ratio = ratio;
+    m_grants.ratio = ratio;
+}
+
+void route_book::grant(core::call_context& context) {
+    const std::scoped_lock lock(m_mutex);
+    retry::record_first_attempt(m_grants);
+    static_cast<void>(retry::grant(m_grants, context));
+}
+
+void route_book::give_back(std::uint32_t unspent) {
+    const std::scoped_lock lock(m_mutex);
+    retry::give_back(m_grants, unspent);
+}
+
+void route_book::member_changed(const membership::member& changed, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    const bool gone = changed.status == membership::member_status::dead ||
+                      changed.status == membership::member_status::left || changed.service.empty();
+    if (gone) {
+        routing::remove(m_table, changed.id);
+        return;
+    }
+    const bool reachable = changed.status == membership::member_status::alive;
+    routing::upsert(m_table, changed.id, changed.service, changed.data_centre, changed.draining, reachable,
+                    now);
+}
+
+routing::route_choice route_book::choose_at_random(const routing::route_request& request) {
+    std::vector<core::endpoint_id> candidates;
+    for (const auto& endpoint : m_table.endpoints) {
+        if (endpoint.service == request.service && !endpoint.draining) {
+            candidates.push_back(endpoint.id);
+        }
+    }
+    if (candidates.empty()) {
+        return {};
+    }
+    std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+    return {candidates[any(m_random)], {}};
+}
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/internal/route_book.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/clock.h"
+#include "membership/member_directory.h"
+#include "retry/retry_budget.h"
+#include "routing/routing_table.h"
+
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace monsoonlift::entry::internal {
+
+/// Routing and retry decisions of one entry behind one lock.
+class route_book {
+public:
+    /// With `decisions_on` false endpoints are chosen at random and retries have no budget.
+    route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed);
+
+    [[nodiscard]] core::root_id draw_root();
+
+    [[nodiscard]] routing::route_choice choose(const routing::route_request& request, core::steady_time now);
+
+    /// Whether an endpoint is left that the call has not tried; always while decisions are off, for endpoints
+    /// are then drawn with no regard to earlier attempts.
+    [[nodiscard]] bool has_untried(const routing::route_request& request);
+
+    /// Whether that life of the endpoint is up as far as is known.
+    [[nodiscard]] bool is_known(const core::endpoint_id& endpoint);
+
+    void record_sent(const core::endpoint_id& endpoint, bool first_attempt);
+
+    void record_result(const core::endpoint_id& endpoint, const routing::attempt_result& result,
+                       core::steady_time now);
+
+    /// The delay before the next attempt, or nothing.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds>
+    next_attempt(core::call_context& context, const retry::attempt_outcome& outcome, core::steady_time now);
+
+    /// Whether the daemon's own budget allows another retry.
+    [[nodiscard]] bool may_retry();
+
+    /// Sets what the configuration allows.
+    void set_retry_ratio(double ratio);
+
+    /// Grants a root call its budget, at most `context.attempts_left`.
+    void grant(core::call_context& context);
+
+    /// Takes back what a root call did not spend.
+    void give_back(std::uint32_t unspent);
+
+    void member_changed(const membership::member& changed, core::steady_time now);
+
+private:
+    [[nodiscard]] routing::route_choice choose_at_random(const routing::route_request& request);
+
+    bool m_decisions_on;
+    std::mutex m_mutex;
+    routing::routing_table m_table;
+    retry::ratio_state m_ratio;
+    retry::ratio_state m_grants; ///< Earned by root calls only.
+    routing::random_engine m_random;
+};
+
+} // namespace monsoonlift::entry::internal
--- /dev/null
+++ b/src/entry/request_parsing.h
@@ -0,0 +1,50 @@
+/// Checks of a caller's request head and the call context that follows from it.
+#pragma once
+
+#include "configuration/types/document.h"
+#include "core/clock.h"
+#include "core/types/call_context.h"
+#include "entry/types/problem.h"
+#include "gate/context_token.h"
+#include "transport/types/frame.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace monsoonlift::entry {
+
+/// The head of a request as it was read.
+struct request_fields {
+    std::string method;
+    std::string target;
+    std::vector<transport::header> headers;
+};
+
+/// A request that passed the checks.
+struct parsed_call {
+    std::string service;
+    core::call_context context;
+    std::vector<transport::header> headers;    ///< Those to pass on.
+    std::optional<gate::context_token> parent; ///< Of a nested call.
+};
+
+/// What the checks depend on.
+struct parsing_rules {
+    const configuration::document& configuration;
+    std::chrono::milliseconds default_patience{5000};
+    core::incarnation self; ///< Deadlines of tokens are known only to the life that issued them.
+};
+
+/// Checks the head; the context's root id and attempts are left for the caller of this function to set.
+[[nodiscard]] std::variant<parsed_call, problem>
+parse_call(const request_fields& request, const parsing_rules& rules, core::steady_time now);
+
+/// The value of a header field that may be given once at most; two different ones are an error.
+[[nodiscard]] std::variant<std::string_view, problem> single_header(const request_fields& request,
+                                                                    std::string_view name);
+
+} // namespace monsoonlift::entry
--- /dev/null
+++ b/src/entry/tests/attempt_problem_tests.cpp
@@ -0,0 +1,47 @@
+#include "entry/internal/attempt_problem.h"
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift;
+using namespace monsoonlift::entry;
+using core::verdict;
+using entry::internal::final_problem;
+
+namespace {
+
+problem problem_with(const char* type, verdict run) {
+    return {503, run, type, "A title", "a detail", {}};
+}
+
+} // namespace
+
+TEST_CASE("what a caller is told after several attempts", "[entry]") {
+    const auto shed = problem_with("shed", verdict::not_run);
+    const auto none_left = problem_with("no-backend-server", verdict::not_run);
+    const auto none_left_unclear = problem_with("no-backend-server", verdict::may_have_run);
+    const auto broken = problem_with("backend-failed", verdict::may_have_run);
+    struct attempts_case {
+        const char* what;
+        std::optional<problem> earlier;
+        problem last;
+        const char* told;
+        verdict run;
+    };
+    const attempts_case cases[] = {
+        {"one attempt", std::nullopt, shed, "shed", verdict::not_run},
+        {"no attempt", std::nullopt, none_left, "no-backend-server", verdict::not_run},
+        {"shed, then nobody is left to try", shed, none_left, "shed", verdict::not_run},
+        {"shed, and an earlier copy of the key is unclear", shed, none_left_unclear, "no-backend-server",
+         verdict::may_have_run},
+        {"broken, then shed", broken, shed, "backend-failed", verdict::may_have_run},
+        {"broken, then nobody is left to try", broken, none_left, "backend-failed", verdict::may_have_run},
+        {"shed, then broken", shed, broken, "backend-failed", verdict::may_have_run},
+        {"no backend server, then shed", none_left, shed, "shed", verdict::not_run},
+    };
+    for (const auto& one : cases) {
+        INFO(one.what);
+        const auto told = final_problem(one.earlier, one.last);
+        CHECK(told.type == one.told);
+        CHECK(told.run == one.run);
+    }
+}
--- /dev/null
+++ b/src/entry/tests/wired_fleet.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "core/system_clock.h"
+#include "entry/entry_service.h"
+#include "entry/tests/faulty_frame_sender.h"
+#include "entry/tests/loopback_backend.h"
+#include "execution/crash_guard.h"
+#include "execution/execution_ledger.h"
+#include "gate/gate_service.h"
+#include "metrics/metrics_registry.h"
+#include "transport/tcp_transport.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace monsoonlift::entry::testing {
+
+/// A log that keeps how often each event was written. Thread-safe.
+class counting_log final : public logging::event_log {
+public:
+    void write(logging::event_id id, std::initializer_list<logging::field>) override {
+        const std::scoped_lock lock(m_mutex);
+        ++m_counts[id];
+    }
+
+    [[nodiscard]] std::uint64_t count(logging::event_id id) const {
+        const std::scoped_lock lock(m_mutex);
+        const auto found = m_counts.find(id);
+        return found == m_counts.end() ? 0 : found->second;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<logging::event_id, std::uint64_t> m_counts;
+};
+
+/// Makes what accepts an entry's callers.
+using acceptor_maker = std::function<network::listening_acceptor(boost::asio::io_context&)>;
+
+/// One request of a caller.
+struct caller_request {
+    std::string method = "GET";
+    std::string target;
+    std::string body;
+    std::string key;      ///< Idempotency-Key; empty for none.
+    bool chunked = false; ///< The body is sent without its length.
+    std::chrono::milliseconds patience{5000};
+};
+
+/// What a caller got.
+struct caller_answer {
+    bool whole = false; ///< A whole HTTP message came.
+    bool timed_out = false;
+    unsigned status = 0;
+    std::string verdict;
+    std::string backend; ///< Name of the backend server that says it answered.
+    std::string body;
+};
+
+/// Entry, gate, transport and backend server of one VM.
+class wired_daemon {
+public:
+    wired_daemon(boost::asio::io_context& io, const std::string& name, core::incarnation life,
+                 std::shared_ptr<const configuration::document> rules, const frame_faults& faults,
+                 std::uint64_t seed, const acceptor_maker& make_acceptor);
+
+    [[nodiscard]] core::endpoint_id id() const { return m_transport.self(); }
+    [[nodiscard]] std::string caller_address() const { return m_entry.address(); }
+    [[nodiscard]] faulty_frame_sender& frames() { return m_frames; }
+    [[nodiscard]] loopback_backend& backend() { return m_backend; }
+    [[nodiscard]] execution::execution_ledger& ledger() { return m_ledger; }
+    [[nodiscard]] entry_service& entry() { return m_entry; }
+    [[nodiscard]] const counting_log& log() const { return m_log; }
+    [[nodiscard]] transport::transport_counters totals() const { return m_transport.counters(); }
+    [[nodiscard]] gate::gate_counters gate_totals() const { return m_gate.counters(); }
+
+    /// The backend server announces itself to the gate.
+    void announce();
+
+private:
+    core::system_clock m_clock;
+    counting_log m_log;
+    metrics::metrics_registry m_metrics;
+    loopback_backend m_backend;
+    transport::tcp_transport m_transport;
+    faulty_frame_sender m_frames;
+    execution::execution_ledger m_ledger;
+    execution::crash_guard m_crashes;
+    gate::nested_budgets m_budgets;
+    gate::gate_service m_gate;
+    entry_service m_entry;
+};
+
+/// Two daemons that know each other, over the real transport, on one thread.
+class wired_fleet {
+public:
+    wired_fleet(const frame_faults& faults, std::uint64_t seed);
+
+    /// Entries accept their callers by what `make_acceptor` makes.
+    wired_fleet(const frame_faults& faults, std::uint64_t seed, const acceptor_maker& make_acceptor);
+
+    [[nodiscard]] wired_daemon& daemon(std::size_t index) { return *m_daemons[index]; }
+
+    /// Makes a call through an entry and hands over what the caller got.
+    void call(std::size_t entry, caller_request request, std::function<void(caller_answer)> done);
+
+    /// Runs what can be run now; waits for nothing.
+    void run_ready() { m_io.poll(); }
+
+    /// Runs until `reached` says so; false if it did not for long.
+    bool run_until(const std::function<bool()>& reached);
+
+    /// Runs until no frame is on its way and no gate has work.
+    bool settle();
+
+    /// How often the backend servers ran the effect of a target.
+    [[nodiscard]] std::uint64_t runs(const std::string& target) const;
+
+    /// Faults brought about by all senders.
+    [[nodiscard]] std::uint64_t injected() const;
+
+private:
+    [[nodiscard]] bool is_settled() const;
+    void introduce();
+
+    boost::asio::io_context m_io;
+    std::vector<std::unique_ptr<wired_daemon>> m_daemons;
+};
+
+} // namespace monsoonlift::entry::testing
--- /dev/null
+++ b/src/execution/internal/home_writer.cpp
@@ -0,0 +1,248 @@
+#include "execution/internal/home_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonlift::execution::internal {
+
+namespace {
+
+using core::error_code;
+using std::chrono::milliseconds;
+
+constexpr milliseconds soon_pause{100};
+
+} // namespace
+
+home_writer::home_writer(platform::scheduler& scheduler, execution_ledger& ledger,
+                         platform::object_api& platform, logging::event_log& log,
+                         home_keeper::other_gates others, const home_keeper_options& options)
+    : m_scheduler(scheduler), m_ledger(ledger), m_platform(platform), m_log(log), m_others(std::move(others)),
+      m_options(options), m_random(options.random_seed) {}
+
+void home_writer::post(std::function<void(home_writer&)> step) {
+    m_scheduler.after(milliseconds(0), [weak = weak_from_this(), step = std::move(step)] {
+        const auto self = weak.lock();
+        if (self && !self->m_stopped) {
+            step(*self);
+        }
+    });
+}
+
+template <class T>
+platform::object_api::handler<T>
+home_writer::on_scheduler(std::function<void(home_writer&, const T&)> on_value,
+                          std::function<void(home_writer&, const core::error&)> on_error) {
+    return [weak = weak_from_this(), on_value = std::move(on_value),
+            on_error = std::move(on_error)](core::result<T> answer) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        using step = std::function<void(home_writer&)>;
+        self->post(core::settle([&] { return std::move(answer); },
+                                [&](T value) -> step {
+                                    return [on_value, value = std::move(value)](home_writer& writer) {
+                                        on_value(writer, value);
+                                    };
+                                },
+                                [&](const core::error& failure) -> step {
+                                    return [on_error, failure](home_writer& writer) {
+                                        on_error(writer, failure);
+                                    };
+                                }));
+    };
+}
+
+std::string home_writer::object_name() const {
+    return "homes/" + m_service;
+}
+
+void home_writer::serve(const std::string& service) {
+    if (!m_service.empty()) {
+        return;
+    }
+    m_service = service;
+    begin_round();
+}
+
+void home_writer::refresh() {
+    if (m_service.empty()) {
+        return;
+    }
+    begin_round();
+}
+
+void home_writer::refresh_soon() {
+    if (m_busy || m_soon || m_service.empty()) {
+        return;
+    }
+    m_soon = true;
+    wait(soon_pause);
+}
+
+void home_writer::refresh_for_unknown() {
+    // NOTE: a free slot stays unknown until some gate takes it, so this is asked for with every such call.
+    const bool has_reason_to_wait = m_retry > milliseconds(0) || m_ledger.homes().version == 0;
+    if (m_busy || m_soon || has_reason_to_wait || m_service.empty()) {
+        return;
+    }
+    m_soon = true;
+    wait(jittered(m_options.unknown_poll));
+}
+
+void home_writer::drain(std::function<void()> done) {
+    m_leaves = true;
+    m_drained = std::move(done);
+    if (m_service.empty()) {
+        end_round();
+        return;
+    }
+    begin_round();
+}
+
+void home_writer::stop() {
+    m_stopped = true;
+}
+
+void home_writer::begin_round() {
+    if (m_busy) {
+        m_again = true;
+        return;
+    }
+    m_busy = true;
+    m_again = false;
+    m_soon = false;
+    ++m_waits;
+    read();
+}
+
+void home_writer::read() {
+    m_platform.get(object_name(), m_options.call_patience,
+                   on_scheduler<platform::object>(&home_writer::take_read, &home_writer::read_failed));
+}
+
+void home_writer::take_read(const platform::object& found) {
+    const auto table = read_homes(found.value, found.version);
+    if (!table) {
+        m_log.write(logging::event_id::homes_malformed, {{"object", object_name()}});
+        retry_later();
+        return;
+    }
+    const bool may_lose_slots = m_ledger.pending_write().has_value();
+    const std::size_t held_before = m_ledger.counts().homes_held;
+    m_ledger.adopt_homes(*table);
+    if (!may_lose_slots && m_ledger.counts().homes_held < held_before) {
+        m_log.write(logging::event_id::gate_fenced, {{"service", m_service}});
+    }
+    plan();
+}
+
+void home_writer::read_failed(const core::error& failure) {
+    const bool never_existed = failure.code == error_code::not_found && m_ledger.homes().version == 0;
+    if (never_existed && !std::exchange(m_awaited_others, true)) {
+        m_busy = false;
+        wait(m_options.first_take);
+        return;
+    }
+    if (never_existed) {
+        plan();
+        return;
+    }
+    retry_later();
+}
+
+void home_writer::plan() {
+    if (const auto pending = m_ledger.pending_write()) {
+        // NOTE: the earlier write may still arrive. Writing the unchanged table over the version it expects
+        // settles it: one of the two takes effect, the other never will.
+        write(pending->expected_version, m_ledger.homes(), false);
+        return;
+    }
+    const auto wanted = m_ledger.begin_homes_write(m_others(m_service), m_leaves);
+    if (!wanted) {
+        end_round();
+        return;
+    }
+    write(wanted->version, *wanted, true);
+}
+
+void home_writer::write(std::uint64_t expected_version, const home_table& table, bool is_plan) {
+    m_platform.update_if(
+        object_name(), expected_version, write_homes(table), m_options.write_patience,
+        on_scheduler<std::uint64_t>(
+            [is_plan](home_writer& self, std::uint64_t version) { self.written(version, is_plan); },
+            [is_plan](home_writer& self, const core::error& failure) {
+                self.write_failed(failure, is_plan);
+            }));
+}
+
+void home_writer::written(std::uint64_t version, bool is_plan) {
+    if (is_plan) {
+        m_ledger.confirm_homes_write(version);
+    } else {
+        home_table unchanged = m_ledger.homes();
+        unchanged.version = version;
+        m_ledger.adopt_homes(unchanged);
+    }
+    const execution_counts counts = m_ledger.counts();
+    m_log.write(logging::event_id::homes_written, {{"service", m_service},
+                                                   {"version", std::to_string(version)},
+                                                   {"held", std::to_string(counts.homes_held)}});
+    if (!is_plan) {
+        plan();
+        return;
+    }
+    end_round();
+}
+
+void home_writer::write_failed(const core::error& failure, bool is_plan) {
+    if (failure.code == error_code::conflict) {
+        read();
+        return;
+    }
+    // NOTE: a failed attempt to settle an earlier write says nothing of that write.
+    const bool had_no_effect =
+        failure.run == core::verdict::not_run && failure.code == error_code::unavailable;
+    if (is_plan && had_no_effect) {
+        m_ledger.cancel_homes_write();
+    }
+    retry_later();
+}
+
+void home_writer::end_round() {
+    m_busy = false;
+    m_retry = milliseconds(0);
+    const bool has_left = m_leaves && m_ledger.counts().homes_held == 0;
+    if (has_left && m_drained) {
+        std::exchange(m_drained, nullptr)();
+    }
+    if (m_again) {
+        begin_round();
+        return;
+    }
+    wait(jittered(m_options.poll));
+}
+
+void home_writer::retry_later() {
+    m_busy = false;
+    m_retry = std::clamp(m_retry * 2, m_options.retry_min, m_options.retry_max);
+    wait(jittered(m_retry));
+}
+
+void home_writer::wait(milliseconds pause) {
+    const std::uint64_t number = ++m_waits;
+    m_scheduler.after(pause, [weak = weak_from_this(), number] {
+        const auto self = weak.lock();
+        if (self && !self->m_stopped && self->m_waits == number) {
+            self->begin_round();
+        }
+    });
+}
+
+milliseconds home_writer::jittered(milliseconds pause) {
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+    return milliseconds(jitter(m_random));
+}
+
+} // namespace monsoonlift::execution::internal
--- /dev/null
+++ b/src/execution/internal/home_writer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "execution/home_keeper.h"
+
+#include <memory>
+#include <random>
+#include <string>
+
+namespace monsoonlift::execution::internal {
+
+/// The running half of home_keeper: one read or write at a time, on the scheduler.
+class home_writer : public std::enable_shared_from_this<home_writer> {
+public:
+    home_writer(platform::scheduler& scheduler, execution_ledger& ledger, platform::object_api& platform,
+                logging::event_log& log, home_keeper::other_gates others, const home_keeper_options& options);
+
+    /// Runs `step` on the scheduler unless stopped.
+    void post(std::function<void(home_writer&)> step);
+
+    // The rest runs on the scheduler.
+    void serve(const std::string& service);
+    void refresh();
+    void refresh_soon();
+    void refresh_for_unknown();
+    void drain(std::function<void()> done);
+    void stop();
+
+private:
+    template <class T>
+    platform::object_api::handler<T>
+    on_scheduler(std::function<void(home_writer&, const T&)> on_value,
+                 std::function<void(home_writer&, const core::error&)> on_error);
+    void begin_round();
+    void read();
+    void take_read(const platform::object& found);
+    void read_failed(const core::error& failure);
+    void plan();
+    void write(std::uint64_t expected_version, const home_table& table, bool is_plan);
+    void written(std::uint64_t version, bool is_plan);
+    void write_failed(const core::error& failure, bool is_plan);
+    void end_round();
+    void retry_later();
+    void wait(std::chrono::milliseconds pause);
+    [[nodiscard]] std::chrono::milliseconds jittered(std::chrono::milliseconds pause);
+    [[nodiscard]] std::string object_name() const;
+
+    platform::scheduler& m_scheduler;
+    execution_ledger& m_ledger;
+    platform::object_api& m_platform;
+    logging::event_log& m_log;
+    home_keeper::other_gates m_others;
+    home_keeper_options m_options;
+    std::mt19937_64 m_random;
+    std::chrono::milliseconds m_retry{0};
+    std::string m_service;
+    std::function<void()> m_drained;
+    bool m_leaves = false;
+    std::uint64_t m_waits = 0;     ///< Only the latest wait ends in a round.
+    bool m_awaited_others = false; ///< first_take has passed.
+    bool m_soon = false;           ///< The next round is due sooner than the poll.
+    bool m_busy = false;           ///< A call to the platform is outstanding.
+    bool m_again = false;          ///< Another round was asked for meanwhile.
+    bool m_stopped = false;
+};
+
+} // namespace monsoonlift::execution::internal
--- /dev/null
+++ b/src/execution/tests/crash_tests.cpp
@@ -0,0 +1,181 @@
+#include "execution/crash_guard.h"
+
+#include "testing/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace monsoonlift::execution;
+using monsoonlift::core::endpoint_id;
+using monsoonlift::logging::event_id;
+using monsoonlift::testing::manual_clock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr request_fingerprint poison{666};
+constexpr request_fingerprint bystander{1};
+constexpr request_fingerprint other{2};
+
+class silent_log final : public monsoonlift::logging::event_log {
+public:
+    void write(event_id, std::initializer_list<monsoonlift::logging::field>) override {}
+};
+
+/// Gates whose rumors reach each other as soon as deliver() is called.
+struct fleet {
+    manual_clock clock;
+    silent_log log;
+    std::vector<std::pair<std::uint32_t, std::string>> rumors;
+    std::vector<std::unique_ptr<crash_guard>> gates;
+
+    explicit fleet(std::size_t size) {
+        for (std::size_t index = 0; index < size; ++index) {
+            const endpoint_id self{"10.0.0." + std::to_string(index + 1) + ":7000", {index + 1}};
+            gates.push_back(std::make_unique<crash_guard>(clock, self, crash_limits{}, log,
+                                                          [this](std::uint32_t topic, std::string payload) {
+                                                              rumors.emplace_back(topic, std::move(payload));
+                                                          }));
+        }
+    }
+
+    void deliver() {
+        for (const auto& [topic, payload] : rumors) {
+            for (const auto& gate : gates) {
+                gate->take_rumor(topic, payload);
+            }
+        }
+        rumors.clear();
+    }
+
+    /// The request runs at the gate together with others, and the backend server dies.
+    void crash(std::size_t gate, const std::vector<request_fingerprint>& in_flight) {
+        for (const request_fingerprint one : in_flight) {
+            REQUIRE(gates[gate]->admit(one) == admittance::admitted);
+        }
+        for (const request_fingerprint one : in_flight) {
+            gates[gate]->end(one, true);
+        }
+        gates[gate]->backend_died();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request that crashes servers is held everywhere after two crashes", "[crash]") {
+    fleet fleet(4);
+    fleet.crash(0, {poison, bystander});
+    fleet.deliver();
+    CHECK(fleet.gates[1]->admit(other) == admittance::admitted);
+    fleet.crash(1, {poison});
+    fleet.deliver();
+    for (const auto& gate : fleet.gates) {
+        CHECK(gate->admit(poison) == admittance::held);
+        CHECK(gate->admit(bystander) == admittance::admitted);
+    }
+}
+
+TEST_CASE("two crashes hold a request also when their reports cross", "[crash]") {
+    fleet fleet(3);
+    fleet.crash(0, {poison, bystander});
+    fleet.crash(1, {poison, other});
+    fleet.deliver();
+    for (const auto& gate : fleet.gates) {
+        CHECK(gate->admit(poison) == admittance::held);
+    }
+    CHECK(fleet.gates[2]->admit(bystander) != admittance::held);
+    CHECK(fleet.gates[2]->admit(other) != admittance::held);
+}
+
+TEST_CASE("suspects run one at a time, and one that ends well is cleared", "[crash]") {
+    fleet fleet(2);
+    fleet.crash(0, {poison, bystander, other});
+    fleet.deliver();
+    crash_guard& gate = *fleet.gates[1];
+    CHECK(gate.admit(bystander) == admittance::admitted);
+    CHECK(gate.admit(poison) == admittance::busy);
+    gate.end(bystander, false);
+    CHECK(gate.admit(poison) == admittance::admitted);
+    CHECK(gate.admit(bystander) == admittance::admitted);
+    gate.end(poison, true);
+    gate.backend_died();
+    fleet.deliver();
+    CHECK(gate.admit(poison) == admittance::held);
+    CHECK(gate.admit(bystander) == admittance::admitted);
+    CHECK(fleet.gates[0]->admit(other) == admittance::admitted);
+}
+
+TEST_CASE("requests in flight at servers that merely die are not held", "[crash]") {
+    fleet fleet(8);
+    // Each server dies once with other requests, as when a rack fails.
+    for (std::size_t gate = 0; gate < 8; ++gate) {
+        fleet.crash(gate, {{100 + gate}, {200 + gate}});
+        fleet.deliver();
+    }
+    for (std::size_t gate = 0; gate < 8; ++gate) {
+        CHECK(fleet.gates[0]->admit({100 + gate}) != admittance::held);
+        fleet.gates[0]->end({100 + gate}, false);
+    }
+}
+
+TEST_CASE("a broken connection without a death accuses nobody", "[crash]") {
+    fleet fleet(1);
+    REQUIRE(fleet.gates[0]->admit(poison) == admittance::admitted);
+    fleet.gates[0]->end(poison, true);
+    fleet.clock.advance(3s);
+    fleet.gates[0]->backend_died();
+    CHECK(fleet.rumors.empty());
+    CHECK(fleet.gates[0]->requests().empty());
+}
+
+TEST_CASE("holds end by time or by an operator", "[crash]") {
+    fleet fleet(2);
+    fleet.crash(0, {poison});
+    fleet.deliver();
+    fleet.crash(1, {poison});
+    fleet.deliver();
+    REQUIRE(fleet.gates[0]->admit(poison) == admittance::held);
+    REQUIRE(fleet.gates[0]->requests().size() == 1);
+    CHECK(fleet.gates[0]->requests().front().held);
+
+    SECTION("time") {
+        fleet.clock.advance(crash_limits{}.hold);
+        CHECK(fleet.gates[0]->admit(poison) == admittance::admitted);
+        fleet.gates[0]->expire();
+        CHECK(fleet.gates[0]->requests().empty());
+    }
+    SECTION("operator") {
+        fleet.gates[0]->rule(poison, false);
+        fleet.deliver();
+        CHECK(fleet.gates[0]->admit(poison) == admittance::admitted);
+        CHECK(fleet.gates[1]->admit(poison) == admittance::admitted);
+    }
+}
+
+TEST_CASE("an operator holds a request", "[crash]") {
+    fleet fleet(2);
+    fleet.gates[0]->rule(other, true);
+    fleet.deliver();
+    CHECK(fleet.gates[1]->admit(other) == admittance::held);
+}
+
+TEST_CASE("malformed rumors are ignored", "[crash]") {
+    fleet fleet(1);
+    for (const char* payload : {"", "x", "\xff\xff\xff"}) {
+        fleet.gates[0]->take_rumor(crash_topic, payload);
+        fleet.gates[0]->take_rumor(ruling_topic, payload);
+    }
+    CHECK(fleet.gates[0]->requests().empty());
+    CHECK_FALSE(read_crash("\x08").has_value());
+}
+
+TEST_CASE("a full report fits a rumor", "[crash]") {
+    crash_report report;
+    report.gate = {"[fe80:1234:5678:9abc:def0:1234:5678:9abc]:65535", {~0ULL}};
+    report.number = ~0ULL;
+    report.in_flight.assign(crash_limits{}.reported, poison);
+    constexpr std::size_t max_rumor_bytes = 900;
+    CHECK(write_crash(report).size() <= max_rumor_bytes);
+    CHECK(read_crash(write_crash(report)) == report);
+}
--- /dev/null
+++ b/src/execution/types/stored_answer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace monsoonlift::execution {
+
+/// The answer of a backend server, kept for resends of the same key.
+struct stored_answer {
+    struct header {
+        std::string name;
+        std::string value;
+    };
+
+    unsigned status = 0;
+    std::string reason;
+    std::vector<header> headers;
+    std::string body;
+};
+
+/// Bytes that an answer takes in memory, roughly.
+[[nodiscard]] inline std::size_t size_of(const stored_answer& answer) {
+    std::size_t bytes = sizeof(answer) + answer.reason.size() + answer.body.size();
+    for (const stored_answer::header& one : answer.headers) {
+        bytes += sizeof(one) + one.name.size() + one.value.size();
+    }
+    return bytes;
+}
+
+} // namespace monsoonlift::execution
--- /dev/null
+++ b/src/gate/context_token.h
@@ -0,0 +1,31 @@
+/// The text of the Monsoonlift-Context header, which a backend server passes on in its nested calls.
+#pragma once
+
+#include "core/clock.h"
+#include "core/types/call_context.h"
+#include "core/types/call_ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace monsoonlift::gate {
+
+/// What the header says. Run and deadline mean something only to the daemon life that issued it.
+struct context_token {
+    core::root_id root;
+    std::uint32_t depth = 0; ///< Of the request that carries the token.
+    core::class_rank rank = 0;
+    core::steady_time deadline;
+    std::uint64_t run = 0;
+    core::incarnation issuer;
+};
+
+/// The text of a token.
+[[nodiscard]] std::string to_string(const context_token& token);
+
+/// The token of that text, or nothing.
+[[nodiscard]] std::optional<context_token> parse_context_token(std::string_view text);
+
+} // namespace monsoonlift::gate
--- /dev/null
+++ b/src/gate/internal/backend_pool.cpp
@@ -0,0 +1,54 @@
+#include "gate/internal/backend_pool.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace monsoonlift::gate::internal {
+
+namespace {
+
+/// A closed connection is readable, and so is one with bytes that nobody asked for.
+bool is_quiet(boost::asio::ip::tcp::socket& socket) {
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    boost::system::error_code failure;
+    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), failure);
+    return {ip, static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+}
+
+backend_pool::backend_pool(boost::asio::any_io_executor executor) : m_executor(std::move(executor)) {}
+
+backend_pool::connection backend_pool::take_idle(const std::string& address) {
+    const std::scoped_lock lock(m_mutex);
+    while (!m_idle.empty()) {
+        auto idle = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (idle->address == address && is_quiet(idle->socket)) {
+            return idle;
+        }
+    }
+    return nullptr;
+}
+
+backend_pool::connection backend_pool::make(const std::string& address) const {
+    auto made = std::make_shared<backend_connection>(m_executor);
+    made->address = address;
+    return made;
+}
+
+void backend_pool::give_back(connection idle, std::size_t max_idle) {
+    const std::scoped_lock lock(m_mutex);
+    if (m_idle.size() < max_idle) {
+        m_idle.push_back(std::move(idle));
+    }
+}
+
+} // namespace monsoonlift::gate::internal
--- /dev/null
+++ b/src/gate/internal/backend_pool.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace monsoonlift::gate::internal {
+
+/// One keep-alive connection to the backend server.
+struct backend_connection {
+    explicit backend_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::string address;
+};
+
+/// The endpoint of a checked "ip:port".
+[[nodiscard]] boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address);
+
+/// Idle connections to the backend server. Thread-safe.
+class backend_pool {
+public:
+    using connection = std::shared_ptr<backend_connection>;
+
+    explicit backend_pool(boost::asio::any_io_executor executor);
+
+    /// An idle connection to `address` that is still open, or nothing.
+    [[nodiscard]] connection take_idle(const std::string& address);
+
+    /// A connection that is yet to be made.
+    [[nodiscard]] connection make(const std::string& address) const;
+
+    /// Keeps an open connection for later use; at most `max_idle` are kept.
+    void give_back(connection idle, std::size_t max_idle);
+
+private:
+    boost::asio::any_io_executor m_executor;
+    std::mutex m_mutex;
+    std::vector<connection> m_idle;
+};
+
+} // namespace monsoonlift::gate::internal
--- /dev/null
+++ b/src/gate/internal/gate_call.cpp
@@ -0,0 +1,248 @@
+#include "gate/internal/gate_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace monsoonlift::gate::internal {
+
+using core::verdict;
+using transport::end_reason;
+
+namespace {
+
+std::string describe(end_reason reason) {
+    switch (reason) {
+    case end_reason::shed:
+        return "the backend server is overloaded and calls of this class are refused for now";
+    case end_reason::draining:
+        return "the backend server is about to stop and takes no new work";
+    case end_reason::no_backend:
+        return "no backend server answers at this endpoint";
+    case end_reason::deadline:
+        return "the deadline passed";
+    case end_reason::cancelled:
+        return "the caller went away";
+    case end_reason::body_damaged:
+        return "the request body was damaged on its way to the backend server's daemon";
+    case end_reason::quarantined:
+        return "the request is under suspicion of crashing backend servers";
+    case end_reason::wrong_service:
+        return "the backend server at this endpoint is of another service";
+    default:
+        return "the backend server broke off";
+    }
+}
+
+} // namespace
+
+gate_call::gate_call(const gate_environment& environment, std::uint64_t run, const core::incarnation& entry,
+                     const core::attempt_id& attempt, transport::request_head head)
+    : m_env(environment), m_run(run), m_entry{head.reply_address, entry}, m_attempt(attempt),
+      m_head(std::move(head)), m_class(environment.classes.of(m_head.context.rank)),
+      m_strand(boost::asio::make_strand(environment.executor)),
+      m_watchdog(std::make_shared<transfer::watchdog>(m_strand)), m_inbox(m_strand), m_credit(m_strand) {}
+
+void gate_call::start(ended_handler ended) {
+    m_ended = std::move(ended);
+    m_class.admitted.add();
+    boost::asio::co_spawn(
+        m_strand, [self = shared_from_this()] { return self->run(); },
+        [self = shared_from_this()](const std::exception_ptr& failure) {
+            if (failure) {
+                self->fail(self->m_sent ? verdict::may_have_run : verdict::not_run,
+                           end_reason::backend_failed, "an internal error broke the call off");
+                self->finish();
+            }
+        });
+}
+
+void gate_call::refuse(end_reason reason) {
+    if (!m_execution_begun && !m_head.context.idempotent) {
+        m_env.ledger.refuse(m_attempt, m_head.expires);
+    }
+    end_execution();
+    m_class.count_refusal(reason);
+    if (reason == end_reason::cancelled) {
+        m_env.events.cancelled(m_class, m_attempt, "it waited for a slot");
+    }
+    transport::attempt_end end;
+    end.run = verdict::not_run;
+    end.reason = reason;
+    end.detail = describe(reason);
+    end.load = m_env.table.report();
+    end.nested_attempts = 0;
+    if (reason == end_reason::shed) {
+        end.retry_after = m_env.table.retry_after();
+    }
+    send(std::move(end));
+}
+
+void gate_call::received(decltype(transport::frame::payload) payload) {
+    boost::asio::dispatch(m_strand, [self = shared_from_this(), payload = std::move(payload)]() mutable {
+        self->on_payload(std::move(payload));
+    });
+}
+
+void gate_call::stop(end_reason reason) {
+    boost::asio::post(m_strand, [self = shared_from_this(), reason] { self->stop_now(reason); });
+}
+
+void gate_call::on_payload(decltype(transport::frame::payload) payload) {
+    if (auto* chunk = std::get_if<transport::body_chunk>(&payload)) {
+        m_inbox.push(std::move(*chunk));
+    } else if (auto* end = std::get_if<transport::body_end>(&payload)) {
+        m_inbox.push(std::move(*end));
+    } else if (const auto* granted = std::get_if<transport::credit>(&payload)) {
+        m_credit.grant(granted->chunks);
+    } else if (std::holds_alternative<transport::cancel>(payload)) {
+        stop_now(end_reason::cancelled);
+    }
+}
+
+void gate_call::stop_now(end_reason reason) {
+    if (m_stopped || m_finished) {
+        return;
+    }
+    m_stopped = reason;
+    m_inbox.close();
+    m_credit.close();
+    if (m_connection) {
+        boost::system::error_code ignored;
+        m_connection->socket.close(ignored);
+    }
+}
+
+boost::asio::awaitable<void> gate_call::run() {
+    m_watchdog->start(m_head.context.deadline,
+                      [self = shared_from_this()] { self->stop_now(end_reason::deadline); });
+    m_env.budgets.open(m_run, m_head.context.attempts_left);
+    const bool ready = co_await open_connection();
+    if (ready) {
+        co_await exchange();
+    }
+    finish();
+}
+
+boost::asio::awaitable<bool> gate_call::open_connection() {
+    const auto backend = m_env.table.backend();
+    if (!backend) {
+        fail(verdict::not_run, end_reason::no_backend, describe(end_reason::no_backend));
+        co_return false;
+    }
+    m_connection = m_env.pool.take_idle(backend->address);
+    if (m_connection) {
+        co_return may_still_begin();
+    }
+    m_connection = m_env.pool.make(backend->address);
+    const auto endpoint = parse_endpoint(backend->address);
+    const auto [refused] = co_await m_connection->socket.async_connect(
+        endpoint, boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (refused) {
+        m_report.outcome = concurrency::run_outcome::refused;
+        if (!m_stopped) {
+            m_env.events.connection_refused(backend->address, refused.message());
+        }
+        fail(verdict::not_run, end_reason::no_backend, "the backend server refuses connections");
+        co_return false;
+    }
+    boost::system::error_code ignored;
+    m_connection->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    co_return may_still_begin();
+}
+
+bool gate_call::may_still_begin() {
+    // NOTE: the process may have been paused; this is the last look at the clock before the effect.
+    if (!m_stopped && m_env.clock.now() >= m_head.context.deadline) {
+        m_stopped = end_reason::deadline;
+    }
+    if (!m_stopped && m_execution_begun && !m_env.ledger.mark_sent(m_key)) {
+        m_stopped = end_reason::deadline;
+    }
+    if (m_stopped) {
+        fail(verdict::not_run, *m_stopped, describe(*m_stopped));
+        return false;
+    }
+    m_sent = true;
+    m_sent_at = m_env.clock.now();
+    return true;
+}
+
+void gate_call::fail(verdict run, end_reason reason, std::string detail) {
+    m_end.run = run;
+    m_end.reason = m_stopped.value_or(reason);
+    m_end.detail = m_stopped ? describe(*m_stopped) : std::move(detail);
+    if (m_end.reason == end_reason::deadline) {
+        m_report.outcome = concurrency::run_outcome::timed_out;
+    } else if (m_stopped) {
+        m_report.outcome = concurrency::run_outcome::cancelled;
+    }
+}
+
+transport::attempt_end gate_call::complete_end() {
+    m_end.nested_attempts = m_env.budgets.close(m_run);
+    m_end.load = m_env.table.report();
+    m_end.service_time = std::chrono::duration_cast<std::chrono::microseconds>(m_report.service_time);
+    return m_end;
+}
+
+void gate_call::note_end() {
+    const auto reason = m_answered ? end_reason::answered : m_end.reason;
+    m_class.count_end(reason);
+    if (m_report.service_time > std::chrono::nanoseconds::zero()) {
+        m_class.service_time.record(m_report.service_time);
+    }
+    if (reason == end_reason::cancelled) {
+        m_env.events.cancelled(m_class, m_attempt, "it was on the backend server");
+    }
+    if (m_report.broken) {
+        m_env.events.broke_off(m_class, m_attempt, m_end.detail);
+    }
+}
+
+void gate_call::finish() {
+    if (std::exchange(m_finished, true)) {
+        return;
+    }
+    m_watchdog->stop();
+    m_inbox.close();
+    m_credit.close();
+    m_report.answered = m_answered;
+    m_report.broken = m_sent && !m_answered && !m_stopped && m_end.reason == end_reason::backend_failed;
+    note_end();
+    end_execution();
+    if (!m_answered) {
+        send(complete_end());
+    }
+    give_connection_back();
+    std::exchange(m_ended, nullptr)(m_report);
+}
+
+void gate_call::give_connection_back() {
+    if (!m_connection) {
+        return;
+    }
+    const bool reusable = m_answered && m_uploaded && !m_stopped && m_parser && m_parser->is_done() &&
+                          m_parser->keep_alive() && m_connection->buffer.size() == 0;
+    if (!reusable) {
+        boost::system::error_code ignored;
+        m_connection->socket.close(ignored);
+        return;
+    }
+    const auto backend = m_env.table.backend();
+    if (backend) {
+        m_env.pool.give_back(m_connection, backend->connections);
+    }
+}
+
+void gate_call::send(decltype(transport::frame::payload) payload) {
+    transport::frame message;
+    message.attempt = m_attempt;
+    message.target = transport::frame_target::entry;
+    message.payload = std::move(payload);
+    m_env.sender.send(m_entry, std::move(message));
+}
+
+} // namespace monsoonlift::gate::internal
