--- /dev/null
+++ b/src/gate/internal/gate_events.cpp
@@ -0,0 +1,77 @@
+#include "gate/internal/gate_events.h"
+
+namespace monsoonlift::gate::internal {
+
+using logging::event_id;
+
+namespace {
+
+std::string seconds_text(std::chrono::nanoseconds time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(time).count());
+}
+
+} // namespace
+
+gate_events::gate_events(logging::event_log& log, const core::clock& clock,
+                         metrics::metrics_registry& registry)
+    : m_log(log), m_copies_refused(registry.add_counter("monsoonlift_gate_copies_refused_total",
+                                                        "Late or second copies of an attempt refused.")),
+      m_cancelled(clock), m_copy_refused(clock), m_connection_refused(clock), m_broke_off(clock),
+      m_unknown_frame(clock) {}
+
+void gate_events::load_changed(const load_news& news, const gate_classes& classes) {
+    if (news.overload_started) {
+        m_log.write(event_id::overload_started,
+                    {{"refuses_from_class", classes.of(news.overload_started->rank).name()},
+                     {"bucket", std::to_string(news.overload_started->bucket)}});
+    }
+    if (news.overload_lasted) {
+        m_log.write(event_id::overload_ended, {{"seconds", seconds_text(*news.overload_lasted)}});
+    }
+    if (news.threshold) {
+        m_log.write(event_id::threshold_moved, {{"from_class", classes.of(news.threshold->from.rank).name()},
+                                                {"to_class", classes.of(news.threshold->to.rank).name()}});
+    }
+    if (news.limit) {
+        m_log.write(event_id::limit_changed,
+                    {{"from", std::to_string(news.limit->from)}, {"to", std::to_string(news.limit->to)}});
+    }
+}
+
+void gate_events::cancelled(const gate_class& kind, const core::attempt_id& attempt, std::string_view where) {
+    write(event_id::call_cancelled, m_cancelled, attempt, kind.name(), where);
+}
+
+void gate_events::copy_refused(const core::attempt_id& attempt, std::string_view why) {
+    m_copies_refused.add();
+    write(event_id::attempt_refused, m_copy_refused, attempt, {}, why);
+}
+
+void gate_events::connection_refused(const std::string& address, const std::string& failure) {
+    if (const auto left_out = m_connection_refused.take()) {
+        m_log.write(event_id::backend_refused_connection,
+                    {{"address", address}, {"why", failure}, {"left_out", std::to_string(*left_out)}});
+    }
+}
+
+void gate_events::broke_off(const gate_class& kind, const core::attempt_id& attempt, std::string_view why) {
+    write(event_id::backend_broke_off, m_broke_off, attempt, kind.name(), why);
+}
+
+void gate_events::unknown_frame(const core::attempt_id& attempt) {
+    write(event_id::frame_of_unknown_attempt, m_unknown_frame, attempt, {}, "not under way here");
+}
+
+void gate_events::write(event_id id, logging::event_throttle& throttle, const core::attempt_id& attempt,
+                        std::string_view class_name, std::string_view why) {
+    if (const auto left_out = throttle.take()) {
+        m_log.write(id, {{"class", std::string(class_name)},
+                         {"entry", std::to_string(attempt.origin.value)},
+                         {"call", std::to_string(attempt.call)},
+                         {"attempt", std::to_string(attempt.attempt)},
+                         {"why", std::string(why)},
+                         {"left_out", std::to_string(*left_out)}});
+    }
+}
+
+} // namespace monsoonlift::gate::internal
--- /dev/null
+++ b/src/gate/internal/gate_exchange.cpp
@@ -0,0 +1,279 @@
+// The part of gate_call that speaks HTTP with the backend server.
+#include "gate/context_token.h"
+#include "gate/internal/gate_call.h"
+#include "transfer/http_headers.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace monsoonlift::gate::internal {
+
+namespace http = boost::beast::http;
+using core::verdict;
+using transport::end_reason;
+
+namespace {
+
+constexpr std::uint32_t answer_header_limit = 64 * 1024;
+constexpr std::size_t inline_body_bytes = 16 * 1024;
+constexpr unsigned first_final_status = 200;
+
+constexpr auto to_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+std::string_view view(boost::beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+boost::asio::awaitable<void> gate_call::exchange() {
+    if (m_head.total) {
+        co_await write_whole_request();
+    } else {
+        boost::asio::co_spawn(
+            m_strand, [self = shared_from_this()] { return self->upload(); }, boost::asio::detached);
+    }
+    const bool answered = co_await read_head();
+    if (!answered) {
+        fail(verdict::may_have_run, end_reason::backend_failed,
+             "the backend server closed the connection before it had answered");
+        co_return;
+    }
+    m_report.service_time = m_env.clock.now() - m_sent_at;
+    if (was_refused_by_backend()) {
+        m_report.outcome = concurrency::run_outcome::refused;
+        fail(verdict::not_run, end_reason::backend_refused, "the backend server refused the request");
+        co_return;
+    }
+    if (!has_known_end()) {
+        fail(verdict::ran, end_reason::backend_failed,
+             "the backend server's answer has neither a length nor chunks, so its end can't be checked");
+        co_return;
+    }
+    co_await relay_answer();
+}
+
+template <class Body> void gate_call::fill_request(http::request<Body>& request) const {
+    request.method_string(m_head.method);
+    request.target(m_head.target);
+    request.version(11);
+    for (const auto& field : m_head.headers) {
+        request.insert(field.name, field.value);
+    }
+    context_token token;
+    token.root = m_head.context.root;
+    token.depth = m_head.context.depth;
+    token.rank = m_head.context.rank;
+    token.deadline = m_head.context.deadline;
+    token.run = m_run;
+    token.issuer = m_env.sender.self().life;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        core::time_left(m_head.context, m_env.clock.now()));
+    request.set("Monsoonlift-Context", to_string(token));
+    request.set("Monsoonlift-Timeout-Ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    if (!m_head.context.key.empty()) {
+        request.set("Idempotency-Key", m_head.context.key);
+    }
+}
+
+boost::asio::awaitable<void> gate_call::write_whole_request() {
+    http::request<http::string_body> request;
+    fill_request(request);
+    request.body() = std::move(m_head.body);
+    const bool has_length = request.find(http::field::content_length) != request.end();
+    if (has_length || !request.body().empty()) {
+        request.content_length(request.body().size());
+    }
+    const auto [failure, written] = co_await http::async_write(m_connection->socket, request, to_tuple);
+    m_uploaded = !failure;
+}
+
+boost::asio::awaitable<void> gate_call::upload() {
+    m_upload_request.emplace();
+    fill_request(*m_upload_request);
+    if (m_upload_request->find(http::field::content_length) == m_upload_request->end()) {
+        m_upload_request->chunked(true);
+    }
+    m_upload.emplace(*m_upload_request);
+    transfer::body_receiver intake(m_env.options.body_credit_chunks);
+    intake.begin(m_head.body);
+    m_upload_request->body().data = m_head.body.data();
+    m_upload_request->body().size = m_head.body.size();
+    const auto [failure, written] = co_await http::async_write(m_connection->socket, *m_upload, to_tuple);
+    if (failure && failure != http::error::need_buffer) {
+        co_return;
+    }
+    send(transport::credit{intake.first_credit()});
+    while (!m_uploaded && !m_finished) {
+        auto item = co_await m_inbox.next(core::steady_time::max());
+        if (!item) {
+            co_return;
+        }
+        const bool passed = co_await upload_item(std::move(*item), intake);
+        if (!passed) {
+            co_return;
+        }
+    }
+}
+
+boost::asio::awaitable<bool> gate_call::upload_item(body_item item, transfer::body_receiver& intake) {
+    auto* chunk = std::get_if<transport::body_chunk>(&item);
+    const auto* end = std::get_if<transport::body_end>(&item);
+    const bool sound =
+        chunk != nullptr ? m_last_bytes.empty() && intake.accept(*chunk) : intake.is_complete(end->total);
+    if (!sound) {
+        m_env.log.write(logging::event_id::body_broken, {{"attempt", std::to_string(m_attempt.call)}});
+        stop_now(end_reason::body_damaged);
+        co_return false;
+    }
+    if (chunk == nullptr) {
+        m_uploaded = co_await upload_bytes(m_last_bytes, false);
+        co_return m_uploaded;
+    }
+    // NOTE: a backend server may run a body once it has the stated length, and only its end tells damage.
+    if (completes_stated_length(intake.length())) {
+        m_last_bytes = std::move(chunk->data);
+        co_return true;
+    }
+    const bool passed = co_await upload_bytes(chunk->data, true);
+    const auto more = passed ? intake.consumed() : 0;
+    if (more > 0) {
+        send(transport::credit{more});
+    }
+    co_return passed;
+}
+
+boost::asio::awaitable<bool> gate_call::upload_bytes(std::string_view bytes, bool more) {
+    auto& body = m_upload_request->body();
+    // NOTE: bytes that are there but empty would be written as the last chunk, and then once more.
+    body.data = bytes.empty() ? nullptr : const_cast<char*>(bytes.data());
+    body.size = bytes.size();
+    body.more = more;
+    const auto [failure, written] = co_await http::async_write(m_connection->socket, *m_upload, to_tuple);
+    co_return !failure || failure == http::error::need_buffer;
+}
+
+bool gate_call::completes_stated_length(std::uint64_t length) const {
+    const auto stated = m_upload_request->find(http::field::content_length);
+    return stated != m_upload_request->end() && view(stated->value()) == std::to_string(length);
+}
+
+boost::asio::awaitable<bool> gate_call::read_head() {
+    do {
+        m_parser.emplace();
+        m_parser->header_limit(answer_header_limit);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_head.method == "HEAD");
+        const auto [failure, got] =
+            co_await http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser, to_tuple);
+        if (failure) {
+            co_return false;
+        }
+    } while (m_parser->get().result_int() < first_final_status);
+    co_return true;
+}
+
+bool gate_call::has_known_end() const {
+    return m_parser->is_done() || m_parser->chunked() || m_parser->content_length();
+}
+
+bool gate_call::was_refused_by_backend() const {
+    const auto status = m_parser->get().result();
+    const bool busy =
+        status == http::status::service_unavailable || status == http::status::too_many_requests;
+    return busy && view(m_parser->get()["Monsoonlift-Verdict"]) == core::to_string(verdict::not_run);
+}
+
+transport::response_head gate_call::make_response_head() const {
+    transport::response_head head;
+    const auto& message = m_parser->get();
+    head.status = message.result_int();
+    head.reason = message.reason();
+    for (const auto& field : message) {
+        const auto name = view(field.name_string());
+        if (!transfer::is_hop_by_hop(name) && !transfer::is_own(name)) {
+            head.headers.push_back({std::string(name), std::string(view(field.value()))});
+        }
+    }
+    return head;
+}
+
+boost::asio::awaitable<void> gate_call::relay_answer() {
+    auto head = make_response_head();
+    const auto status = m_parser->get().result();
+    const bool busy =
+        status == http::status::service_unavailable || status == http::status::too_many_requests;
+    m_report.outcome =
+        busy ? concurrency::run_outcome::refused
+             : (head.status >= 500 ? concurrency::run_outcome::failed : concurrency::run_outcome::finished);
+    m_end.run = verdict::ran;
+    m_end.reason = end_reason::answered;
+    const auto length = m_parser->content_length();
+    const bool is_small = length && *length <= inline_body_bytes;
+    const bool read = co_await read_body(head.body, inline_body_bytes, is_small);
+    if (!read) {
+        fail(verdict::ran, end_reason::backend_failed, "the backend server cut its answer short");
+        co_return;
+    }
+    if (m_parser->is_done()) {
+        head.total = transfer::total_of(head.body);
+        head.end = complete_end();
+        m_answered = true;
+        keep_answer(head);
+        send(std::move(head));
+        co_return;
+    }
+    m_answer_digest.add(head.body);
+    send(std::move(head));
+    co_await stream_answer();
+}
+
+boost::asio::awaitable<void> gate_call::stream_answer() {
+    while (!m_parser->is_done()) {
+        const auto patience = m_env.clock.now() + m_env.options.stall_patience;
+        m_watchdog->allow_until(patience);
+        const bool allowed = co_await m_credit.take(patience);
+        if (!allowed) {
+            fail(verdict::ran, end_reason::cancelled, "the caller took no more of the answer");
+            co_return;
+        }
+        transport::body_chunk chunk{m_answer_digest.length(), {}};
+        const bool read = co_await read_body(chunk.data, m_env.options.body_chunk_bytes, true);
+        if (!read) {
+            fail(verdict::ran, end_reason::backend_failed, "the backend server cut its answer short");
+            co_return;
+        }
+        if (!chunk.data.empty()) {
+            m_answer_digest.add(chunk.data);
+            send(std::move(chunk));
+        }
+    }
+    m_answered = true;
+    send(transport::body_end{m_answer_digest.total(), complete_end()});
+}
+
+boost::asio::awaitable<bool> gate_call::read_body(std::string& into, std::size_t limit, bool fill) {
+    if (m_parser->is_done()) {
+        co_return true;
+    }
+    into.resize(limit);
+    auto& body = m_parser->get().body();
+    body.data = into.data();
+    body.size = limit;
+    boost::system::error_code failure;
+    auto& [socket, buffer, address] = *m_connection;
+    if (fill) {
+        std::tie(failure, std::ignore) = co_await http::async_read(socket, buffer, *m_parser, to_tuple);
+    } else {
+        std::tie(failure, std::ignore) = co_await http::async_read_some(socket, buffer, *m_parser, to_tuple);
+    }
+    into.resize(limit - body.size);
+    co_return !failure || failure == http::error::need_buffer;
+}
+
+} // namespace monsoonlift::gate::internal
--- /dev/null
+++ b/src/gate/internal/gate_state.cpp
@@ -0,0 +1,302 @@
+#include "gate/internal/gate_state.h"
+
+#include "transfer/body_digest.h"
+
+#include <utility>
+
+namespace monsoonlift::gate {
+
+namespace {
+
+using namespace std::chrono_literals;
+using transport::end_reason;
+
+constexpr std::chrono::milliseconds tick_interval = 10ms;
+constexpr std::chrono::milliseconds cleaning_interval = 500ms;
+constexpr std::chrono::seconds memory_beyond_deadline = 10s;
+constexpr unsigned probes_after_break =
+    3; ///< Connections tried to tell a dead backend server from a broken call.
+constexpr std::chrono::milliseconds probe_pause = 50ms;
+
+/// True if the backend server was started again at its address, and both lives say who they are.
+bool is_restart(const backend_server& before, const backend_server& after) {
+    return before.address == after.address && !before.instance.empty() && !after.instance.empty() &&
+           before.instance != after.instance;
+}
+
+} // namespace
+
+gate_service::state::state(boost::asio::io_context& io, const gate_options& options,
+                           transport::frame_sender& sender, execution::execution_ledger& ledger,
+                           execution::crash_guard& crashes, nested_budgets& budgets, const core::clock& clock,
+                           logging::event_log& log, metrics::metrics_registry& metrics)
+    : m_options(options), m_clock(clock), m_classes([&metrics](const std::string& name) {
+          return std::make_unique<internal::gate_class>(metrics, name);
+      }),
+      m_events(log, clock, metrics), m_table(options.decisions_on),
+      m_pool(io.get_executor()), m_env{m_options, sender,    ledger,   crashes, budgets, clock,
+                                       log,       m_classes, m_events, m_table, m_pool,  io.get_executor()},
+      m_timer(io), m_backend_silence(options.backend_silence) {}
+
+void gate_service::state::start() {
+    tick_later();
+}
+
+void gate_service::state::stop() {
+    m_stopped = true;
+}
+
+void gate_service::state::received(transport::frame message) {
+    if (auto* head = std::get_if<transport::request_head>(&message.payload)) {
+        arrived(message, std::move(*head));
+        return;
+    }
+    if (std::holds_alternative<transport::cancel>(message.payload)) {
+        cancelled(message);
+        return;
+    }
+    const auto known = find(message.attempt);
+    if (known) {
+        known->received(std::move(message.payload));
+        return;
+    }
+    m_events.unknown_frame(message.attempt);
+}
+
+void gate_service::state::arrived(const transport::frame& message, transport::request_head head) {
+    ++m_arrived;
+    const auto run = m_next_run++;
+    const bool body_broken = head.total && !transfer::matches(transfer::total_of(head.body), *head.total);
+    const auto fresh = remember(message, std::move(head), run);
+    if (!fresh) {
+        m_events.copy_refused(message.attempt, "the attempt has arrived before");
+        return;
+    }
+    if (body_broken) {
+        m_env.log.write(logging::event_id::body_broken, {{"attempt", std::to_string(message.attempt.call)}});
+        refuse_run({run, end_reason::body_damaged});
+        return;
+    }
+    if (!may_enter(fresh)) {
+        static_cast<void>(forget(run));
+        ++m_refused;
+        return;
+    }
+    apply(m_table.arrive(run, fresh->head().service, fresh->head().context, m_clock.now()));
+}
+
+bool gate_service::state::may_enter(const call& fresh) {
+    return fresh->admit_by_crashes() && fresh->begin_execution();
+}
+
+gate_service::state::call gate_service::state::remember(const transport::frame& message,
+                                                        transport::request_head head, std::uint64_t run) {
+    const auto until = head.context.deadline + memory_beyond_deadline;
+    auto fresh =
+        std::make_shared<internal::gate_call>(m_env, run, message.sender, message.attempt, std::move(head));
+    const std::scoped_lock lock(m_calls_mutex);
+    if (!m_attempts.try_emplace(message.attempt, known_attempt{run, until}).second) {
+        return nullptr;
+    }
+    m_calls.emplace(run, fresh);
+    return fresh;
+}
+
+void gate_service::state::cancelled(const transport::frame& message) {
+    const auto known = find(message.attempt);
+    if (!known) {
+        return;
+    }
+    ++m_cancelled;
+    std::uint64_t run = 0;
+    {
+        const std::scoped_lock lock(m_calls_mutex);
+        run = m_attempts[message.attempt].run;
+    }
+    if (m_table.cancel(run)) {
+        refuse_run({run, end_reason::cancelled});
+        return;
+    }
+    known->stop(end_reason::cancelled);
+}
+
+void gate_service::state::unsent(const core::attempt_id& attempt) {
+    const auto known = find(attempt);
+    if (known) {
+        known->stop(end_reason::cancelled);
+    }
+}
+
+void gate_service::state::apply(const gate_changes& changes) {
+    for (const auto& refused : changes.refused) {
+        refuse_run(refused);
+    }
+    for (const auto run : changes.started) {
+        start_run(run);
+    }
+}
+
+void gate_service::state::start_run(std::uint64_t run) {
+    const auto known = find(run);
+    if (!known) {
+        apply(m_table.finish(concurrency::run_outcome::cancelled, {}, m_clock.now()));
+        return;
+    }
+    known->start(
+        [self = shared_from_this(), run](const internal::run_report& report) { self->ended(run, report); });
+}
+
+void gate_service::state::refuse_run(const refusal& refused) {
+    const auto known = forget(refused.run);
+    if (known) {
+        ++m_refused;
+        known->refuse(refused.reason);
+    }
+}
+
+void gate_service::state::ended(std::uint64_t run, const internal::run_report& report) {
+    static_cast<void>(forget(run));
+    ++(report.answered ? m_answered : m_failed);
+    if (report.broken) {
+        probe_backend(probes_after_break);
+    }
+    apply(m_table.finish(report.outcome, report.service_time, m_clock.now()));
+}
+
+gate_service::state::call gate_service::state::find(const core::attempt_id& attempt) const {
+    const std::scoped_lock lock(m_calls_mutex);
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return nullptr;
+    }
+    const auto known = m_calls.find(found->second.run);
+    return known == m_calls.end() ? nullptr : known->second;
+}
+
+gate_service::state::call gate_service::state::find(std::uint64_t run) const {
+    const std::scoped_lock lock(m_calls_mutex);
+    const auto known = m_calls.find(run);
+    return known == m_calls.end() ? nullptr : known->second;
+}
+
+gate_service::state::call gate_service::state::forget(std::uint64_t run) {
+    const std::scoped_lock lock(m_calls_mutex);
+    const auto known = m_calls.find(run);
+    if (known == m_calls.end()) {
+        return nullptr;
+    }
+    auto gone = std::move(known->second);
+    m_calls.erase(known);
+    return gone;
+}
+
+bool gate_service::state::announce(const backend_server& server) {
+    bool crashed = false;
+    bool changed = false;
+    {
+        // NOTE: announcements that waited for a paused daemon are read by several threads, in any order.
+        const std::scoped_lock lock(m_announce_mutex);
+        if (!server.instance.empty() && server.instance == m_former_instance) {
+            return false;
+        }
+        const auto before = m_table.backend();
+        if (before && is_restart(*before, server)) {
+            m_former_instance = before->instance;
+            crashed = !m_withdrawn;
+        }
+        const auto now = m_clock.now();
+        m_backend_silence.heard(now);
+        m_withdrawn = false;
+        changed = m_table.announce(server, now);
+    }
+    if (crashed) {
+        m_env.crashes.backend_died();
+    }
+    return changed;
+}
+
+void gate_service::state::probe_backend(unsigned probes) {
+    const auto server = m_table.backend();
+    if (!server || m_withdrawn || m_probing.exchange(true)) {
+        return;
+    }
+    auto probe = m_pool.make(server->address);
+    const auto endpoint = internal::parse_endpoint(server->address);
+    probe->socket.async_connect(
+        endpoint, [self = shared_from_this(), probe, probes](const boost::system::error_code& refused) {
+            self->m_probing = false;
+            self->probed(static_cast<bool>(refused), probes - 1);
+        });
+}
+
+void gate_service::state::probed(bool refused, unsigned probes_left) {
+    if (refused && !m_withdrawn) {
+        m_env.crashes.backend_died();
+        apply(m_table.withdraw());
+        return;
+    }
+    if (refused || probes_left == 0) {
+        return;
+    }
+    // NOTE: a process that ends closes its connections one by one; its listening socket may be the last.
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_timer.get_executor(), probe_pause);
+    timer->async_wait(
+        [self = shared_from_this(), timer, probes_left](const boost::system::error_code& failure) {
+            if (!failure && !self->m_stopped) {
+                self->probe_backend(probes_left);
+            }
+        });
+}
+
+void gate_service::state::withdraw() {
+    m_withdrawn = true;
+    apply(m_table.withdraw());
+}
+
+void gate_service::state::expect_withdrawal() {
+    m_withdrawn = true;
+}
+
+void gate_service::state::drain() {
+    m_table.drain();
+}
+
+gate_counters gate_service::state::counters() const {
+    const std::scoped_lock lock(m_calls_mutex);
+    return {m_arrived, m_answered, m_refused, m_failed, m_cancelled, m_calls.size()};
+}
+
+void gate_service::state::tick_later() {
+    m_timer.expires_after(tick_interval);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& failure) {
+        if (!failure && !self->m_stopped) {
+            self->tick();
+            self->tick_later();
+        }
+    });
+}
+
+void gate_service::state::tick() {
+    const auto now = m_clock.now();
+    apply(m_table.tick(now));
+    m_events.load_changed(m_load_watch.look(m_table.report(), now), m_classes);
+    if (now >= m_next_cleaning) {
+        m_next_cleaning = now + cleaning_interval;
+        forget_old_attempts(now);
+        m_env.ledger.expire();
+        m_env.crashes.expire();
+        const bool silent = m_backend_silence.look(now);
+        if (silent && m_table.backend()) {
+            withdraw();
+        }
+    }
+}
+
+void gate_service::state::forget_old_attempts(core::steady_time now) {
+    const std::scoped_lock lock(m_calls_mutex);
+    std::erase_if(m_attempts, [&](const auto& entry) {
+        return entry.second.remembered_until < now && !m_calls.contains(entry.second.run);
+    });
+}
+
+} // namespace monsoonlift::gate
--- /dev/null
+++ b/src/gate/internal/gate_state.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "gate/gate_service.h"
+#include "gate/internal/gate_call.h"
+#include "gate/internal/load_watch.h"
+
+#include "core/silence_watch.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+
+namespace monsoonlift::gate {
+
+/// What the calls of one gate share. Kept alive by them.
+class gate_service::state : public std::enable_shared_from_this<gate_service::state> {
+public:
+    state(boost::asio::io_context& io, const gate_options& options, transport::frame_sender& sender,
+          execution::execution_ledger& ledger, execution::crash_guard& crashes, nested_budgets& budgets,
+          const core::clock& clock, logging::event_log& log, metrics::metrics_registry& metrics);
+
+    void start();
+    void stop();
+    void set_classes(const std::vector<std::string>& names) { m_classes.set_names(names); }
+    void received(transport::frame message);
+    void unsent(const core::attempt_id& attempt);
+    bool announce(const backend_server& server);
+    void withdraw();
+    void expect_withdrawal();
+    void drain();
+    [[nodiscard]] gate_counters counters() const;
+    [[nodiscard]] routing::load_report report() const { return m_table.report(); }
+    [[nodiscard]] std::optional<backend_server> backend() const { return m_table.backend(); }
+
+private:
+    using call = std::shared_ptr<internal::gate_call>;
+
+    /// An attempt seen: its run while it is here, and until when a copy of it is refused.
+    struct known_attempt {
+        std::uint64_t run = 0;
+        core::steady_time remembered_until;
+    };
+
+    void arrived(const transport::frame& message, transport::request_head head);
+    [[nodiscard]] bool may_enter(const call& fresh);
+    void probe_backend(unsigned probes);
+    void probed(bool refused, unsigned probes_left);
+    [[nodiscard]] call remember(const transport::frame& message, transport::request_head head,
+                                std::uint64_t run);
+    void cancelled(const transport::frame& message);
+    void apply(const gate_changes& changes);
+    void start_run(std::uint64_t run);
+    void refuse_run(const refusal& refused);
+    void ended(std::uint64_t run, const internal::run_report& report);
+    [[nodiscard]] call find(const core::attempt_id& attempt) const;
+    [[nodiscard]] call find(std::uint64_t run) const;
+    [[nodiscard]] call forget(std::uint64_t run);
+    void tick_later();
+    void tick();
+    void forget_old_attempts(core::steady_time now);
+
+    const gate_options m_options;
+    const core::clock& m_clock;
+    internal::gate_classes m_classes;
+    internal::gate_events m_events;
+    internal::load_watch m_load_watch;
+    gate_table m_table;
+    internal::backend_pool m_pool;
+    internal::gate_environment m_env;
+    boost::asio::steady_timer m_timer;
+    std::atomic<bool> m_stopped = false;
+    core::silence_watch m_backend_silence;
+    std::atomic<bool> m_withdrawn = false;
+    std::atomic<bool> m_probing = false;
+    std::mutex m_announce_mutex;   ///< Taken before that of the table.
+    std::string m_former_instance; ///< Of the backend server; what it still says comes too late.
+
+    mutable std::mutex m_calls_mutex;
+    std::unordered_map<std::uint64_t, call> m_calls;
+    std::map<core::attempt_id, known_attempt> m_attempts;
+    core::steady_time m_next_cleaning;
+
+    std::atomic<std::uint64_t> m_next_run = 1;
+    std::atomic<std::uint64_t> m_arrived = 0;
+    std::atomic<std::uint64_t> m_answered = 0;
+    std::atomic<std::uint64_t> m_refused = 0;
+    std::atomic<std::uint64_t> m_failed = 0;
+    std::atomic<std::uint64_t> m_cancelled = 0;
+};
+
+} // namespace monsoonlift::gate
--- /dev/null
+++ b/src/gate/internal/gate_table.cpp
@@ -0,0 +1,206 @@
+#include "gate/gate_table.h"
+
+#include <algorithm>
+
+namespace monsoonlift::gate {
+
+namespace {
+
+using namespace std::chrono_literals;
+using transport::end_reason;
+
+constexpr std::chrono::milliseconds shortest_retry_after = 50ms;
+constexpr std::size_t longest_line = 100'000;
+
+concurrency::limit_bounds bounds_of(const backend_server& server) {
+    return {std::max(server.slots, 1U), std::max(server.connections, 1U)};
+}
+
+} // namespace
+
+gate_table::gate_table(bool decisions_on) : m_decisions_on(decisions_on) {}
+
+bool gate_table::announce(const backend_server& server, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    if (m_backend == server) {
+        return false;
+    }
+    const bool same_life =
+        m_backend && m_backend->address == server.address && m_backend->instance == server.instance;
+    const auto running = m_limit.running;
+    if (same_life) {
+        m_limit.bounds = bounds_of(server);
+    } else {
+        m_limit = concurrency::cold_start(bounds_of(server), now);
+        m_limit.running = running;
+    }
+    m_backend = server;
+    return true;
+}
+
+gate_changes gate_table::withdraw() {
+    const std::scoped_lock lock(m_mutex);
+    m_backend.reset();
+    gate_changes changes;
+    for (const auto& calls : m_queue.by_rank) {
+        for (const auto& call : calls) {
+            changes.refused.push_back({call.ticket, end_reason::no_backend});
+        }
+    }
+    for (const auto run : m_in_order) {
+        changes.refused.push_back({run, end_reason::no_backend});
+    }
+    m_queue.by_rank.clear();
+    m_queue.length = 0;
+    m_in_order.clear();
+    return changes;
+}
+
+void gate_table::drain() {
+    const std::scoped_lock lock(m_mutex);
+    m_draining = true;
+}
+
+gate_changes gate_table::arrive(std::uint64_t run, const std::string& service,
+                                const core::call_context& context, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    gate_changes changes;
+    const auto reason = reason_to_refuse(service, context);
+    if (m_decisions_on) {
+        admission::record_arrival(m_overload, context, !reason);
+    }
+    if (reason) {
+        changes.refused.push_back({run, *reason});
+        return changes;
+    }
+    if (!m_decisions_on) {
+        m_in_order.push_back(run);
+        start_in_order(changes);
+        return changes;
+    }
+    if (m_queue.length == 0 && concurrency::try_acquire(m_limit, now)) {
+        admission::record_wait(m_overload, std::chrono::nanoseconds::zero(), now);
+        changes.started.push_back(run);
+        return changes;
+    }
+    admission::waiting_call call;
+    call.ticket = run;
+    call.rank = context.rank;
+    call.depth = context.depth;
+    call.arrived = now;
+    call.deadline = context.deadline;
+    take_outcome(admission::push(m_queue, call, now), changes);
+    start_by_class(changes, now);
+    return changes;
+}
+
+gate_changes gate_table::finish(concurrency::run_outcome outcome, std::chrono::nanoseconds service_time,
+                                core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    gate_changes changes;
+    concurrency::release(m_limit, outcome, service_time, now);
+    admission::record_service(m_overload, concurrency::typical_service(m_limit));
+    start_waiting(changes, now);
+    return changes;
+}
+
+bool gate_table::cancel(std::uint64_t run) {
+    const std::scoped_lock lock(m_mutex);
+    return admission::remove(m_queue, run) || std::erase(m_in_order, run) > 0;
+}
+
+gate_changes gate_table::tick(core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    gate_changes changes;
+    if (!m_decisions_on) {
+        return changes;
+    }
+    admission::tick(m_overload, now);
+    take_outcome(admission::expire(m_queue, concurrency::typical_service(m_limit), now), changes);
+    start_by_class(changes, now);
+    return changes;
+}
+
+routing::load_report gate_table::report() const {
+    const std::scoped_lock lock(m_mutex);
+    const auto waiting = m_queue.length + m_in_order.size();
+    return {m_overload.level, m_limit.running, static_cast<std::uint32_t>(waiting),
+            static_cast<std::uint32_t>(m_limit.limit)};
+}
+
+std::chrono::milliseconds gate_table::retry_after() const {
+    const std::scoped_lock lock(m_mutex);
+    const auto service = concurrency::typical_service(m_limit);
+    return std::max(shortest_retry_after, std::chrono::duration_cast<std::chrono::milliseconds>(service));
+}
+
+std::optional<backend_server> gate_table::backend() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_backend;
+}
+
+bool gate_table::is_draining() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_draining;
+}
+
+std::optional<end_reason> gate_table::reason_to_refuse(const std::string& service,
+                                                       const core::call_context& context) {
+    if (m_draining) {
+        return end_reason::draining;
+    }
+    if (!m_backend) {
+        return end_reason::no_backend;
+    }
+    if (m_backend->service != service) {
+        return end_reason::wrong_service;
+    }
+    if (!m_decisions_on) {
+        return m_in_order.size() < longest_line ? std::nullopt : std::optional(end_reason::shed);
+    }
+    if (!admission::admits(m_overload.level, context)) {
+        return end_reason::shed;
+    }
+    return std::nullopt;
+}
+
+void gate_table::take_outcome(const admission::queue_outcome& outcome, gate_changes& changes) {
+    for (const auto& call : outcome.refused) {
+        changes.refused.push_back({call.ticket, end_reason::shed});
+    }
+}
+
+void gate_table::start_waiting(gate_changes& changes, core::steady_time now) {
+    if (m_decisions_on) {
+        start_by_class(changes, now);
+    } else {
+        start_in_order(changes);
+    }
+}
+
+void gate_table::start_in_order(gate_changes& changes) {
+    while (!m_in_order.empty() && m_limit.running < m_limit.bounds.slots) {
+        ++m_limit.running;
+        changes.started.push_back(m_in_order.front());
+        m_in_order.pop_front();
+    }
+}
+
+void gate_table::start_by_class(gate_changes& changes, core::steady_time now) {
+    while (m_queue.length > 0 && concurrency::try_acquire(m_limit, now)) {
+        auto outcome = admission::pop(m_queue, concurrency::typical_service(m_limit), now);
+        for (const auto& call : outcome.refused) {
+            admission::record_wait(m_overload, now - call.arrived, now);
+        }
+        const auto next = outcome.next;
+        take_outcome(outcome, changes);
+        if (!next) {
+            --m_limit.running;
+            return;
+        }
+        admission::record_wait(m_overload, now - next->arrived, now);
+        changes.started.push_back(next->ticket);
+    }
+}
+
+} // namespace monsoonlift::gate
--- /dev/null
+++ b/src/gate/internal/nested_budgets.cpp
@@ -0,0 +1,44 @@
+#include "gate/nested_budgets.h"
+
+#include <utility>
+
+namespace monsoonlift::gate {
+
+void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left) {
+    const std::scoped_lock lock(m_mutex);
+    m_budgets[run] = {attempts_left, 0};
+}
+
+std::uint32_t nested_budgets::reserve(std::uint64_t run) {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    return found == m_budgets.end() ? 0 : std::exchange(found->second.left, 0);
+}
+
+void nested_budgets::give_back(std::uint64_t run, std::uint32_t unspent, std::uint32_t spent) {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    if (found == m_budgets.end()) {
+        return;
+    }
+    found->second.left += unspent;
+    found->second.spent += spent;
+}
+
+bool nested_budgets::is_open(std::uint64_t run) const {
+    const std::scoped_lock lock(m_mutex);
+    return m_budgets.contains(run);
+}
+
+std::uint32_t nested_budgets::close(std::uint64_t run) {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    if (found == m_budgets.end()) {
+        return 0;
+    }
+    const auto spent = found->second.spent;
+    m_budgets.erase(found);
+    return spent;
+}
+
+} // namespace monsoonlift::gate
--- /dev/null
+++ b/src/gate/tests/nested_budgets_tests.cpp
@@ -0,0 +1,67 @@
+#include "gate/context_token.h"
+#include "gate/nested_budgets.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+using namespace monsoonlift;
+using namespace monsoonlift::gate;
+
+TEST_CASE("nested calls share one budget and their spending is told", "[gate]") {
+    nested_budgets budgets;
+    budgets.open(1, 2);
+    REQUIRE(budgets.reserve(1) == 2);
+    REQUIRE(budgets.reserve(1) == 0);
+    budgets.give_back(1, 1, 1);
+    REQUIRE(budgets.reserve(1) == 1);
+    budgets.give_back(1, 0, 1);
+    REQUIRE(budgets.close(1) == 2);
+    REQUIRE(budgets.reserve(1) == 0);
+    REQUIRE_FALSE(budgets.is_open(1));
+}
+
+TEST_CASE("threads never take more than the budget", "[gate][threads]") {
+    nested_budgets budgets;
+    budgets.open(1, 100);
+    std::atomic<std::uint32_t> spent = 0;
+    std::vector<std::thread> threads;
+    for (int index = 0; index < 4; ++index) {
+        threads.emplace_back([&] {
+            for (int turn = 0; turn < 1000; ++turn) {
+                const auto got = budgets.reserve(1);
+                const auto used = got > 0 ? 1U : 0U;
+                spent += used;
+                budgets.give_back(1, got - used, used);
+            }
+        });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    REQUIRE(spent <= 100);
+    REQUIRE(budgets.close(1) == spent);
+}
+
+TEST_CASE("a context token survives its header, and other text is none", "[gate]") {
+    context_token token;
+    token.root.bytes[15] = 0xab;
+    token.depth = 4;
+    token.rank = 2;
+    token.deadline = core::steady_time(std::chrono::microseconds(123456));
+    token.run = 17;
+    token.issuer = {UINT64_MAX};
+    const auto text = to_string(token);
+    const auto read = parse_context_token(text);
+    REQUIRE(read);
+    REQUIRE(read->root == token.root);
+    REQUIRE(read->deadline == token.deadline);
+    REQUIRE(read->issuer == token.issuer);
+    for (const std::string& wrong :
+         {std::string(), text + ".1", text + "x", text.substr(1), "." + text, std::string(".....")}) {
+        INFO(wrong);
+        REQUIRE_FALSE(parse_context_token(wrong));
+    }
+}
--- /dev/null
+++ b/src/lifecycle/tests/daemon_lifecycle_tests.cpp
@@ -0,0 +1,50 @@
+#include "lifecycle/daemon_lifecycle.h"
+
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift::lifecycle;
+
+namespace {
+
+struct lifecycle_case {
+    std::vector<signal> signals;
+    phase reached;
+};
+
+} // namespace
+
+TEST_CASE("signals lead to the stated phases", "[lifecycle]") {
+    using enum signal;
+    const lifecycle_case cases[] = {
+        {{}, phase::starting},
+        {{sockets_open}, phase::joining},
+        {{sockets_open, configuration_known}, phase::serving},
+        {{sockets_open, configuration_known, stop_asked}, phase::draining},
+        {{sockets_open, configuration_known, stop_asked, nothing_in_flight}, phase::stopped},
+        {{stop_asked}, phase::stopped},
+        {{sockets_open, stop_asked}, phase::draining},
+        {{sockets_open, configuration_known, nothing_in_flight}, phase::serving},
+        {{sockets_open, configuration_known, stop_asked, configuration_known}, phase::draining},
+        {{stop_asked, sockets_open, configuration_known}, phase::stopped},
+    };
+    for (const auto& each : cases) {
+        daemon_lifecycle lifecycle([](phase) {});
+        for (const signal received : each.signals) {
+            lifecycle.handle(received);
+        }
+        CAPTURE(to_string(each.reached));
+        CHECK(lifecycle.current() == each.reached);
+    }
+}
+
+TEST_CASE("the handler hears of each change once", "[lifecycle]") {
+    std::vector<phase> entered;
+    daemon_lifecycle lifecycle([&](phase reached) { entered.push_back(reached); });
+    lifecycle.handle(signal::sockets_open);
+    lifecycle.handle(signal::sockets_open);
+    lifecycle.handle(signal::stop_asked);
+    lifecycle.handle(signal::nothing_in_flight);
+    REQUIRE(entered == std::vector<phase>{phase::joining, phase::draining, phase::stopped});
+}
--- /dev/null
+++ b/src/lifecycle/tests/drain_watch_tests.cpp
@@ -0,0 +1,22 @@
+#include "lifecycle/drain_watch.h"
+
+#include "testing/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift;
+using namespace std::chrono_literals;
+
+TEST_CASE("a drain beyond the planned time is told once", "[lifecycle]") {
+    testing::manual_clock clock;
+    lifecycle::drain_watch watch(clock);
+    clock.advance(1h);
+    CHECK_FALSE(watch.has_run_over());
+    watch.begin(5s);
+    clock.advance(5s - 1ns);
+    CHECK_FALSE(watch.has_run_over());
+    clock.advance(1ns);
+    CHECK(watch.has_run_over());
+    clock.advance(1h);
+    CHECK_FALSE(watch.has_run_over());
+}
--- /dev/null
+++ b/src/logging/tests/event_catalogue_tests.cpp
@@ -0,0 +1,58 @@
+#include "logging/event_catalogue.h"
+
+#include <fstream>
+#include <map>
+#include <regex>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "logging/event_format.h"
+
+using namespace monsoonlift::logging;
+
+namespace {
+
+std::map<int, std::string> documented_events() {
+    std::ifstream page(MONSOONLIFT_DOCS "/EVENTS.md");
+    const std::regex row(R"(^\| *(\d+) *\| *([a-z0-9_]+) *\| *([a-z]+) *\|.*)");
+    std::map<int, std::string> found;
+    std::string line;
+    while (std::getline(page, line)) {
+        std::smatch parts;
+        if (std::regex_match(line, parts, row)) {
+            found[std::stoi(parts[1])] = parts[2].str() + " " + parts[3].str();
+        }
+    }
+    return found;
+}
+
+std::string severity_name(severity level) {
+    switch (level) {
+    case severity::info:
+        return "info";
+    case severity::warning:
+        return "warning";
+    case severity::error:
+        return "error";
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_CASE("docs/EVENTS.md and the catalogue agree", "[events]") {
+    std::map<int, std::string> catalogued;
+    for (const auto& entry : event_catalogue) {
+        catalogued[static_cast<int>(entry.id)] = std::string(entry.name) + " " + severity_name(entry.level);
+    }
+    REQUIRE(catalogued.size() == event_catalogue.size());
+    REQUIRE(catalogued == documented_events());
+}
+
+TEST_CASE("an event line is one JSON object with its number, name and fields", "[events]") {
+    const std::string line =
+        format_event(event_id::process_started, "d1", {{"address", "a \"quoted\" one\n"}});
+    REQUIRE(line == R"({"event":1000,"name":"process_started","severity":"info","process":"d1",)"
+                    R"("address":"a \"quoted\" one\n"})");
+}
--- /dev/null
+++ b/src/membership/internal/member_object_cleaner.cpp
@@ -0,0 +1,64 @@
+#include "membership/internal/member_object_cleaner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonlift::membership::internal {
+
+namespace {
+
+bool is_over(const member_belief& belief) {
+    return belief.status == member_status::dead || belief.status == member_status::left;
+}
+
+} // namespace
+
+member_object_cleaner::member_object_cleaner(belief_source beliefs, std::chrono::milliseconds gone_patience)
+    : m_beliefs(std::move(beliefs)), m_patience(gone_patience) {}
+
+std::optional<listed_member_object>
+member_object_cleaner::choose(const std::vector<listed_member_object>& listed, core::steady_time now,
+                              std::mt19937_64& random) {
+    forget_unlisted(listed);
+    std::vector<listed_member_object> removable;
+    std::size_t present = 1; // This daemon.
+    std::size_t over = 0;
+    for (const auto& object : listed) {
+        const auto belief = m_beliefs(object.id.address);
+        if (!belief) {
+            if (is_unknown_for_long(object, now)) {
+                removable.push_back(object);
+            }
+            continue;
+        }
+        m_unknown.erase(object.name);
+        ++(is_over(*belief) ? over : present);
+        const bool of_that_life = object.id.life <= belief->life;
+        if (is_over(*belief) && of_that_life && now - belief->since >= m_patience) {
+            removable.push_back(object);
+        }
+    }
+    // NOTE: a daemon that takes most others for dead may itself be the one that is cut off.
+    if (removable.empty() || over > present) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, removable.size() - 1);
+    return removable[any(random)];
+}
+
+bool member_object_cleaner::is_unknown_for_long(const listed_member_object& object, core::steady_time now) {
+    auto& noted = m_unknown[object.name];
+    if (noted.version != object.version) {
+        noted = {object.version, now};
+    }
+    return now - noted.first_seen >= m_patience;
+}
+
+void member_object_cleaner::forget_unlisted(const std::vector<listed_member_object>& listed) {
+    std::erase_if(m_unknown, [&](const auto& noted) {
+        return std::none_of(listed.begin(), listed.end(),
+                            [&](const listed_member_object& object) { return object.name == noted.first; });
+    });
+}
+
+} // namespace monsoonlift::membership::internal
--- /dev/null
+++ b/src/membership/internal/membership_runtime.cpp
@@ -0,0 +1,382 @@
+#include "membership/internal/membership_runtime.h"
+
+#include "membership/internal/udp_address.h"
+#include "membership/message_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace monsoonlift::membership::internal {
+
+namespace {
+
+/// Between two looks of the fleet at the platform's list for members that its table lacks.
+constexpr std::chrono::seconds group_check_interval{10};
+
+/// IPv4 and UDP.
+constexpr std::uint64_t datagram_header_bytes = 28;
+
+using boost::asio::ip::udp;
+using logging::event_id;
+
+constexpr std::chrono::seconds waiting_notice_interval{10};
+constexpr std::chrono::milliseconds farewell_pause{300};
+
+event_id event_of(member_status status) {
+    switch (status) {
+    case member_status::alive:
+        return event_id::member_alive;
+    case member_status::suspect:
+        return event_id::member_suspected;
+    case member_status::dead:
+        return event_id::member_dead;
+    case member_status::left:
+        return event_id::member_left;
+    }
+    return event_id::member_alive;
+}
+
+} // namespace
+
+membership_runtime::membership_runtime(const boost::asio::any_io_executor& executor, const core::clock& clock,
+                                       member_directory& directory, logging::event_log& log,
+                                       platform::object_api* platform, membership_options options,
+                                       membership_hooks hooks)
+    : m_strand(boost::asio::make_strand(executor)), m_clock(clock), m_directory(directory), m_log(log),
+      m_platform(platform), m_options(std::move(options)), m_hooks(std::move(hooks)), m_socket(m_strand),
+      m_timer(m_strand), m_other_fleet(clock), m_backend_silence(m_options.backend_patience) {}
+
+core::result<void> membership_runtime::start() {
+    const std::optional<udp::endpoint> wanted = parse_endpoint(m_options.self.membership_address);
+    if (!wanted) {
+        return core::fail({core::error_code::invalid_input,
+                           "membership address " + m_options.self.membership_address + " is no ip:port"});
+    }
+    boost::system::error_code fault;
+    m_socket.open(wanted->protocol(), fault);
+    if (!fault) {
+        m_socket.bind(*wanted, fault);
+    }
+    if (!fault) {
+        m_socket.non_blocking(true, fault);
+    }
+    if (fault) {
+        return core::fail(
+            {core::error_code::unavailable,
+             "membership address " + m_options.self.membership_address + ": " + fault.message()});
+    }
+    m_options.self.membership_address = to_text(m_socket.local_endpoint());
+    m_state = make_swim(m_options.self, m_options.limits, m_options.seed_peers, m_options.random_seed,
+                        m_clock.now());
+    store_self();
+    post([](membership_runtime& self) { self.begin(); });
+    return {};
+}
+
+void membership_runtime::post(std::function<void(membership_runtime&)> step) {
+    boost::asio::post(m_strand, [weak = weak_from_this(), step = std::move(step)] {
+        const auto self = weak.lock();
+        if (self && !self->m_stopped) {
+            step(*self);
+        }
+    });
+}
+
+void membership_runtime::begin() {
+    m_log.write(event_id::membership_started, {{"address", m_options.self.membership_address}});
+    m_waiting_told = m_clock.now();
+    if (m_platform != nullptr) {
+        m_object = std::make_shared<member_object_keeper>(
+            m_strand, *m_platform, m_state.self, m_options.random_seed, m_clock, m_log, object_hooks());
+        m_object->publish();
+    }
+    receive_next();
+    on_tick();
+}
+
+member_object_keeper::hooks membership_runtime::object_hooks() {
+    member_object_keeper::hooks hooks;
+    hooks.gone_patience = m_options.gone_object_patience;
+    hooks.on_peers = [weak = weak_from_this()](const std::vector<std::string>& peers) {
+        if (const auto self = weak.lock()) {
+            self->take_peers(peers);
+        }
+    };
+    hooks.belief = [weak = weak_from_this()](const std::string& address) -> std::optional<member_belief> {
+        const auto self = weak.lock();
+        return self ? self->belief_of(address) : std::nullopt;
+    };
+    return hooks;
+}
+
+std::optional<member_belief> membership_runtime::belief_of(const std::string& address) const {
+    const auto found = m_state.members.find(address);
+    if (found == m_state.members.end()) {
+        return std::nullopt;
+    }
+    const auto& known = found->second;
+    return member_belief{known.value.id.life, known.value.status, known.since};
+}
+
+void membership_runtime::take_peers(const std::vector<std::string>& peers) {
+    add_seeds(m_state, peers);
+    if (peers.empty() && m_options.seed_peers.empty()) {
+        m_state.join.joined = true;
+    }
+    if (!m_state.join.joined) {
+        m_object->list_again();
+        return;
+    }
+    send(contact_unknown(m_state, peers));
+}
+
+void membership_runtime::check_groups() {
+    const auto now = m_clock.now();
+    if (!m_joined || m_object == nullptr || now < m_next_group_check) {
+        return;
+    }
+    // NOTE: one daemon of the whole fleet lists in each interval, whatever its size; each lists once after
+    // joining.
+    const bool is_first_check = m_next_group_check == core::steady_time{};
+    m_next_group_check = now + group_check_interval;
+    std::bernoulli_distribution is_turn(1.0 / static_cast<double>(m_state.members.size() + 1));
+    if (is_first_check || is_turn(m_state.random)) {
+        m_object->list();
+    }
+}
+
+void membership_runtime::note_own_death(const swim_message& message) {
+    const auto says_so = [this](const member& news) {
+        return news.id == m_state.self.id && news.status == member_status::dead;
+    };
+    const bool is_news = std::any_of(message.news.begin(), message.news.end(), says_so);
+    if (!is_news || m_object == nullptr || m_object_check) {
+        return;
+    }
+    // NOTE: once others take this daemon for alive again nobody removes its object any more; and after a cut
+    // that made many doubt each other they don't all read at once.
+    const auto pause = m_options.object_check_pause;
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count(), pause.count() * 4);
+    m_object_check = m_clock.now() + std::chrono::milliseconds(jitter(m_state.random));
+}
+
+void membership_runtime::check_object() {
+    if (m_object_check && m_clock.now() >= *m_object_check) {
+        m_object_check.reset();
+        m_object->check_own();
+    }
+}
+
+void membership_runtime::schedule_tick() {
+    m_timer.expires_after(m_options.tick_interval);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& fault) {
+        const auto self = weak.lock();
+        if (self && !self->m_stopped && !fault) {
+            self->on_tick();
+        }
+    });
+}
+
+void membership_runtime::on_tick() {
+    if (m_hooks.own_revision) {
+        send(set_revision(m_state, m_hooks.own_revision()));
+    }
+    check_backend();
+    send(tick(m_state, m_clock.now()));
+    check_join();
+    check_groups();
+    check_object();
+    publish_changes();
+    if (!m_stopped) {
+        schedule_tick();
+    }
+}
+
+void membership_runtime::check_backend() {
+    const bool silent = m_backend_silence.look(m_clock.now());
+    if (!silent || m_state.self.service.empty()) {
+        return;
+    }
+    m_log.write(event_id::backend_silent, {{"service", m_state.self.service}});
+    withdraw();
+}
+
+void membership_runtime::check_join() {
+    if (m_state.join.joined) {
+        if (!m_joined.exchange(true)) {
+            m_log.write(event_id::membership_joined,
+                        {{"members", std::to_string(m_state.members.size() + 1)}});
+        }
+        return;
+    }
+    if (m_clock.now() - m_waiting_told < waiting_notice_interval) {
+        return;
+    }
+    m_waiting_told = m_clock.now();
+    m_log.write(event_id::membership_waiting,
+                {{"seed_peers", std::to_string(m_options.seed_peers.size())},
+                 {"peers_known", std::to_string(m_state.join.seeds.size())},
+                 {"advice", "name a live peer in seed_peers or wait for the platform"}});
+}
+
+void membership_runtime::receive_next() {
+    m_socket.async_receive_from(
+        boost::asio::buffer(m_buffer), m_peer,
+        [weak = weak_from_this()](const boost::system::error_code& fault, std::size_t bytes) {
+            const auto self = weak.lock();
+            if (!self || self->m_stopped || fault == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!fault) {
+                self->on_datagram(bytes);
+            }
+            if (!self->m_stopped) {
+                self->receive_next();
+            }
+        });
+}
+
+void membership_runtime::on_datagram(std::size_t bytes) {
+    m_received_bytes += bytes + datagram_header_bytes;
+    const std::optional<swim_message> message = decode({m_buffer.data(), bytes});
+    if (!message) {
+        m_log.write(event_id::datagram_refused,
+                    {{"peer", to_text(m_peer)}, {"bytes", std::to_string(bytes)}});
+        return;
+    }
+    if (message->fleet != m_options.fleet) {
+        note_other_fleet(*message);
+        return;
+    }
+    send(receive(m_state, to_text(m_peer), *message, m_clock.now()));
+    tell_revision(*message);
+    note_own_death(*message);
+    publish_changes();
+}
+
+void membership_runtime::note_other_fleet(const swim_message& message) {
+    const auto left_out = m_other_fleet.take();
+    if (left_out) {
+        m_log.write(
+            event_id::datagram_of_other_fleet,
+            {{"peer", to_text(m_peer)}, {"fleet", message.fleet}, {"left_out", std::to_string(*left_out)}});
+    }
+}
+
+void membership_runtime::tell_revision(const swim_message& message) {
+    const bool is_later = message.revision > m_state.revision && !message.sender_admin_address.empty();
+    if (is_later && m_hooks.on_peer_revision) {
+        m_hooks.on_peer_revision(message.sender_admin_address, message.revision);
+    }
+}
+
+void membership_runtime::send(const std::vector<outgoing_message>& messages) {
+    for (const outgoing_message& outgoing : messages) {
+        const std::optional<udp::endpoint> receiver = parse_endpoint(outgoing.address);
+        if (!receiver) {
+            continue;
+        }
+        swim_message message = outgoing.message;
+        message.fleet = m_options.fleet;
+        const std::string datagram = encode(message);
+        boost::system::error_code ignored;
+        m_socket.send_to(boost::asio::buffer(datagram), *receiver, 0, ignored);
+        m_sent_bytes += datagram.size() + datagram_header_bytes;
+    }
+}
+
+void membership_runtime::publish_changes() {
+    const swim_changes changes = take_changes(m_state);
+    for (const member& changed : changes.changed) {
+        publish(changed);
+    }
+    for (const std::string& address : changes.forgotten) {
+        m_directory.forget(address);
+    }
+    store_self();
+    for (const rumor& heard : changes.heard) {
+        if (m_hooks.on_rumor) {
+            m_hooks.on_rumor(heard);
+        }
+    }
+    if (!m_state.superseded_by || m_superseded) {
+        return;
+    }
+    m_superseded = true;
+    m_log.write(event_id::address_taken,
+                {{"address", m_state.self.id.address}, {"other_name", m_state.superseded_by->name}});
+    if (m_hooks.on_superseded) {
+        m_hooks.on_superseded();
+    }
+}
+
+void membership_runtime::publish(const member& changed) {
+    const std::optional<member> before = m_directory.find(changed.id.address);
+    const bool is_news = !before || before->status != changed.status || before->id.life != changed.id.life;
+    if (is_news) {
+        m_log.write(event_of(changed.status),
+                    {{"name", changed.name}, {"address", changed.id.address}, {"service", changed.service}});
+    }
+    m_directory.store(changed);
+}
+
+void membership_runtime::store_self() {
+    m_directory.store(m_state.self);
+}
+
+void membership_runtime::announce(const std::string& service) {
+    m_backend_silence.heard(m_clock.now());
+    if (m_state.self.service != service) {
+        m_log.write(event_id::backend_announced, {{"service", service}});
+    }
+    send(announce_self(m_state, service, m_state.self.draining, m_state.self.status));
+    store_self();
+}
+
+void membership_runtime::withdraw() {
+    if (!m_state.self.service.empty()) {
+        m_log.write(event_id::backend_withdrawn, {{"service", m_state.self.service}});
+    }
+    send(announce_self(m_state, {}, m_state.self.draining, m_state.self.status));
+    store_self();
+}
+
+void membership_runtime::drain() {
+    send(announce_self(m_state, m_state.self.service, true, m_state.self.status));
+    store_self();
+}
+
+void membership_runtime::leave(std::function<void()> done) {
+    send(announce_self(m_state, {}, true, member_status::left));
+    store_self();
+    auto pause = std::make_shared<boost::asio::steady_timer>(m_strand, farewell_pause);
+    pause->async_wait([self = shared_from_this(), pause, done = std::move(done)](
+                          const boost::system::error_code&) { self->leave_object(done); });
+}
+
+void membership_runtime::leave_object(std::function<void()> done) {
+    if (m_object == nullptr) {
+        done();
+        return;
+    }
+    m_object->remove(std::move(done));
+}
+
+void membership_runtime::spread(const rumor& told) {
+    send(membership::spread(m_state, told, m_clock.now()));
+    publish_changes();
+}
+
+void membership_runtime::stop() {
+    m_stopped = true;
+    m_timer.cancel();
+    if (m_object != nullptr) {
+        m_object->stop();
+    }
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace monsoonlift::membership::internal
--- /dev/null
+++ b/src/membership/internal/membership_service.cpp
@@ -0,0 +1,60 @@
+#include "membership/membership_service.h"
+
+#include "membership/internal/membership_runtime.h"
+
+namespace monsoonlift::membership {
+
+using internal::membership_runtime;
+
+membership_service::membership_service(boost::asio::any_io_executor executor, const core::clock& clock,
+                                       member_directory& directory, logging::event_log& log,
+                                       platform::object_api* platform, membership_options options,
+                                       membership_hooks hooks)
+    : m_runtime(std::make_shared<membership_runtime>(executor, clock, directory, log, platform,
+                                                     std::move(options), std::move(hooks))) {}
+
+membership_service::~membership_service() {
+    stop();
+}
+
+core::result<void> membership_service::start() {
+    return m_runtime->start();
+}
+
+std::string membership_service::bound_address() const {
+    return m_runtime->bound_address();
+}
+
+bool membership_service::joined() const {
+    return m_runtime->joined();
+}
+
+datagram_traffic membership_service::traffic() const {
+    return m_runtime->traffic();
+}
+
+void membership_service::announce(std::string service) {
+    m_runtime->post([service = std::move(service)](membership_runtime& self) { self.announce(service); });
+}
+
+void membership_service::withdraw() {
+    m_runtime->post([](membership_runtime& self) { self.withdraw(); });
+}
+
+void membership_service::drain() {
+    m_runtime->post([](membership_runtime& self) { self.drain(); });
+}
+
+void membership_service::leave(std::function<void()> done) {
+    m_runtime->post([done = std::move(done)](membership_runtime& self) { self.leave(done); });
+}
+
+void membership_service::spread(rumor told) {
+    m_runtime->post([told = std::move(told)](membership_runtime& self) { self.spread(told); });
+}
+
+void membership_service::stop() {
+    m_runtime->post([kept = m_runtime](membership_runtime& self) { self.stop(); });
+}
+
+} // namespace monsoonlift::membership
--- /dev/null
+++ b/src/membership/tests/member_object_tests.cpp
@@ -0,0 +1,291 @@
+#include "membership/internal/member_object_keeper.h"
+
+#include "membership/membership_service.h"
+#include "membership/message_codec.h"
+#include "platform/testing/fake_object_api.h"
+#include "platform/testing/manual_scheduler.h"
+#include "platform/testing/memory_store.h"
+#include "testing/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <map>
+#include <memory>
+
+using namespace monsoonlift;
+using namespace monsoonlift::membership;
+using namespace monsoonlift::membership::internal;
+using platform::testing::write_fate;
+using namespace std::chrono_literals;
+
+namespace {
+
+class silent_log final : public logging::event_log {
+public:
+    void write(logging::event_id, std::initializer_list<logging::field>) override {}
+};
+
+constexpr std::chrono::seconds patience = member_object_cleaner::patience;
+
+std::string value_of(const std::string& membership_address, std::uint64_t life) {
+    return R"({"membership_address":")" + membership_address + R"(","incarnation":)" + std::to_string(life) +
+           R"(,"name":"vm","data_centre":"palermo"})";
+}
+
+/// One keeper at a fake platform on manual time.
+struct keeper_fixture {
+    keeper_fixture() { start(); }
+
+    void start() {
+        member self;
+        self.id = {"10.0.0.1:7000", {50}};
+        self.membership_address = "10.0.0.1:7100";
+        member_object_keeper::hooks hooks;
+        hooks.on_peers = [this](const std::vector<std::string>& peers) {
+            last_peers = peers;
+        };
+        hooks.belief = [this](const std::string& address) -> std::optional<member_belief> {
+            const auto found = beliefs.find(address);
+            return found == beliefs.end() ? std::nullopt : std::optional(found->second);
+        };
+        keeper = std::make_shared<member_object_keeper>(io.get_executor(), api, self, 7, clock, log, hooks);
+        keeper->publish();
+        run();
+    }
+
+    /// Runs what is due; longer than a call to the platform may take.
+    void run() {
+        constexpr int turns = 40;
+        for (int turn = 0; turn < turns; ++turn) {
+            scheduler.run_for(100ms);
+            io.restart();
+            io.poll();
+        }
+    }
+
+    void list() {
+        keeper->list();
+        run();
+    }
+
+    /// An object of another daemon and what the member table says of it.
+    void add(const std::string& address, std::uint64_t life, member_status status) {
+        static_cast<void>(store.update_if("members/" + address, 0, value_of(address, life)));
+        beliefs[address] = {{life}, status, clock.now()};
+    }
+
+    [[nodiscard]] bool has(const std::string& address) const {
+        return store.get("members/" + address).has_value();
+    }
+
+    boost::asio::io_context io;
+    monsoonlift::testing::manual_clock clock;
+    platform::testing::manual_scheduler scheduler{clock};
+    platform::testing::memory_store store;
+    platform::testing::fake_object_api api{store, scheduler};
+    silent_log log;
+    std::map<std::string, member_belief> beliefs;
+    std::vector<std::string> last_peers;
+    std::shared_ptr<member_object_keeper> keeper;
+};
+
+} // namespace
+
+TEST_CASE("objects of daemons that are gone for long are removed, one a listing", "[member_object]") {
+    keeper_fixture fleet;
+    fleet.add("10.0.0.2:7000", 2, member_status::alive);
+    fleet.add("10.0.0.3:7000", 3, member_status::suspect);
+    fleet.add("10.0.0.4:7000", 4, member_status::dead);
+    fleet.add("10.0.0.5:7000", 5, member_status::left);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.4:7000"));
+    CHECK(fleet.has("10.0.0.5:7000"));
+    fleet.clock.advance(patience);
+    const auto calls_before = fleet.api.calls();
+    fleet.list();
+    CHECK(fleet.api.calls() == calls_before + 2);
+    CHECK(fleet.has("10.0.0.4:7000") != fleet.has("10.0.0.5:7000"));
+    fleet.list();
+    CHECK_FALSE(fleet.has("10.0.0.4:7000"));
+    CHECK_FALSE(fleet.has("10.0.0.5:7000"));
+    fleet.list();
+    CHECK(fleet.has("10.0.0.1:7000"));
+    CHECK(fleet.has("10.0.0.2:7000"));
+    CHECK(fleet.has("10.0.0.3:7000"));
+}
+
+TEST_CASE("the object of a later life than the dead one stays", "[member_object]") {
+    keeper_fixture fleet;
+    fleet.add("10.0.0.2:7000", 3, member_status::dead);
+    fleet.beliefs["10.0.0.2:7000"].life = {2};
+    fleet.clock.advance(patience);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+}
+
+TEST_CASE("an object that is written again before its removal stays", "[member_object]") {
+    keeper_fixture fleet;
+    fleet.add("10.0.0.2:7000", 2, member_status::dead);
+    fleet.clock.advance(patience);
+    fleet.api.before_write([&](const std::string& name) {
+        const auto found = fleet.store.get(name);
+        REQUIRE(found);
+        static_cast<void>(fleet.store.update_if(name, found->version, value_of("10.0.0.2:7000", 9)));
+    });
+    fleet.list();
+    fleet.api.before_write({});
+    CHECK(fleet.has("10.0.0.2:7000"));
+    fleet.beliefs["10.0.0.2:7000"] = {{9}, member_status::alive, fleet.clock.now()};
+    fleet.clock.advance(patience);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+}
+
+TEST_CASE("a member that came back before the listing keeps its object", "[member_object]") {
+    keeper_fixture fleet;
+    fleet.add("10.0.0.2:7000", 2, member_status::dead);
+    fleet.clock.advance(patience);
+    fleet.beliefs["10.0.0.2:7000"] = {{2}, member_status::alive, fleet.clock.now()};
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+    fleet.beliefs["10.0.0.2:7000"] = {{2}, member_status::dead, fleet.clock.now()};
+    fleet.clock.advance(patience / 2);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+}
+
+TEST_CASE("whatever becomes of a removal the next listings settle it", "[member_object]") {
+    for (const auto fate :
+         {write_fate::answer_lost, write_fate::request_lost, write_fate::effect_late, write_fate::refused}) {
+        INFO("fate " << static_cast<int>(fate));
+        keeper_fixture fleet;
+        fleet.add("10.0.0.2:7000", 2, member_status::dead);
+        fleet.clock.advance(patience);
+        fleet.api.set_write_fates({fate});
+        fleet.list();
+        fleet.list();
+        CHECK_FALSE(fleet.has("10.0.0.2:7000"));
+        // The address is used again: the late removal of the old object must not touch the new one.
+        fleet.add("10.0.0.2:7000", 9, member_status::alive);
+        fleet.run();
+        fleet.list();
+        CHECK(fleet.has("10.0.0.2:7000"));
+    }
+}
+
+TEST_CASE("an object of nobody known is removed once it has been seen for long", "[member_object]") {
+    keeper_fixture fleet;
+    fleet.add("10.0.0.2:7000", 2, member_status::dead);
+    fleet.beliefs.clear();
+    fleet.list();
+    fleet.clock.advance(patience / 2);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+    const auto found = fleet.store.get("members/10.0.0.2:7000");
+    static_cast<void>(fleet.store.update_if(found->name, found->version, found->value));
+    fleet.clock.advance(patience / 2);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+    fleet.clock.advance(patience);
+    fleet.list();
+    CHECK_FALSE(fleet.has("10.0.0.2:7000"));
+}
+
+TEST_CASE("a daemon that takes most others for dead removes nothing", "[member_object]") {
+    keeper_fixture fleet;
+    for (const std::string address : {"10.0.0.2:7000", "10.0.0.3:7000"}) {
+        fleet.add(address, 2, member_status::dead);
+    }
+    fleet.clock.advance(patience);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+    CHECK(fleet.has("10.0.0.3:7000"));
+    fleet.add("10.0.0.4:7000", 4, member_status::alive);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000") != fleet.has("10.0.0.3:7000"));
+}
+
+TEST_CASE("an object that can't be read as a member's stays", "[member_object]") {
+    keeper_fixture fleet;
+    static_cast<void>(fleet.store.update_if("members/10.0.0.2:7000", 0, "nonsense"));
+    fleet.list();
+    fleet.clock.advance(patience * 2);
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+}
+
+TEST_CASE("a daemon writes its object again when it finds it gone", "[member_object]") {
+    for (const bool by_listing : {true, false}) {
+        INFO("by listing " << by_listing);
+        keeper_fixture fleet;
+        const auto own = fleet.store.get("members/10.0.0.1:7000");
+        REQUIRE(own);
+        REQUIRE(fleet.store.remove_if(own->name, own->version));
+        if (by_listing) {
+            fleet.list();
+        } else {
+            fleet.keeper->check_own();
+            fleet.run();
+        }
+        const auto again = fleet.store.get("members/10.0.0.1:7000");
+        REQUIRE(again);
+        CHECK(again->value == own->value);
+        bool removed = false;
+        fleet.keeper->remove([&removed] { removed = true; });
+        fleet.run();
+        CHECK(removed);
+        CHECK_FALSE(fleet.has("10.0.0.1:7000"));
+        fleet.list();
+        fleet.keeper->check_own();
+        fleet.run();
+        CHECK_FALSE(fleet.has("10.0.0.1:7000"));
+    }
+}
+
+TEST_CASE("a daemon that hears of its own death looks at its object", "[member_object]") {
+    boost::asio::io_context io;
+    monsoonlift::testing::manual_clock clock;
+    platform::testing::manual_scheduler scheduler(clock);
+    platform::testing::memory_store store;
+    platform::testing::fake_object_api api(store, scheduler);
+    silent_log log;
+    member_directory directory;
+    membership_options options;
+    options.self.id = {"127.0.0.1:7000", {5}};
+    options.self.membership_address = "127.0.0.1:0";
+    options.tick_interval = 1ms;
+    options.object_check_pause = 5000ms;
+    membership_service service(io.get_executor(), clock, directory, log, &api, options, {});
+    REQUIRE(service.start());
+    const auto run_until = [&](const std::function<bool()>& reached) {
+        constexpr auto longest_wait = 20s;
+        const auto end = std::chrono::steady_clock::now() + longest_wait;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            io.run_one_for(20ms);
+            scheduler.run_for(50ms);
+        }
+        return reached();
+    };
+    REQUIRE(run_until([&] { return service.joined(); }));
+    const auto own = store.get("members/127.0.0.1:7000");
+    REQUIRE(own);
+    REQUIRE(store.remove_if(own->name, own->version));
+
+    swim_message message;
+    message.kind = message_kind::gossip;
+    message.sender = {"127.0.0.1:7200", {1}};
+    message.sender_membership_address = "127.0.0.1:1";
+    member dead = options.self;
+    dead.membership_address = service.bound_address();
+    dead.status = member_status::dead;
+    message.news = {dead};
+    boost::asio::ip::udp::socket peer(io, {boost::asio::ip::address_v4::loopback(), 0});
+    const auto port = service.bound_address().substr(service.bound_address().rfind(':') + 1);
+    const boost::asio::ip::udp::endpoint receiver(boost::asio::ip::address_v4::loopback(),
+                                                  static_cast<std::uint16_t>(std::stoul(port)));
+    peer.send_to(boost::asio::buffer(encode(message)), receiver);
+    CHECK(run_until([&] { return store.get("members/127.0.0.1:7000").has_value(); }));
+}
--- /dev/null
+++ b/src/membership/tests/membership_service_tests.cpp
@@ -0,0 +1,213 @@
+#include "membership/membership_service.h"
+
+#include "core/system_clock.h"
+#include "platform/testing/fake_object_api.h"
+#include "platform/testing/manual_scheduler.h"
+#include "platform/testing/memory_store.h"
+#include "testing/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+using namespace monsoonlift::membership;
+using monsoonlift::core::system_clock;
+using monsoonlift::logging::event_id;
+using namespace std::chrono_literals;
+
+namespace {
+
+class recording_log final : public monsoonlift::logging::event_log {
+public:
+    void write(event_id id, std::initializer_list<monsoonlift::logging::field>) override {
+        events.insert(id);
+    }
+
+    std::set<event_id> events;
+};
+
+/// A daemon's membership on a loopback socket.
+struct daemon {
+    member_directory directory;
+    recording_log log;
+    bool superseded = false;
+    std::uint64_t revision = 0;
+    std::set<std::pair<std::string, std::uint64_t>> peer_revisions;
+    std::vector<rumor> rumors;
+    std::unique_ptr<membership_service> service;
+};
+
+struct fixture {
+    boost::asio::io_context io;
+    system_clock clock;
+    monsoonlift::testing::manual_clock platform_clock;
+    monsoonlift::platform::testing::manual_scheduler scheduler{platform_clock};
+    monsoonlift::platform::testing::memory_store store;
+    std::vector<std::unique_ptr<monsoonlift::platform::testing::fake_object_api>> platforms;
+    std::vector<std::unique_ptr<daemon>> daemons;
+
+    daemon& start(std::uint16_t number, const std::vector<std::string>& seeds, bool has_platform = false,
+                  std::uint64_t life = 1, const std::string& fleet = "sicily") {
+        auto added = std::make_unique<daemon>();
+        daemon& one = *added;
+        daemons.push_back(std::move(added));
+        membership_options options;
+        options.fleet = fleet;
+        options.self.id = {"127.0.0.1:" + std::to_string(number), {life}};
+        options.self.membership_address = "127.0.0.1:0";
+        options.self.admin_address = "127.0.0.1:" + std::to_string(number + 1);
+        options.self.name = "vm-" + std::to_string(number);
+        options.seed_peers = seeds;
+        options.tick_interval = 10ms;
+        options.limits.probe_interval = 100ms;
+        options.limits.gossip_interval = 20ms;
+        membership_hooks hooks;
+        hooks.own_revision = [&one] {
+            return one.revision;
+        };
+        hooks.on_peer_revision = [&one](const std::string& admin, std::uint64_t revision) {
+            one.peer_revisions.emplace(admin, revision);
+        };
+        hooks.on_superseded = [&one] {
+            one.superseded = true;
+        };
+        hooks.on_rumor = [&one](const rumor& heard) {
+            one.rumors.push_back(heard);
+        };
+        platforms.push_back(
+            std::make_unique<monsoonlift::platform::testing::fake_object_api>(store, scheduler));
+        one.service = std::make_unique<membership_service>(io.get_executor(), clock, one.directory, one.log,
+                                                           has_platform ? platforms.back().get() : nullptr,
+                                                           options, hooks);
+        REQUIRE(one.service->start());
+        return one;
+    }
+
+    bool run_until(const std::function<bool()>& reached) {
+        constexpr auto patience = 30s;
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            io.run_one_for(100ms);
+            scheduler.run_for(1ms);
+        }
+        return reached();
+    }
+};
+
+bool knows(const daemon& one, const std::string& address, const std::function<bool(const member&)>& belief) {
+    const auto found = one.directory.find(address);
+    return found && belief(*found);
+}
+
+bool is_alive(const member& one) {
+    return one.status == member_status::alive;
+}
+
+} // namespace
+
+TEST_CASE("daemons join by a seed peer and tell each other what changes", "[membership_service]") {
+    fixture fleet;
+    auto& first = fleet.start(7100, {});
+    auto& second = fleet.start(7200, {first.service->bound_address()});
+    auto& third = fleet.start(7300, {first.service->bound_address()});
+    REQUIRE(fleet.run_until([&] {
+        return knows(second, "127.0.0.1:7300", is_alive) && knows(third, "127.0.0.1:7200", is_alive) &&
+               knows(first, "127.0.0.1:7300", is_alive);
+    }));
+    CHECK(fleet.run_until([&] { return second.service->joined() && third.service->joined(); }));
+
+    second.service->announce("squadre");
+    CHECK(fleet.run_until([&] {
+        return knows(third, "127.0.0.1:7200", [](const member& one) { return one.service == "squadre"; });
+    }));
+    second.service->drain();
+    CHECK(fleet.run_until(
+        [&] { return knows(third, "127.0.0.1:7200", [](const member& one) { return one.draining; }); }));
+    first.revision = 4;
+    CHECK(fleet.run_until([&] { return third.peer_revisions.contains({"127.0.0.1:7101", 4}); }));
+    third.service->spread({1, "report"});
+    CHECK(fleet.run_until([&] { return first.rumors.size() == 1 && second.rumors.size() == 1; }));
+
+    bool has_left = false;
+    second.service->leave([&has_left] { has_left = true; });
+    CHECK(fleet.run_until([&] {
+        return has_left && knows(third, "127.0.0.1:7200",
+                                 [](const member& one) { return one.status == member_status::left; });
+    }));
+}
+
+TEST_CASE("daemons of two fleets never join, whoever asks first", "[membership_service]") {
+    fixture fleet;
+    auto& first = fleet.start(7100, {});
+    auto& second = fleet.start(7200, {first.service->bound_address()});
+    auto& other = fleet.start(7300, {first.service->bound_address()}, false, 1, "kazakhstan-south");
+    auto& visited = fleet.start(7400, {}, false, 1, "kazakhstan-south");
+    auto& lost = fleet.start(7500, {visited.service->bound_address()});
+    REQUIRE(fleet.run_until([&] {
+        return second.service->joined() && first.log.events.contains(event_id::datagram_of_other_fleet) &&
+               visited.log.events.contains(event_id::datagram_of_other_fleet);
+    }));
+    CHECK_FALSE(other.service->joined());
+    CHECK_FALSE(lost.service->joined());
+    CHECK(first.directory.members().size() == 2);
+    for (const auto* stranger : {&other, &visited, &lost}) {
+        CHECK(stranger->directory.members().size() == 1);
+    }
+}
+
+TEST_CASE("daemons find each other through the platform's objects", "[membership_service]") {
+    fixture fleet;
+    auto& first = fleet.start(7100, {}, true);
+    REQUIRE(fleet.run_until([&] { return first.service->joined(); }));
+    auto& second = fleet.start(7200, {}, true);
+    CHECK(fleet.run_until(
+        [&] { return second.service->joined() && knows(first, "127.0.0.1:7200", is_alive); }));
+    CHECK(fleet.store.get("members/127.0.0.1:7100").has_value());
+    bool has_left = false;
+    first.service->leave([&has_left] { has_left = true; });
+    CHECK(fleet.run_until([&] { return has_left; }));
+    CHECK_FALSE(fleet.store.get("members/127.0.0.1:7100").has_value());
+}
+
+TEST_CASE("a silent backend server is no service", "[membership_service]") {
+    fixture fleet;
+    auto& first = fleet.start(7100, {});
+    first.service->announce("squadre");
+    REQUIRE(fleet.run_until([&] {
+        return knows(first, "127.0.0.1:7100", [](const member& one) { return one.service == "squadre"; });
+    }));
+    CHECK(fleet.run_until([&] {
+        return knows(first, "127.0.0.1:7100", [](const member& one) { return one.service.empty(); });
+    }));
+    CHECK(first.log.events.contains(event_id::backend_silent));
+}
+
+TEST_CASE("of two daemons with one address the earlier one is told to stop", "[membership_service]") {
+    fixture fleet;
+    auto& peer = fleet.start(7100, {});
+    auto& earlier = fleet.start(7200, {peer.service->bound_address()}, false, 1);
+    REQUIRE(fleet.run_until([&] { return knows(peer, "127.0.0.1:7200", is_alive); }));
+    auto& later = fleet.start(7200, {peer.service->bound_address()}, false, 2);
+    CHECK(fleet.run_until([&] { return earlier.superseded; }));
+    CHECK(earlier.log.events.contains(event_id::address_taken));
+    CHECK_FALSE(later.superseded);
+    CHECK(knows(peer, "127.0.0.1:7200", [](const member& one) { return one.id.life.value == 2; }));
+}
+
+TEST_CASE("an unusable address is an error", "[membership_service]") {
+    fixture fleet;
+    auto& first = fleet.start(7100, {});
+    member_directory directory;
+    recording_log log;
+    for (const std::string& address : {std::string("nowhere"), first.service->bound_address()}) {
+        membership_options options;
+        options.self.membership_address = address;
+        membership_service refused(fleet.io.get_executor(), fleet.clock, directory, log, nullptr, options,
+                                   {});
+        CHECK_FALSE(refused.start());
+    }
+}
--- /dev/null
+++ b/src/membership/tests/swim_tests.cpp
@@ -0,0 +1,231 @@
+#include "membership/swim.h"
+
+#include "membership/swim_table.h"
+#include "membership/tests/model_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using monsoonlift::membership::member;
+using monsoonlift::membership::member_status;
+using monsoonlift::membership::supersedes;
+using monsoonlift::membership::testing::model_fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t small_fleet = 12;
+constexpr std::uint64_t seed = 20'250'312;
+
+auto has_status(member_status status) {
+    return [status](const member& one) {
+        return one.status == status;
+    };
+}
+
+bool is_draining(const member& one) {
+    return one.draining;
+}
+
+} // namespace
+
+TEST_CASE("the later belief wins", "[swim]") {
+    struct row {
+        std::uint64_t life, news;
+        member_status status;
+        std::uint64_t other_life, other_news;
+        member_status other_status;
+        bool wins;
+    };
+    const auto cases = std::to_array<row>({
+        {2, 0, member_status::alive, 1, 9, member_status::left, true},     // a later life
+        {1, 9, member_status::left, 2, 0, member_status::alive, false},    // an older life
+        {1, 1, member_status::suspect, 1, 1, member_status::alive, true},  // suspicion of the same news
+        {1, 0, member_status::suspect, 1, 1, member_status::alive, false}, // refuted already
+        {1, 1, member_status::alive, 1, 0, member_status::dead, true},     // refutation of a death
+        {1, 1, member_status::alive, 1, 1, member_status::dead, false},    // stale gossip revives nobody
+        {1, 1, member_status::alive, 1, 1, member_status::alive, false},   // nothing new
+    });
+    for (const row& one : cases) {
+        member candidate = model_fleet::record(0);
+        candidate.id.life.value = one.life;
+        candidate.news = one.news;
+        candidate.status = one.status;
+        member known = candidate;
+        known.id.life.value = one.other_life;
+        known.news = one.other_news;
+        known.status = one.other_status;
+        CHECK(supersedes(candidate, known) == one.wins);
+    }
+}
+
+TEST_CASE("a daemon joins through one live peer and learns the whole table", "[swim]") {
+    model_fleet fleet(40, seed);
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        add_seeds(fleet.at(index).state, {model_fleet::membership_address(0)});
+    }
+    fleet.at(0).state.join.joined = true;
+    const bool all_know_all = fleet.run(60s, [&] {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            if (fleet.at(index).state.members.size() != fleet.size() - 1) {
+                return false;
+            }
+        }
+        return true;
+    });
+    CHECK(all_know_all);
+    CHECK(fleet.largest_datagram <= monsoonlift::membership::max_datagram_bytes);
+}
+
+TEST_CASE("a silent member is suspected, then dead, everywhere", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    fleet.at(3).running = false;
+    CHECK(fleet.run(30s,
+                    [&] { return fleet.believers(3, has_status(member_status::dead)) == small_fleet - 1; }));
+}
+
+TEST_CASE("nobody dies of lost datagrams", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    fleet.loss = 0.05;
+    CHECK_FALSE(fleet.run(120s, [&] {
+        for (std::size_t index = 0; index < small_fleet; ++index) {
+            if (fleet.believers(index, has_status(member_status::dead)) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }));
+}
+
+TEST_CASE("a member that was stopped and woken suspects nobody and is taken back", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    fleet.at(5).running = false;
+    REQUIRE(fleet.run(
+        30s, [&] { return fleet.believers(5, has_status(member_status::dead)) == small_fleet - 1; }));
+    fleet.at(5).running = true;
+    CHECK(fleet.run(60s,
+                    [&] { return fleet.believers(5, has_status(member_status::alive)) == small_fleet - 1; }));
+    for (std::size_t index = 0; index < small_fleet; ++index) {
+        CHECK(fleet.at(5).state.members.size() == small_fleet - 1);
+        CHECK(fleet.believers(index, has_status(member_status::dead)) == 0);
+    }
+}
+
+TEST_CASE("a restart is a new incarnation that replaces the old one", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    const auto old_life = fleet.at(7).state.self.id.life;
+    fleet.at(7).running = false;
+    fleet.run(300ms);
+    fleet.restart(7, 0);
+    CHECK(fleet.run(20s, [&] {
+        return fleet.believers(7, [&](const member& one) {
+            return one.id.life > old_life && one.status == member_status::alive;
+        }) == small_fleet - 1;
+    }));
+}
+
+TEST_CASE("the older of two lives of one address learns that it is superseded", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    member later = fleet.at(2).state.self;
+    later.id.life.value += 1;
+    merge(fleet.at(4).state, later, fleet.now());
+    CHECK(fleet.run(20s, [&] { return fleet.at(2).state.superseded_by.has_value(); }));
+}
+
+TEST_CASE("draining is known everywhere within two seconds", "[swim]") {
+    model_fleet fleet(64, seed);
+    fleet.introduce_all();
+    fleet.run(3s);
+    auto& leaving = fleet.at(9).state;
+    fleet.send(9, announce_self(leaving, leaving.self.service, true, member_status::alive));
+    CHECK(fleet.run(2s, [&] { return fleet.believers(9, is_draining) == 63; }));
+}
+
+TEST_CASE("the two sides of a cut find each other again", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    fleet.cut = [](std::size_t from, std::size_t to) {
+        return (from < 6) != (to < 6);
+    };
+    REQUIRE(fleet.run(120s, [&] {
+        return fleet.believers(0, has_status(member_status::dead)) == 6 &&
+               fleet.believers(11, has_status(member_status::dead)) == 6;
+    }));
+    fleet.run(600s);
+    fleet.cut = nullptr;
+    CHECK(fleet.run(120s, [&] {
+        for (std::size_t index = 0; index < small_fleet; ++index) {
+            if (fleet.believers(index, has_status(member_status::alive)) != small_fleet - 1) {
+                return false;
+            }
+        }
+        return true;
+    }));
+}
+
+TEST_CASE("a rumor is heard by every member once, also by one that joins later", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    fleet.send(0, spread(fleet.at(0).state, {7, "payload"}, fleet.now()));
+    const auto heard = [&] {
+        std::size_t count = 0;
+        for (std::size_t index = 0; index < small_fleet; ++index) {
+            count += fleet.at(index).state.heard.size();
+        }
+        return count;
+    };
+    REQUIRE(fleet.run(20s, [&] { return heard() == small_fleet; }));
+    fleet.run(20s);
+    CHECK(heard() == small_fleet);
+    fleet.restart(6, 1);
+    CHECK(fleet.run(20s, [&] { return fleet.at(6).state.heard.size() == 1; }));
+}
+
+TEST_CASE("the members of the same service hear a rumor at once", "[swim]") {
+    model_fleet fleet(200, seed); // services repeat after 74 members
+    fleet.introduce_all();
+    fleet.send(0, spread(fleet.at(0).state, {7, "payload"}, fleet.now()));
+    fleet.run(100ms);
+    CHECK(fleet.at(74).state.heard.size() == 1);
+    CHECK(fleet.at(148).state.heard.size() == 1);
+}
+
+TEST_CASE("a raised configuration revision reaches every member", "[swim]") {
+    model_fleet fleet(64, seed);
+    fleet.introduce_all();
+    std::set<std::string> informed;
+    fleet.send(0, set_revision(fleet.at(0).state, 5));
+    const bool everywhere = fleet.run(10s, [&] {
+        // Members adopt a revision as soon as a message shows it, as the configuration module does.
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            auto& state = fleet.at(index).state;
+            if (state.revision == 0 && state.highest_peer_revision == 5) {
+                fleet.send(index, set_revision(state, 5));
+            }
+            if (state.revision == 5) {
+                informed.insert(state.self.name);
+            }
+        }
+        return informed.size() == fleet.size();
+    });
+    CHECK(everywhere);
+}
+
+TEST_CASE("a listed peer that the table lacks is asked for its own", "[swim]") {
+    using namespace monsoonlift::membership;
+    const monsoonlift::core::steady_time now{1h};
+    swim_state state = make_swim(model_fleet::record(0), {}, {}, seed, now);
+    merge(state, model_fleet::record(1), now);
+    const std::string own = model_fleet::record(0).membership_address;
+    const std::string known = model_fleet::record(1).membership_address;
+    const std::string stranger = model_fleet::record(2).membership_address;
+    const auto sent = contact_unknown(state, {own, known, stranger});
+    REQUIRE(sent.size() == 1);
+    CHECK(sent.front().address == stranger);
+    CHECK(sent.front().message.kind == message_kind::table_request);
+    CHECK(sent.front().message.news.front().id == model_fleet::record(0).id);
+}
--- /dev/null
+++ b/src/membership/types/member.cpp
@@ -0,0 +1,16 @@
+#include "membership/types/member.h"
+
+#include <tuple>
+
+namespace monsoonlift::membership {
+
+bool supersedes(const member& candidate, const member& known) {
+    return std::tie(candidate.id.life, candidate.news, candidate.status) >
+           std::tie(known.id.life, known.news, known.status);
+}
+
+bool is_present(const member& candidate) {
+    return candidate.status == member_status::alive || candidate.status == member_status::suspect;
+}
+
+} // namespace monsoonlift::membership
--- /dev/null
+++ b/src/model/internal/entry_model.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "model/internal/call.h"
+#include "model/internal/event_loop.h"
+#include "model/internal/gate_model.h"
+#include "model/types/rules.h"
+#include "model/types/scenario.h"
+#include "retry/retry_budget.h"
+#include "routing/routing_table.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace monsoonlift::model::internal {
+
+/// The entry of one daemon: routes and repeats attempts.
+class entry_model {
+public:
+    entry_model(event_loop& loop, std::mt19937_64& random, const rule_set& rules, const scenario& played,
+                std::size_t data_centre);
+
+    /// Makes a gate known.
+    void add_gate(std::size_t service, std::size_t data_centre, gate_model& gate);
+
+    /// Sends a call and answers it, at its deadline or when patience ends at the latest. The result cancels
+    /// the call.
+    cancel_function send(const core::call_context& context, std::size_t service,
+                         std::chrono::nanoseconds patience, answer_handler done);
+
+    /// Calls that it refused early.
+    [[nodiscard]] std::uint64_t refused() const { return m_refused; }
+
+private:
+    struct call {
+        core::call_context context;
+        std::size_t service = 0;
+        answer_handler done;
+        routing::route_request route;
+        std::uint32_t attempts = 0;
+        std::uint32_t spent = 0;
+        std::uint32_t granted = 0;
+        attempt_ptr current;
+        bool ended = false;
+        bool caller_left = false; ///< Before its deadline.
+    };
+    using call_ptr = std::shared_ptr<call>;
+
+    struct known_gate {
+        gate_model* gate = nullptr;
+        std::size_t data_centre = 0;
+    };
+
+    void start_attempt(const call_ptr& sent);
+    void on_answer(const call_ptr& sent, const core::endpoint_id& endpoint, std::uint32_t lent,
+                   core::steady_time started, const call_answer& answer);
+    void repeat_or_end(const call_ptr& sent, const call_answer& answer);
+    void abandon(const call_ptr& sent, bool caller_left);
+    void end(const call_ptr& ended, call_answer answer);
+    [[nodiscard]] std::chrono::nanoseconds draw_delay(std::size_t data_centre);
+    [[nodiscard]] std::optional<core::endpoint_id> choose(const call_ptr& sent);
+    void learn(const core::endpoint_id& endpoint, core::steady_time started, const call_answer& answer,
+               bool caller_left);
+
+    event_loop& m_loop;
+    std::mt19937_64& m_random;
+    rule_set m_rules;
+    const scenario& m_played;
+    std::size_t m_data_centre;
+    routing::routing_table m_table;
+    retry::ratio_state m_ratio;
+    retry::ratio_state m_grants;
+    std::uint64_t m_refused = 0;
+    std::unordered_map<std::string, known_gate> m_gates;
+};
+
+} // namespace monsoonlift::model::internal
--- /dev/null
+++ b/src/model/internal/gate_model.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "admission/call_queue.h"
+#include "admission/shedding.h"
+#include "concurrency/concurrency_limit.h"
+#include "model/internal/backend_model.h"
+#include "model/internal/call.h"
+#include "model/internal/event_loop.h"
+#include "model/types/model_result.h"
+#include "model/types/rules.h"
+
+#include <cstdint>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace monsoonlift::model::internal {
+
+/// The gate before one backend server.
+class gate_model {
+public:
+    gate_model(event_loop& loop, std::mt19937_64& random, const rule_set& rules, const service_spec& spec,
+               backend_model& backend);
+
+    /// Takes an attempt and answers it.
+    void receive(const attempt_ptr& received);
+
+    /// Starts the timer that expires waiting calls.
+    void start_timer();
+
+    /// The backend server has restarted.
+    void restart();
+
+    /// Attempts that arrived.
+    [[nodiscard]] std::uint64_t arrivals() const { return m_arrivals; }
+
+    /// Calls that wait.
+    [[nodiscard]] std::size_t waiting() const { return m_queue.length; }
+
+    /// What it refused.
+    [[nodiscard]] const refusal_counts& refusals() const { return m_refusals; }
+
+    /// Calls a second that were running, waiting and allowed, for debugging a scenario.
+    [[nodiscard]] const concurrency::limit_state& limit() const { return m_limit; }
+
+private:
+    void run(const attempt_ptr& admitted, std::chrono::nanoseconds waited);
+    void enqueue(const attempt_ptr& admitted);
+    void start_waiting();
+    void refuse(const std::vector<admission::waiting_call>& refused);
+    void reply(const attempt_ptr& answered, call_answer answer);
+    [[nodiscard]] bool acquire();
+    void release(concurrency::run_outcome outcome, std::chrono::nanoseconds time);
+    [[nodiscard]] core::steady_time ramp_start() const;
+    [[nodiscard]] std::chrono::nanoseconds service_estimate() const;
+    [[nodiscard]] routing::load_report report() const;
+
+    event_loop& m_loop;
+    std::mt19937_64& m_random;
+    rule_set m_rules;
+    backend_model& m_backend;
+    admission::call_queue m_queue;
+    admission::overload_state m_overload;
+    concurrency::limit_state m_limit;
+    std::unordered_map<std::uint64_t, attempt_ptr> m_waiting;
+    std::uint64_t m_next_ticket = 0;
+    std::uint64_t m_arrivals = 0;
+    refusal_counts m_refusals;
+};
+
+} // namespace monsoonlift::model::internal
--- /dev/null
+++ b/src/network/address_text.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+
+namespace monsoonlift::network {
+
+/// Reads "ip:port" that has been checked before; throws if it is something else.
+[[nodiscard]] boost::asio::ip::tcp::endpoint parse_address(const std::string& text);
+
+/// "ip:port".
+[[nodiscard]] std::string to_text(const boost::asio::ip::tcp::endpoint& address);
+
+} // namespace monsoonlift::network
--- /dev/null
+++ b/src/platform/asio_scheduler.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "platform/scheduler.h"
+
+namespace monsoonlift::platform {
+
+/// Timers on an executor; give it a strand where the executor has several threads.
+class asio_scheduler final : public scheduler {
+public:
+    /// Tasks run on `executor`.
+    explicit asio_scheduler(const boost::asio::any_io_executor& executor);
+
+    void after(std::chrono::nanoseconds delay, std::function<void()> task) override;
+
+private:
+    boost::asio::any_io_executor m_executor;
+};
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/budgeted_object_api.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "logging/event_log.h"
+#include "platform/call_budget.h"
+#include "platform/circuit.h"
+#include "platform/object_api.h"
+#include "platform/scheduler.h"
+
+namespace monsoonlift::platform {
+
+/// Bounds of the calls of one process.
+struct call_limits {
+    call_budget_rule budget;
+    circuit_rule pauses;
+};
+
+/// Keeps the calls to another object API within a budget and pauses them in an outage. It repeats no call.
+/// Calls beyond the budget wait for their tokens within their patience; those that can't, and those in a
+/// pause, fail as unavailable, surely without effect. Thread-safe; its mutex is a leaf in the lock order.
+class budgeted_object_api final : public object_api {
+public:
+    /// All references must outlive the calls under way.
+    budgeted_object_api(object_api& inner, scheduler& timer, const core::clock& clock,
+                        logging::event_log& log, const call_limits& limits, std::uint64_t seed);
+
+    void get(const std::string& name, std::chrono::milliseconds patience, handler<object> done) override;
+    void list(const std::string& prefix, std::chrono::milliseconds patience,
+              handler<object_list> done) override;
+    void update_if(const std::string& name, std::uint64_t expected_version, std::string value,
+                   std::chrono::milliseconds patience, handler<std::uint64_t> done) override;
+    void remove_if(const std::string& name, std::uint64_t expected_version,
+                   std::chrono::milliseconds patience, handler<std::uint64_t> done) override;
+    void watch(const std::string& prefix, std::uint64_t revision, std::chrono::milliseconds patience,
+               handler<watch_result> done) override;
+
+private:
+    struct shared_state;
+
+    template <class T> using sender = std::function<void(object_api&, std::chrono::milliseconds, handler<T>)>;
+
+    template <class T>
+    void call(double cost, std::chrono::milliseconds patience, sender<T> send, handler<T> done);
+
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/internal/connection_pool.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace monsoonlift::platform::internal {
+
+/// Idle connections by address. Used on its strand only.
+class connection_pool {
+public:
+    using stream_ptr = std::unique_ptr<boost::beast::tcp_stream>;
+
+    explicit connection_pool(const boost::asio::any_io_executor& executor);
+
+    /// A connection that was used a moment ago, or nullptr.
+    [[nodiscard]] stream_ptr take(const std::string& address);
+
+    /// Keeps a connection for the next request.
+    void give_back(const std::string& address, stream_ptr stream);
+
+    /// A connection that is not yet open.
+    [[nodiscard]] stream_ptr make_stream() const;
+
+    /// Where exchanges run.
+    [[nodiscard]] const boost::asio::strand<boost::asio::any_io_executor>& strand() const { return m_strand; }
+
+    /// Where handlers run.
+    [[nodiscard]] const boost::asio::any_io_executor& executor() const { return m_executor; }
+
+private:
+    struct idle_connection {
+        stream_ptr stream;
+        std::chrono::steady_clock::time_point since;
+    };
+
+    boost::asio::any_io_executor m_executor;
+    boost::asio::strand<boost::asio::any_io_executor> m_strand;
+    std::map<std::string, std::vector<idle_connection>> m_idle;
+};
+
+} // namespace monsoonlift::platform::internal
--- /dev/null
+++ b/src/platform/internal/http_exchange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "core/error.h"
+#include "platform/http_client.h"
+#include "platform/internal/connection_pool.h"
+
+namespace monsoonlift::platform::internal {
+
+/// One request and its answer. Lives until its handler has been called.
+class http_exchange : public std::enable_shared_from_this<http_exchange> {
+public:
+    http_exchange(std::shared_ptr<connection_pool> pool, std::string address, http_request request,
+                  std::chrono::milliseconds patience, http_client::handler done);
+
+    /// Begins; call it on the pool's strand.
+    void start();
+
+private:
+    void connect();
+    void on_connected(const boost::system::error_code& failure);
+    void write();
+    void on_written(const boost::system::error_code& failure);
+    void on_read(const boost::system::error_code& failure);
+    void on_broken(const boost::system::error_code& failure);
+    void finish(core::result<http_reply> outcome);
+
+    std::shared_ptr<connection_pool> m_pool;
+    std::string m_address;
+    boost::beast::http::request<boost::beast::http::string_body> m_request;
+    std::chrono::steady_clock::time_point m_deadline;
+    http_client::handler m_done;
+    connection_pool::stream_ptr m_stream;
+    bool m_reused = false;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+};
+
+/// The endpoint of "ip:port", or nothing.
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
+
+} // namespace monsoonlift::platform::internal
--- /dev/null
+++ b/src/platform/internal/http_object_api.cpp
@@ -0,0 +1,107 @@
+#include "platform/http_object_api.h"
+
+#include <utility>
+
+#include "platform/http_target.h"
+#include "platform/object_wire.h"
+#include "platform/settled.h"
+
+namespace monsoonlift::platform {
+
+namespace {
+
+/// Time that an answer to a watch may take beyond the time that the watch itself waits.
+constexpr std::chrono::milliseconds watch_grace{2000};
+
+enum http_status : unsigned {
+    status_ok = 200,
+    status_created = 201,
+    status_not_found = 404,
+    status_conflict = 409,
+    status_internal_error = 500,
+    status_unavailable = 503
+};
+
+core::error error_of(const http_reply& reply) {
+    const auto code = std::to_string(reply.status);
+    switch (reply.status) {
+    case status_not_found:
+        return {core::error_code::not_found, "the platform has no such object"};
+    case status_conflict:
+        return {core::error_code::conflict, "the object has another version"};
+    case status_unavailable:
+        return {core::error_code::unavailable, "the platform is out of service (503)"};
+    default:
+        break;
+    }
+    if (reply.status >= status_internal_error) {
+        return {core::error_code::timeout, "the platform failed with status " + code,
+                core::verdict::may_have_run};
+    }
+    return {core::error_code::invalid_input, "the platform refused the call with status " + code};
+}
+
+template <class T, class Parser> core::result<T> interpret(core::result<http_reply> answered, Parser parse) {
+    const auto answer = settle_result(std::move(answered));
+    if (!answer.value) {
+        return core::captured_failure<T>(answer.failure);
+    }
+    if (answer.value->status != status_ok && answer.value->status != status_created) {
+        return core::captured_failure<T>(error_of(*answer.value));
+    }
+    auto parsed = parse(answer.value->body);
+    if (!parsed) {
+        return core::captured_failure<T>(
+            {core::error_code::timeout, "the platform's answer can't be read", core::verdict::may_have_run});
+    }
+    return std::move(*parsed);
+}
+
+std::string object_target(const std::string& name) {
+    return "/objects/" + percent_encode(name);
+}
+
+} // namespace
+
+http_object_api::http_object_api(const boost::asio::any_io_executor& executor, std::string address)
+    : m_client(executor), m_address(std::move(address)) {}
+
+template <class T, class Parser>
+void http_object_api::call(http_request&& request, std::chrono::milliseconds patience, Parser parse,
+                           handler<T> done) {
+    m_client.send(m_address, std::move(request), patience,
+                  [parse, done = std::move(done)](core::result<http_reply> answered) {
+                      done(interpret<T>(std::move(answered), parse));
+                  });
+}
+
+void http_object_api::get(const std::string& name, std::chrono::milliseconds patience, handler<object> done) {
+    call({"GET", object_target(name), {}, {}}, patience, parse_object, std::move(done));
+}
+
+void http_object_api::list(const std::string& prefix, std::chrono::milliseconds patience,
+                           handler<object_list> done) {
+    call({"GET", "/list?prefix=" + percent_encode(prefix), {}, {}}, patience, parse_object_list,
+         std::move(done));
+}
+
+void http_object_api::update_if(const std::string& name, std::uint64_t expected_version, std::string value,
+                                std::chrono::milliseconds patience, handler<std::uint64_t> done) {
+    auto target = object_target(name) + "?expected_version=" + std::to_string(expected_version);
+    call({"PUT", std::move(target), std::move(value), {}}, patience, parse_version, std::move(done));
+}
+
+void http_object_api::remove_if(const std::string& name, std::uint64_t expected_version,
+                                std::chrono::milliseconds patience, handler<std::uint64_t> done) {
+    auto target = object_target(name) + "?expected_version=" + std::to_string(expected_version);
+    call({"DELETE", std::move(target), {}, {}}, patience, parse_version, std::move(done));
+}
+
+void http_object_api::watch(const std::string& prefix, std::uint64_t revision,
+                            std::chrono::milliseconds patience, handler<watch_result> done) {
+    auto target = "/watch?prefix=" + percent_encode(prefix) + "&revision=" + std::to_string(revision) +
+                  "&patience_ms=" + std::to_string(patience.count());
+    call({"GET", std::move(target), {}, {}}, patience + watch_grace, parse_watch_result, std::move(done));
+}
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/limits.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstddef>
+
+namespace monsoonlift::platform {
+
+/// The largest value that the platform stores.
+inline constexpr std::size_t max_value_bytes = 1'000'000;
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/object_api.h
@@ -0,0 +1,71 @@
+/// The platform's object API as the rest of the system sees it. Another wire format is one more
+/// implementation.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/error.h"
+
+namespace monsoonlift::platform {
+
+/// One stored object. The version rises with every change of the object and is never reused.
+struct object {
+    std::string name; ///< Path-like: "configuration/current", "members/10.0.0.1:7000".
+    std::uint64_t version = 0;
+    std::string value; ///< At most one megabyte.
+};
+
+/// Objects under a prefix, with the store's revision at which the list was true.
+struct object_list {
+    std::uint64_t revision = 0;
+    std::vector<object> objects;
+};
+
+/// What a watch returned: changes after a revision, and the revision to go on from.
+struct watch_result {
+    std::uint64_t revision = 0;
+    std::vector<object> changed;
+    std::vector<std::string> removed;
+};
+
+/// Asynchronous client of the object API. Handlers run once each, on the executor the implementation was
+/// given. Errors: not_found, conflict (version differs), unavailable (surely without effect: verdict
+/// not_run), timeout (effect unknown: verdict may_have_run).
+class object_api {
+public:
+    /// Takes the result or the error of a call.
+    template <class T> using handler = std::function<void(core::result<T>)>;
+
+    object_api() = default;
+    object_api(const object_api&) = delete;
+    object_api& operator=(const object_api&) = delete;
+    virtual ~object_api() = default;
+
+    /// Reads one object.
+    virtual void get(const std::string& name, std::chrono::milliseconds patience, handler<object> done) = 0;
+
+    /// Lists the objects whose name begins with `prefix`.
+    virtual void list(const std::string& prefix, std::chrono::milliseconds patience,
+                      handler<object_list> done) = 0;
+
+    /// Writes an object if its version is still `expected_version`; 0 means that it must not exist yet.
+    /// Gives the new version.
+    virtual void update_if(const std::string& name, std::uint64_t expected_version, std::string value,
+                           std::chrono::milliseconds patience, handler<std::uint64_t> done) = 0;
+
+    /// Removes an object if its version is still `expected_version`.
+    virtual void remove_if(const std::string& name, std::uint64_t expected_version,
+                           std::chrono::milliseconds patience, handler<std::uint64_t> done) = 0;
+
+    /// Waits for changes under `prefix` after `revision`, at most `patience`; an empty result says that none
+    /// came.
+    virtual void watch(const std::string& prefix, std::uint64_t revision, std::chrono::milliseconds patience,
+                       handler<watch_result> done) = 0;
+};
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/object_wire.h
@@ -0,0 +1,36 @@
+/// The JSON forms of the object API, shared by the client and the stand-in.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "platform/object_api.h"
+
+namespace monsoonlift::platform {
+
+/// {"name","version","value"}
+[[nodiscard]] std::string to_json(const object& stored);
+
+/// {"revision","objects":[...]}
+[[nodiscard]] std::string to_json(const object_list& listed);
+
+/// {"revision","changed":[...],"removed":[...]}
+[[nodiscard]] std::string to_json(const watch_result& changes);
+
+/// {"version"}
+[[nodiscard]] std::string version_json(std::uint64_t version);
+
+/// The object of that text, or nothing if it is no such JSON.
+[[nodiscard]] std::optional<object> parse_object(std::string_view text);
+
+/// The list of that text, or nothing.
+[[nodiscard]] std::optional<object_list> parse_object_list(std::string_view text);
+
+/// The changes of that text, or nothing.
+[[nodiscard]] std::optional<watch_result> parse_watch_result(std::string_view text);
+
+/// The version of that text, or nothing.
+[[nodiscard]] std::optional<std::uint64_t> parse_version(std::string_view text);
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/testing/fake_object_api.cpp
@@ -0,0 +1,156 @@
+#include "platform/testing/fake_object_api.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonlift::platform::testing {
+
+namespace {
+
+constexpr std::chrono::milliseconds watch_step{20};
+constexpr std::chrono::milliseconds late_effect{1000};
+
+core::result<std::uint64_t> version_or_conflict(std::optional<std::uint64_t> version) {
+    if (!version) {
+        return core::captured_failure<std::uint64_t>(
+            {core::error_code::conflict, "the object has another version"});
+    }
+    return *version;
+}
+
+} // namespace
+
+fake_object_api::fake_object_api(memory_store& store, scheduler& timer) : m_store(store), m_timer(timer) {}
+
+void fake_object_api::set_outage(bool outage, bool silent) {
+    m_outage = outage;
+    m_silent = silent;
+}
+
+template <class T> void fake_object_api::time_out(std::chrono::milliseconds patience, handler<T> done) {
+    m_timer.after(patience, [done = std::move(done)] {
+        done(
+            core::captured_failure<T>({core::error_code::timeout, "no answer", core::verdict::may_have_run}));
+    });
+}
+
+template <class T> void fake_object_api::fail(std::chrono::milliseconds patience, handler<T> done) {
+    if (m_silent) {
+        time_out(patience, std::move(done));
+        return;
+    }
+    m_timer.after(m_delay, [done = std::move(done)] {
+        done(core::captured_failure<T>({core::error_code::unavailable, "out of service"}));
+    });
+}
+
+template <class T>
+void fake_object_api::read(std::chrono::milliseconds patience, std::function<core::result<T>()> look,
+                           handler<T> done) {
+    ++m_calls;
+    if (m_outage) {
+        fail(patience, std::move(done));
+        return;
+    }
+    if (m_delay > patience) {
+        time_out(patience, std::move(done));
+        return;
+    }
+    auto found = std::make_shared<core::result<T>>(look());
+    m_timer.after(m_delay, [done = std::move(done), found] { done(std::move(*found)); });
+}
+
+void fake_object_api::get(const std::string& name, std::chrono::milliseconds patience, handler<object> done) {
+    const auto look = [this, name]() -> core::result<object> {
+        auto found = m_store.get(name);
+        if (!found) {
+            return core::captured_failure<object>({core::error_code::not_found, "no such object"});
+        }
+        return std::move(*found);
+    };
+    read<object>(patience, look, std::move(done));
+}
+
+void fake_object_api::list(const std::string& prefix, std::chrono::milliseconds patience,
+                           handler<object_list> done) {
+    const auto look = [this, prefix]() -> core::result<object_list> {
+        return m_store.list(prefix);
+    };
+    read<object_list>(patience, look, std::move(done));
+}
+
+void fake_object_api::write(const std::string& name, std::chrono::milliseconds patience,
+                            std::function<core::result<std::uint64_t>()> effect,
+                            handler<std::uint64_t> done) {
+    ++m_calls;
+    if (m_before_write) {
+        m_before_write(name);
+    }
+    auto fate = write_fate::answered;
+    if (!m_fates.empty()) {
+        fate = m_fates.front();
+        m_fates.pop_front();
+    }
+    if (m_outage || fate == write_fate::refused) {
+        fail(patience, std::move(done));
+        return;
+    }
+    if (fate == write_fate::effect_late) {
+        m_timer.after(patience + late_effect, [effect] { static_cast<void>(effect()); });
+    }
+    if (fate == write_fate::request_lost || fate == write_fate::effect_late) {
+        time_out(patience, std::move(done));
+        return;
+    }
+    auto version = std::make_shared<core::result<std::uint64_t>>(effect());
+    if (fate == write_fate::answer_lost || m_delay > patience) {
+        time_out(patience, std::move(done));
+        return;
+    }
+    m_timer.after(m_delay, [done = std::move(done), version] { done(std::move(*version)); });
+}
+
+void fake_object_api::update_if(const std::string& name, std::uint64_t expected_version, std::string value,
+                                std::chrono::milliseconds patience, handler<std::uint64_t> done) {
+    const auto effect = [this, name, expected_version, value = std::move(value)] {
+        return version_or_conflict(m_store.update_if(name, expected_version, value));
+    };
+    write(name, patience, effect, std::move(done));
+}
+
+void fake_object_api::remove_if(const std::string& name, std::uint64_t expected_version,
+                                std::chrono::milliseconds patience, handler<std::uint64_t> done) {
+    const auto effect = [this, name, expected_version]() -> core::result<std::uint64_t> {
+        if (!m_store.get(name)) {
+            return core::captured_failure<std::uint64_t>({core::error_code::not_found, "no such object"});
+        }
+        return version_or_conflict(m_store.remove_if(name, expected_version));
+    };
+    write(name, patience, effect, std::move(done));
+}
+
+void fake_object_api::watch(const std::string& prefix, std::uint64_t revision,
+                            std::chrono::milliseconds patience, handler<watch_result> done) {
+    ++m_calls;
+    look_for_changes(prefix, revision, patience, std::move(done));
+}
+
+void fake_object_api::look_for_changes(const std::string& prefix, std::uint64_t revision,
+                                       std::chrono::milliseconds patience, handler<watch_result> done) {
+    if (m_outage) {
+        fail(patience, std::move(done));
+        return;
+    }
+    auto changes = m_store.changes_since(prefix, revision);
+    const bool empty = changes.changed.empty() && changes.removed.empty();
+    if (!empty || patience.count() <= 0) {
+        m_timer.after(m_delay, [done = std::move(done), changes] { done(changes); });
+        return;
+    }
+    const auto step = std::min(watch_step, patience);
+    m_timer.after(step, [this, prefix, revision, patience, step, done = std::move(done)] {
+        look_for_changes(prefix, revision, patience - step, done);
+    });
+}
+
+} // namespace monsoonlift::platform::testing
--- /dev/null
+++ b/src/platform/testing/manual_scheduler.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "core/clock.h"
+#include "platform/scheduler.h"
+#include "testing/manual_clock.h"
+
+namespace monsoonlift::platform::testing {
+
+/// A scheduler whose time moves only when a test runs it; it moves the clock along.
+class manual_scheduler final : public scheduler {
+public:
+    explicit manual_scheduler(monsoonlift::testing::manual_clock& clock);
+
+    void after(std::chrono::nanoseconds delay, std::function<void()> task) override;
+
+    /// Runs everything that is due within `span`, in order, and moves the clock by `span`.
+    void run_for(std::chrono::nanoseconds span);
+
+    /// Runs until `reached` says so; false if it did not within `longest`.
+    bool run_until(const std::function<bool()>& reached, std::chrono::nanoseconds longest);
+
+private:
+    using due_key = std::pair<core::steady_time, std::uint64_t>;
+
+    bool run_next(core::steady_time last);
+
+    monsoonlift::testing::manual_clock& m_clock;
+    std::map<due_key, std::function<void()>> m_tasks;
+    std::uint64_t m_added = 0;
+};
+
+} // namespace monsoonlift::platform::testing
--- /dev/null
+++ b/src/platform/tests/contract_environment.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "platform/object_api.h"
+#include "platform/settled.h"
+
+namespace monsoonlift::platform::tests {
+
+/// An implementation of the object API under test, with the faults that the contract speaks of.
+class contract_environment {
+public:
+    contract_environment() = default;
+    contract_environment(const contract_environment&) = delete;
+    contract_environment& operator=(const contract_environment&) = delete;
+    virtual ~contract_environment() = default;
+
+    virtual object_api& api() = 0;
+
+    /// Lets things happen until `reached` says so.
+    virtual void run_until(const std::function<bool()>& reached) = 0;
+
+    /// An outage with refusals, or without any answer.
+    virtual void set_outage(bool outage, bool silent) = 0;
+
+    /// Whether answers to writes are lost after the effect.
+    virtual void lose_answers(bool lost) = 0;
+
+    /// Begins a call and waits for its end.
+    template <class T> settled<T> wait(const std::function<void(object_api::handler<T>)>& begin) {
+        settled<T> answer;
+        bool ended = false;
+        begin([&](core::result<T> outcome) {
+            answer = settle_result(std::move(outcome));
+            ended = true;
+        });
+        run_until([&ended] { return ended; });
+        return answer;
+    }
+};
+
+} // namespace monsoonlift::platform::tests
--- /dev/null
+++ b/src/platform/tests/fake_environment.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+
+#include "platform/testing/fake_object_api.h"
+#include "platform/testing/manual_scheduler.h"
+#include "platform/tests/contract_environment.h"
+
+namespace monsoonlift::platform::tests {
+
+/// The fake in memory, on manual time.
+class fake_environment final : public contract_environment {
+public:
+    object_api& api() override { return m_api; }
+
+    void run_until(const std::function<bool()>& reached) override {
+        m_timer.run_until(reached, std::chrono::minutes(1));
+    }
+
+    void set_outage(bool outage, bool silent) override { m_api.set_outage(outage, silent); }
+
+    void lose_answers(bool lost) override {
+        m_api.set_write_fates(lost ? std::deque(1, testing::write_fate::answer_lost)
+                                   : std::deque<testing::write_fate>{});
+    }
+
+private:
+    monsoonlift::testing::manual_clock m_clock;
+    testing::manual_scheduler m_timer{m_clock};
+    testing::memory_store m_store;
+    testing::fake_object_api m_api{m_store, m_timer};
+};
+
+} // namespace monsoonlift::platform::tests
--- /dev/null
+++ b/src/platform/types/http_message.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace monsoonlift::platform {
+
+/// One header field of an HTTP message.
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+/// One HTTP/1.1 request of a client.
+struct http_request {
+    std::string method = "GET";
+    std::string target = "/";
+    std::string body;
+    std::vector<http_header> headers;
+};
+
+/// Status and body of the answer.
+struct http_reply {
+    unsigned status = 0;
+    std::string body;
+};
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/retry/internal/retry_budget.cpp
@@ -0,0 +1,77 @@
+#include "retry/retry_budget.h"
+
+#include <algorithm>
+
+namespace monsoonlift::retry {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/// Upper end of the first delay; it doubles with each attempt.
+constexpr std::chrono::milliseconds first_backoff{10};
+constexpr std::chrono::milliseconds longest_backoff{1000};
+constexpr std::uint32_t most_doublings = 10;
+
+bool may_repeat(core::verdict run, bool idempotent) {
+    switch (run) {
+    case core::verdict::not_run:
+        return true;
+    case core::verdict::may_have_run:
+        return idempotent;
+    case core::verdict::ran:
+        return false;
+    }
+    return false;
+}
+
+nanoseconds jittered_backoff(std::uint32_t attempt, random_engine& random) {
+    const nanoseconds doubled = nanoseconds(first_backoff) * (1LL << std::min(attempt, most_doublings));
+    const nanoseconds ceiling = std::min(doubled, nanoseconds(longest_backoff));
+    return nanoseconds(std::uniform_int_distribution<nanoseconds::rep>(0, ceiling.count())(random));
+}
+
+} // namespace
+
+void record_first_attempt(ratio_state& state) {
+    state.tokens = std::min(state.max_tokens, state.tokens + state.ratio);
+}
+
+std::optional<nanoseconds> next_attempt(ratio_state& state, core::call_context& context,
+                                        const attempt_outcome& outcome, random_engine& random,
+                                        core::steady_time now) {
+    if (!may_repeat(outcome.run, context.idempotent) || context.attempts_left == 0 || state.tokens < 1) {
+        return std::nullopt;
+    }
+    const nanoseconds delay = nanoseconds(outcome.retry_after.value_or(std::chrono::milliseconds::zero())) +
+                              jittered_backoff(outcome.attempt, random);
+    if (delay + outcome.typical_service >= core::time_left(context, now)) {
+        return std::nullopt;
+    }
+    --context.attempts_left;
+    state.tokens -= 1;
+    return delay;
+}
+
+std::uint32_t grant(ratio_state& grants, core::call_context& context) {
+    const auto whole_tokens = static_cast<std::uint32_t>(std::max(0.0, grants.tokens));
+    context.attempts_left = std::min(context.attempts_left, whole_tokens);
+    grants.tokens -= context.attempts_left;
+    return context.attempts_left;
+}
+
+void give_back(ratio_state& grants, std::uint32_t unspent) {
+    grants.tokens = std::min(grants.max_tokens, grants.tokens + unspent);
+}
+
+std::uint32_t lend(const core::call_context& context) {
+    const bool keeps_one = context.depth == 0 && context.attempts_left > 1;
+    return keeps_one ? context.attempts_left - 1 : context.attempts_left;
+}
+
+void settle(core::call_context& context, std::uint32_t lent, std::optional<std::uint32_t> spent) {
+    const std::uint32_t gone = std::min(spent.value_or(lent), lent);
+    context.attempts_left -= std::min(gone, context.attempts_left);
+}
+
+} // namespace monsoonlift::retry
--- /dev/null
+++ b/src/retry/tests/retry_budget_tests.cpp
@@ -0,0 +1,156 @@
+#include "retry/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace monsoonlift::retry;
+using namespace std::chrono_literals;
+using monsoonlift::core::call_context;
+using monsoonlift::core::steady_time;
+using monsoonlift::core::verdict;
+
+namespace {
+
+const steady_time now{1h};
+
+call_context idempotent_call(std::uint32_t attempts_left, std::chrono::milliseconds left = 10s) {
+    call_context context;
+    context.idempotent = true;
+    context.attempts_left = attempts_left;
+    context.deadline = now + left;
+    return context;
+}
+
+/// A chain in which every attempt fails below and every hop repeats what it may: attempts at the deepest.
+std::uint32_t attempts_at_deepest(call_context context, std::uint32_t hops_below, std::uint32_t& spent,
+                                  bool counts_are_lost) {
+    if (hops_below == 0) {
+        return 1;
+    }
+    ratio_state unlimited{0, 1e9, 1e9};
+    random_engine random(1);
+    std::uint32_t attempts = 0;
+    attempt_outcome outcome;
+    outcome.run = verdict::may_have_run;
+    do {
+        call_context nested = context;
+        nested.attempts_left = lend(context);
+        ++nested.depth;
+        std::uint32_t spent_below = 0;
+        attempts += attempts_at_deepest(nested, hops_below - 1, spent_below, counts_are_lost);
+        settle(context, nested.attempts_left,
+               counts_are_lost ? std::nullopt : std::optional<std::uint32_t>(spent_below));
+        spent += spent_below + 1;
+    } while (next_attempt(unlimited, context, outcome, random, now));
+    --spent;
+    return attempts;
+}
+
+} // namespace
+
+TEST_CASE("only verdicts that allow it are retried", "[retry]") {
+    struct verdict_case {
+        verdict run;
+        bool idempotent;
+        bool retried;
+    };
+    const verdict_case cases[] = {
+        {verdict::not_run, false, true},       {verdict::not_run, true, true},
+        {verdict::may_have_run, false, false}, {verdict::may_have_run, true, true},
+        {verdict::ran, false, false},          {verdict::ran, true, false},
+    };
+    for (const auto& tried : cases) {
+        ratio_state state;
+        random_engine random(1);
+        auto context = idempotent_call(1);
+        context.idempotent = tried.idempotent;
+        attempt_outcome outcome;
+        outcome.run = tried.run;
+        REQUIRE(next_attempt(state, context, outcome, random, now).has_value() == tried.retried);
+        REQUIRE(context.attempts_left == (tried.retried ? 0 : 1));
+        REQUIRE(state.tokens == (tried.retried ? 9 : 10));
+    }
+}
+
+TEST_CASE("budgets and time left bound retries", "[retry]") {
+    struct bound_case {
+        std::uint32_t attempts_left;
+        double tokens;
+        std::chrono::milliseconds left;
+        std::chrono::milliseconds typical_service;
+        std::optional<std::chrono::milliseconds> retry_after;
+        bool retried;
+    };
+    const bound_case cases[] = {
+        {1, 1, 1000ms, 10ms, {}, true},       {0, 10, 1000ms, 10ms, {}, false},
+        {2, 0.9, 1000ms, 10ms, {}, false},    {2, 10, 50ms, 60ms, {}, false},
+        {2, 10, 1000ms, 10ms, 500ms, true},   {2, 10, 1000ms, 10ms, 2000ms, false},
+        {2, 10, 1000ms, 600ms, 500ms, false},
+    };
+    for (const auto& tried : cases) {
+        ratio_state state{0.1, tried.tokens, 10};
+        random_engine random(1);
+        auto context = idempotent_call(tried.attempts_left, tried.left);
+        attempt_outcome outcome;
+        outcome.typical_service = tried.typical_service;
+        outcome.retry_after = tried.retry_after;
+        const auto delay = next_attempt(state, context, outcome, random, now);
+        REQUIRE(delay.has_value() == tried.retried);
+        if (delay && tried.retry_after) {
+            REQUIRE(*delay >= *tried.retry_after);
+        }
+    }
+}
+
+TEST_CASE("delays are spread over a range that doubles", "[retry]") {
+    random_engine random(1);
+    for (const std::uint32_t attempt : {0U, 1U, 2U, 3U}) {
+        std::chrono::nanoseconds longest{0};
+        std::chrono::nanoseconds shortest = 1h;
+        for (int index = 0; index < 1000; ++index) {
+            ratio_state state;
+            auto context = idempotent_call(1);
+            attempt_outcome outcome;
+            outcome.attempt = attempt;
+            const auto delay = next_attempt(state, context, outcome, random, now);
+            longest = std::max(longest, *delay);
+            shortest = std::min(shortest, *delay);
+        }
+        REQUIRE(longest <= 10ms * (1 << attempt));
+        REQUIRE(longest > 9ms * (1 << attempt));
+        REQUIRE(shortest < 1ms * (1 << attempt));
+    }
+}
+
+TEST_CASE("the budget of a root call bounds attempts at any depth", "[retry]") {
+    for (const bool counts_are_lost : {false, true}) {
+        for (const std::uint32_t budget : {0U, 1U, 2U, 5U}) {
+            for (const std::uint32_t hops : {1U, 5U, 29U}) {
+                std::uint32_t spent = 0;
+                const auto attempts =
+                    attempts_at_deepest(idempotent_call(budget), hops, spent, counts_are_lost);
+                REQUIRE(attempts <= 1 + budget);
+                REQUIRE(attempts >= 1);
+            }
+        }
+    }
+}
+
+TEST_CASE("grants stay a share of root calls", "[retry]") {
+    ratio_state grants{0.1, 10, 10};
+    std::uint64_t granted = 0;
+    constexpr int roots = 10000;
+    for (int root = 0; root < roots; ++root) {
+        record_first_attempt(grants);
+        auto context = idempotent_call(2);
+        granted += grant(grants, context); // all of it is spent
+        REQUIRE(context.attempts_left <= 2);
+    }
+    REQUIRE(granted <= roots / 10 + 10);
+    SECTION("what comes back is granted again") {
+        give_back(grants, 2);
+        auto context = idempotent_call(2);
+        REQUIRE(grant(grants, context) == 2);
+    }
+}
--- /dev/null
+++ b/src/routing/internal/routing_table.cpp
@@ -0,0 +1,347 @@
+#include "routing/routing_table.h"
+
+#include "admission/shedding.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonlift::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds report_age_constant{1}; ///< A report's weight falls to 1/e after this time.
+constexpr milliseconds level_lifetime{500};            ///< A threshold is believed for this time.
+constexpr double unknown_latency_s = 0.005;
+constexpr double remote_cost_s = 0.008;  ///< There and back between data centres.
+constexpr double load_exponent = 4;      ///< Waiting begins well before all slots are taken.
+constexpr std::size_t most_compared = 4; ///< Endpoints of the local data centre, and as many of others.
+constexpr double newest_weight = 0.2;
+constexpr double newest_weight_if_stale = 0.5;
+constexpr milliseconds stale_after{500}; ///< Without a result for this time, an endpoint may be probed.
+constexpr double healthy_success = 0.5;  ///< Of a peer that shows that the service itself is well.
+constexpr double success_margin = 0.1;   ///< Keeps small shares of success from being told apart.
+constexpr double failing_share = 0.5;    ///< Of the success of the best peer; below it a server is avoided.
+constexpr milliseconds first_avoidance{500};
+constexpr std::uint32_t most_doublings = 4;
+constexpr double probe_share = 0.01; ///< Share of idempotent calls that go to stale endpoints.
+
+double seconds_of(core::steady_time::duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+bool is_excluded(const route_request& request, const core::endpoint_id& id) {
+    return std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
+}
+
+/// Whether the call may go to an endpoint as far as membership and earlier attempts say.
+bool is_usable(const endpoint_state& endpoint, const route_request& request) {
+    return !endpoint.draining && endpoint.reachable && !is_excluded(request, endpoint.id);
+}
+
+bool has_fresh_level(const endpoint_state& endpoint, core::steady_time now) {
+    return now - endpoint.reported <= level_lifetime;
+}
+
+/// The threshold that half of the endpoints have or exceed; everything passes while none is known. The most
+/// lenient one would draw all calls that the others refuse to a single endpoint.
+admission::shed_level median_level(std::vector<admission::shed_level>& levels) {
+    if (levels.empty()) {
+        return {};
+    }
+    const auto middle = levels.begin() + static_cast<std::ptrdiff_t>(levels.size() / 2);
+    std::nth_element(levels.begin(), middle, levels.end(), admission::is_stricter);
+    return *middle;
+}
+
+bool is_avoided(const endpoint_state& endpoint, core::steady_time now) {
+    return endpoint.avoided_until > now;
+}
+
+/// What the endpoints of one service are compared with.
+struct peer_best {
+    double success = 0;
+};
+
+double relative_success(const endpoint_state& endpoint, const peer_best& best) {
+    return (endpoint.success + success_margin) / (best.success + success_margin);
+}
+
+double expected_latency_s(const routing_table& table, const endpoint_state& endpoint) {
+    if (endpoint.latency_s > 0) {
+        return endpoint.latency_s;
+    }
+    return endpoint.data_centre == table.data_centre ? unknown_latency_s : unknown_latency_s + remote_cost_s;
+}
+
+/// Calls outstanding at the endpoint for each that it may run at once, the one to be sent included.
+double expected_load(const endpoint_state& endpoint, core::steady_time now) {
+    const double weight = std::exp(-seconds_of(now - endpoint.reported) / seconds_of(report_age_constant));
+    const double reported = static_cast<double>(endpoint.report.running) + endpoint.report.waiting;
+    const double outstanding =
+        std::max(weight * reported + endpoint.sent_since_report, static_cast<double>(endpoint.in_flight)) + 1;
+    return outstanding / std::max(1U, endpoint.report.limit);
+}
+
+/// Time until an answer is expected, with the risk of a failure counted in.
+double expected_cost(const routing_table& table, const endpoint_state& endpoint, const peer_best& best,
+                     core::steady_time now) {
+    const double latency = expected_latency_s(table, endpoint);
+    const double load = expected_load(endpoint, now);
+    return latency * (1 + std::pow(load, load_exponent)) / relative_success(endpoint, best);
+}
+
+/// The best of a few neighbours, from a place drawn at random; candidates must not be empty.
+std::size_t best_of_few(const routing_table& table, const std::vector<std::size_t>& candidates,
+                        const peer_best& best, random_engine& random, core::steady_time now) {
+    const std::size_t first = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random);
+    std::size_t chosen = candidates[first];
+    double lowest = expected_cost(table, table.endpoints[chosen], best, now);
+    for (std::size_t step = 1; step < std::min(most_compared, candidates.size()); ++step) {
+        const std::size_t next = candidates[(first + step) % candidates.size()];
+        const double cost = expected_cost(table, table.endpoints[next], best, now);
+        if (cost < lowest) {
+            lowest = cost;
+            chosen = next;
+        }
+    }
+    return chosen;
+}
+
+struct candidate_lists {
+    std::vector<std::size_t> local;
+    std::vector<std::size_t> remote;
+    std::vector<std::size_t> avoided;
+    std::optional<std::size_t> stalest; ///< Idle and longest without a result.
+    peer_best best;
+    bool any_usable = false;
+    bool admitted = false; ///< By the thresholds of the service as a whole.
+};
+
+void note_stalest(const routing_table& table, std::size_t position, core::steady_time now,
+                  std::optional<std::size_t>& stalest) {
+    const auto& endpoint = table.endpoints[position];
+    if (endpoint.in_flight > 0 || now - endpoint.last_result < stale_after) {
+        return;
+    }
+    if (!stalest || endpoint.last_result < table.endpoints[*stalest].last_result) {
+        stalest = position;
+    }
+}
+
+candidate_lists list_candidates(const routing_table& table, const std::vector<std::size_t>& positions,
+                                const route_request& request, core::steady_time now) {
+    candidate_lists lists;
+    std::vector<admission::shed_level> levels;
+    levels.reserve(positions.size());
+    for (const std::size_t position : positions) {
+        const auto& endpoint = table.endpoints[position];
+        if (!is_usable(endpoint, request)) {
+            continue;
+        }
+        lists.any_usable = true;
+        lists.best.success = std::max(lists.best.success, endpoint.success);
+        if (has_fresh_level(endpoint, now)) {
+            levels.push_back(endpoint.report.level);
+        }
+        note_stalest(table, position, now, lists.stalest);
+        if (is_avoided(endpoint, now)) {
+            lists.avoided.push_back(position);
+        } else if (endpoint.data_centre == table.data_centre) {
+            lists.local.push_back(position);
+        } else {
+            lists.remote.push_back(position);
+        }
+    }
+    lists.admitted = admission::admits(median_level(levels), request.context);
+    return lists;
+}
+
+/// An endpoint to learn about again, for a small share of the calls that may be repeated.
+std::optional<std::size_t> choose_probe(const candidate_lists& lists, const core::call_context& context,
+                                        random_engine& random) {
+    if (!lists.stalest || !context.idempotent || !std::bernoulli_distribution(probe_share)(random)) {
+        return std::nullopt;
+    }
+    return lists.stalest;
+}
+
+std::size_t choose_among(const routing_table& table, const candidate_lists& lists, random_engine& random,
+                         core::steady_time now) {
+    const auto& best = lists.best;
+    if (lists.local.empty() && lists.remote.empty()) {
+        return best_of_few(table, lists.avoided, best, random, now);
+    }
+    if (lists.local.empty()) {
+        return best_of_few(table, lists.remote, best, random, now);
+    }
+    const std::size_t local = best_of_few(table, lists.local, best, random, now);
+    if (lists.remote.empty()) {
+        return local;
+    }
+    const std::size_t remote = best_of_few(table, lists.remote, best, random, now);
+    const double local_cost = expected_cost(table, table.endpoints[local], best, now);
+    const double remote_cost = expected_cost(table, table.endpoints[remote], best, now);
+    return local_cost <= remote_cost ? local : remote;
+}
+
+endpoint_state* find(routing_table& table, const core::endpoint_id& id) {
+    const auto found = table.by_address.find(id.address);
+    if (found == table.by_address.end() || table.endpoints[found->second].id.life != id.life) {
+        return nullptr;
+    }
+    return &table.endpoints[found->second];
+}
+
+void rebuild_index(routing_table& table) {
+    table.by_address.clear();
+    table.by_service.clear();
+    for (std::size_t position = 0; position < table.endpoints.size(); ++position) {
+        table.by_address[table.endpoints[position].id.address] = position;
+        table.by_service[table.endpoints[position].service].push_back(position);
+    }
+}
+
+void index_under_service(routing_table& table, std::size_t position, const std::string& former) {
+    const auto old = table.by_service.find(former);
+    if (old != table.by_service.end()) {
+        std::erase(old->second, position);
+    }
+    table.by_service[table.endpoints[position].service].push_back(position);
+}
+
+double best_success(const routing_table& table, const std::string& service) {
+    double best = 0;
+    for (const std::size_t position : table.by_service.at(service)) {
+        const auto& endpoint = table.endpoints[position];
+        if (endpoint.reachable && !endpoint.draining) {
+            best = std::max(best, endpoint.success);
+        }
+    }
+    return best;
+}
+
+void learn_latency(endpoint_state& endpoint, std::chrono::nanoseconds latency, double weight) {
+    const double seconds = std::chrono::duration<double>(latency).count();
+    endpoint.latency_s =
+        endpoint.latency_s == 0 ? seconds : endpoint.latency_s + weight * (seconds - endpoint.latency_s);
+}
+
+/// Learns whether an attempt ended well. A server is judged by its peers: when all fail alike, the fault lies
+/// further down, and avoiding some of them helps nobody.
+void learn_success(const routing_table& table, endpoint_state& endpoint, bool succeeded, double weight,
+                   core::steady_time now) {
+    endpoint.success += weight * ((succeeded ? 1.0 : 0.0) - endpoint.success);
+    if (succeeded) {
+        endpoint.avoided_times = 0;
+        return;
+    }
+    if (is_avoided(endpoint, now)) {
+        return;
+    }
+    const double best = best_success(table, endpoint.service);
+    if (best > healthy_success && endpoint.success < failing_share * best) {
+        endpoint.avoided_until = now + first_avoidance * (1 << endpoint.avoided_times);
+        endpoint.avoided_times = std::min(endpoint.avoided_times + 1, most_doublings);
+    }
+}
+
+} // namespace
+
+route_choice choose(routing_table& table, const route_request& request, random_engine& random,
+                    core::steady_time now) {
+    const auto found = table.by_service.find(request.service);
+    if (found == table.by_service.end() || found->second.empty()) {
+        return {std::nullopt, no_route::unknown_service};
+    }
+    const candidate_lists lists = list_candidates(table, found->second, request, now);
+    if (!lists.any_usable) {
+        return {std::nullopt, no_route::all_excluded};
+    }
+    if (!lists.admitted) {
+        return {std::nullopt, no_route::shed};
+    }
+    const auto probe = choose_probe(lists, request.context, random);
+    const std::size_t chosen = probe ? *probe : choose_among(table, lists, random, now);
+    return {table.endpoints[chosen].id, no_route::unknown_service};
+}
+
+bool has_untried(const routing_table& table, const route_request& request) {
+    const auto found = table.by_service.find(request.service);
+    return found != table.by_service.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](std::size_t position) { return is_usable(table.endpoints[position], request); });
+}
+
+void record_sent(routing_table& table, const core::endpoint_id& endpoint) {
+    if (auto* state = find(table, endpoint)) {
+        ++state->in_flight;
+        ++state->sent_since_report;
+    }
+}
+
+void record_result(routing_table& table, const core::endpoint_id& endpoint, const attempt_result& outcome,
+                   core::steady_time now) {
+    auto* state = find(table, endpoint);
+    if (state == nullptr) {
+        return;
+    }
+    state->in_flight -= state->in_flight > 0 ? 1 : 0;
+    if (outcome.report) {
+        state->report = *outcome.report;
+        state->reported = now;
+        state->sent_since_report = 0;
+    }
+    if (outcome.shed) {
+        return;
+    }
+    const bool stale = now - state->last_result > stale_after;
+    const double weight = stale ? newest_weight_if_stale : newest_weight;
+    state->last_result = now;
+    if (outcome.succeeded) {
+        learn_latency(*state, outcome.latency, weight);
+    }
+    learn_success(table, *state, outcome.succeeded, weight, now);
+}
+
+void upsert(routing_table& table, const core::endpoint_id& endpoint, const std::string& service,
+            const std::string& data_centre, bool draining, bool reachable, core::steady_time now) {
+    const auto [found, added] = table.by_address.try_emplace(endpoint.address, table.endpoints.size());
+    const std::size_t position = found->second;
+    if (added) {
+        table.endpoints.emplace_back();
+        table.endpoints.back().id = endpoint;
+        table.endpoints.back().reported = now;
+    }
+    auto& state = table.endpoints[position];
+    if (state.id.life.value > endpoint.life.value) {
+        return;
+    }
+    if (state.id.life.value < endpoint.life.value) {
+        const std::string indexed_service = state.service;
+        state = endpoint_state{};
+        state.id = endpoint;
+        state.service = indexed_service;
+        state.reported = now;
+    }
+    const bool moved = state.service != service;
+    const std::string former = state.service;
+    state.service = service;
+    state.data_centre = data_centre;
+    state.draining = draining;
+    state.reachable = reachable;
+    if (moved) {
+        index_under_service(table, position, former);
+    }
+}
+
+void remove(routing_table& table, const core::endpoint_id& endpoint) {
+    if (find(table, endpoint) == nullptr) {
+        return;
+    }
+    std::erase_if(table.endpoints, [&](const endpoint_state& state) { return state.id == endpoint; });
+    rebuild_index(table);
+}
+
+} // namespace monsoonlift::routing
--- /dev/null
+++ b/src/settings/internal/daemon_settings.cpp
@@ -0,0 +1,152 @@
+#include "settings/daemon_settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "settings/yaml_reader.h"
+
+namespace monsoonlift::settings {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> known_keys{"fleet",
+                                          "name",
+                                          "data_centre",
+                                          "caller_address",
+                                          "admin_address",
+                                          "transport_address",
+                                          "advertised_transport_address",
+                                          "transport_source_ip",
+                                          "membership_address",
+                                          "platform_address",
+                                          "admin_token",
+                                          "seed_peers",
+                                          "log_level",
+                                          "decisions",
+                                          "workers",
+                                          "body_chunk_bytes",
+                                          "body_credit_chunks",
+                                          "default_patience",
+                                          "gone_object_patience"};
+
+constexpr auto address_rule = "an address such as 10.0.0.1:7000";
+constexpr auto reachable_rule = "an address with a port other than 0, such as 10.0.0.1:7000";
+constexpr auto fleet_rule = "1 to 32 of a-z, 0-9, \"-\" and \"_\"";
+constexpr auto ip_rule = "an ip address such as 10.0.0.1";
+
+bool is_ip(const std::string& text) {
+    boost::system::error_code fault;
+    boost::asio::ip::make_address(text, fault);
+    return !fault;
+}
+
+bool is_address(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6) {
+        return false;
+    }
+    if (!is_ip(text.substr(0, colon))) {
+        return false;
+    }
+    const std::string port = text.substr(colon + 1);
+    return port.find_first_not_of("0123456789") == std::string::npos && std::stoi(port) <= 65535;
+}
+
+std::string read_address(yaml_reader& reader, std::string_view key) {
+    std::string text = reader.required_string(key);
+    if (!text.empty() && !is_address(text)) {
+        reader.report(key, "\"" + text + "\"", address_rule);
+    }
+    return text;
+}
+
+std::string read_fleet(yaml_reader& reader) {
+    constexpr std::size_t longest = 32;
+    constexpr auto allowed = "abcdefghijklmnopqrstuvwxyz0123456789-_";
+    std::string text = reader.required_string("fleet");
+    if (text.size() > longest || text.find_first_not_of(allowed) != std::string::npos) {
+        reader.report("fleet", "\"" + text + "\"", fleet_rule);
+    }
+    return text;
+}
+
+bool is_reachable(const std::string& text) {
+    return is_address(text) && std::stoi(text.substr(text.rfind(':') + 1)) != 0;
+}
+
+void read_transport(yaml_reader& reader, daemon_settings& settings) {
+    settings.transport_address = read_address(reader, "transport_address");
+    settings.advertised_transport_address = reader.optional_string("advertised_transport_address", "");
+    const std::string& advertised = settings.advertised_transport_address;
+    if (!advertised.empty() && !is_reachable(advertised)) {
+        reader.report("advertised_transport_address", "\"" + advertised + "\"", reachable_rule);
+    }
+    settings.transport_source_ip = reader.optional_string("transport_source_ip", "");
+    const std::string& source = settings.transport_source_ip;
+    if (!source.empty() && !is_ip(source)) {
+        reader.report("transport_source_ip", "\"" + source + "\"", ip_rule);
+    }
+}
+
+void read_addresses(yaml_reader& reader, daemon_settings& settings) {
+    settings.caller_address = read_address(reader, "caller_address");
+    settings.admin_address = read_address(reader, "admin_address");
+    read_transport(reader, settings);
+    settings.membership_address = read_address(reader, "membership_address");
+    settings.platform_address = read_address(reader, "platform_address");
+    settings.seed_peers = reader.string_list("seed_peers");
+    for (const auto& peer : settings.seed_peers) {
+        if (!peer.empty() && !is_address(peer)) {
+            reader.report("seed_peers", "\"" + peer + "\"", address_rule);
+        }
+    }
+}
+
+void read_limits(yaml_reader& reader, daemon_settings& settings) {
+    constexpr std::uint64_t most_workers = 64;
+    constexpr std::uint64_t least_chunk_bytes = 1024;
+    constexpr std::uint64_t most_chunk_bytes = 1024 * 1024;
+    constexpr std::uint64_t most_credit_chunks = 64;
+    settings.workers = reader.whole_number("workers", 1, most_workers, settings.workers);
+    settings.body_chunk_bytes = reader.whole_number("body_chunk_bytes", least_chunk_bytes, most_chunk_bytes,
+                                                    settings.body_chunk_bytes);
+    settings.body_credit_chunks =
+        reader.whole_number("body_credit_chunks", 1, most_credit_chunks, settings.body_credit_chunks);
+    settings.default_patience = reader.duration("default_patience", 1ms, 10min, settings.default_patience);
+    settings.gone_object_patience =
+        reader.duration("gone_object_patience", 1s, 24h, settings.gone_object_patience);
+}
+
+daemon_settings read_settings(yaml_reader& reader) {
+    daemon_settings settings;
+    reader.refuse_unknown_keys(known_keys);
+    settings.fleet = read_fleet(reader);
+    settings.name = reader.required_string("name");
+    settings.data_centre = reader.required_string("data_centre");
+    settings.admin_token = reader.required_string("admin_token");
+    settings.log_level = reader.one_of("log_level", {"info", "warning", "error"}, settings.log_level);
+    settings.decisions = reader.one_of("decisions", {"on", "off"}, settings.decisions);
+    read_addresses(reader, settings);
+    read_limits(reader, settings);
+    return settings;
+}
+
+} // namespace
+
+std::variant<daemon_settings, std::vector<settings_error>>
+parse_daemon_settings(const std::string& yaml_text) {
+    std::vector<settings_error> errors;
+    const auto root = load_map(yaml_text, "(document)", errors);
+    if (!root) {
+        return errors;
+    }
+    yaml_reader reader(*root, "", errors);
+    daemon_settings settings = read_settings(reader);
+    if (!errors.empty()) {
+        return errors;
+    }
+    return settings;
+}
+
+} // namespace monsoonlift::settings
--- /dev/null
+++ b/src/settings/tests/daemon_settings_tests.cpp
@@ -0,0 +1,120 @@
+#include "settings/daemon_settings.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift::settings;
+
+namespace {
+
+const std::string valid = "name: d1\n"
+                          "fleet: sicily\n"
+                          "data_centre: palermo\n"
+                          "admin_token: secret\n"
+                          "caller_address: 127.0.0.1:0\n"
+                          "admin_address: 127.0.0.1:0\n"
+                          "transport_address: 127.0.0.1:0\n"
+                          "membership_address: 127.0.0.1:0\n"
+                          "platform_address: 127.0.0.1:9000\n";
+
+struct bad_case {
+    std::string extra;
+    std::string path;
+    int line;
+    std::string found;
+    std::string allowed_part;
+};
+
+} // namespace
+
+TEST_CASE("complete settings are read, defaults filled in", "[settings]") {
+    const auto parsed = parse_daemon_settings(valid + "workers: 4\ndefault_patience: 250ms\n");
+    const auto* settings = std::get_if<daemon_settings>(&parsed);
+    REQUIRE(settings != nullptr);
+    REQUIRE(settings->workers == 4);
+    REQUIRE(settings->default_patience == std::chrono::milliseconds(250));
+    REQUIRE(settings->gone_object_patience == std::chrono::minutes(5));
+    REQUIRE(settings->log_level == "info");
+}
+
+TEST_CASE("the transport may be advertised elsewhere and connect from a chosen ip", "[settings]") {
+    const auto plain = parse_daemon_settings(valid);
+    REQUIRE(std::get<daemon_settings>(plain).advertised_transport_address.empty());
+    REQUIRE(std::get<daemon_settings>(plain).transport_source_ip.empty());
+    const auto parsed = parse_daemon_settings(
+        valid + "advertised_transport_address: 192.0.2.1:7000\ntransport_source_ip: 10.0.0.1\n");
+    REQUIRE(std::get<daemon_settings>(parsed).advertised_transport_address == "192.0.2.1:7000");
+    REQUIRE(std::get<daemon_settings>(parsed).transport_source_ip == "10.0.0.1");
+}
+
+TEST_CASE("each fault is reported with path, line, found and allowed", "[settings]") {
+    const bad_case cases[] = {
+        {"wokers: 4\n", "wokers", 10, "unknown key \"wokers\"", "\"workers\" is the nearest"},
+        {"workers: many\n", "workers", 10, "\"many\"", "a whole number from 1 to 64"},
+        {"workers: 65\n", "workers", 10, "\"65\"", "a whole number from 1 to 64"},
+        {"workers: -1\n", "workers", 10, "\"-1\"", "a whole number from 1 to 64"},
+        {"fleat: x\n", "fleat", 10, "unknown key \"fleat\"", "\"fleet\" is the nearest"},
+        {"log_level: loud\n", "log_level", 10, "\"loud\"", "one of info, warning, error"},
+        {"default_patience: 5\n", "default_patience", 10, "\"5\"", "a duration from 1ms to 600s"},
+        {"gone_object_patience: 0s\n", "gone_object_patience", 10, "\"0s\"", "a duration from 1s to"},
+        {"seed_peers: nobody\n", "seed_peers", 10, "\"nobody\"", "a list of texts"},
+        {"seed_peers: [nobody]\n", "seed_peers", 10, "\"nobody\"", "an address"},
+        {"advertised_transport_address: here\n", "advertised_transport_address", 10, "\"here\"",
+         "a port other than 0"},
+        {"advertised_transport_address: 10.0.0.1\n", "advertised_transport_address", 10, "\"10.0.0.1\"",
+         "a port other than 0"},
+        {"advertised_transport_address: 10.0.0.1:0\n", "advertised_transport_address", 10, "\"10.0.0.1:0\"",
+         "a port other than 0"},
+        {"advertised_transport_address: [a]\n", "advertised_transport_address", 10, "a list", "a text"},
+        {"advertised_transport_adress: 10.0.0.1:7000\n", "advertised_transport_adress", 10,
+         "unknown key \"advertised_transport_adress\"", "\"advertised_transport_address\" is the nearest"},
+        {"transport_source_ip: 10.0.0.1:7000\n", "transport_source_ip", 10, "\"10.0.0.1:7000\"",
+         "an ip address"},
+        {"transport_source_ip: \"\"\n", "transport_source_ip", 10, "\"\"", "a text that is not empty"},
+        {"transport_source: 10.0.0.1\n", "transport_source", 10, "unknown key \"transport_source\"",
+         "\"transport_source_ip\" is the nearest"},
+        {"name: d2\n", "name", 10, "the key twice", "each key once"},
+    };
+    for (const auto& each : cases) {
+        CAPTURE(each.extra);
+        const auto parsed = parse_daemon_settings(valid + each.extra);
+        const auto* errors = std::get_if<std::vector<settings_error>>(&parsed);
+        REQUIRE(errors != nullptr);
+        REQUIRE(errors->size() == 1);
+        CHECK(errors->front().path == each.path);
+        CHECK(errors->front().line == each.line);
+        CHECK(errors->front().found == each.found);
+        CHECK_THAT(errors->front().allowed, Catch::Contains(each.allowed_part));
+    }
+}
+
+TEST_CASE("the name of the fleet is needed and checked", "[settings]") {
+    const std::string line = "fleet: sicily\n";
+    for (const std::string named : {"", "fleet: Sicily\n", "fleet: \"a b\"\n", "fleet: \"\"\n",
+                                    "fleet: a23456789-123456789-123456789-123\n"}) {
+        CAPTURE(named);
+        std::string text = valid;
+        text.replace(text.find(line), line.size(), named);
+        const auto parsed = parse_daemon_settings(text);
+        const auto* errors = std::get_if<std::vector<settings_error>>(&parsed);
+        REQUIRE(errors != nullptr);
+        REQUIRE(errors->size() == 1);
+        CHECK(errors->front().path == "fleet");
+    }
+    CHECK(std::get<daemon_settings>(parse_daemon_settings(valid)).fleet == "sicily");
+}
+
+TEST_CASE("all faults are reported at once", "[settings]") {
+    const auto parsed = parse_daemon_settings("name: d1\nworkers: x\ncaller_address: here\n");
+    const auto* errors = std::get_if<std::vector<settings_error>>(&parsed);
+    REQUIRE(errors != nullptr);
+    REQUIRE(errors->size() == 9);
+}
+
+TEST_CASE("texts that are no map of settings are refused", "[settings]") {
+    for (const std::string text : {"", "- a\n- b\n", "a: [", "just words"}) {
+        CAPTURE(text);
+        REQUIRE(std::holds_alternative<std::vector<settings_error>>(parse_daemon_settings(text)));
+    }
+}
--- /dev/null
+++ b/src/testing/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/testing/manual_clock.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <chrono>
+
+namespace monsoonlift::testing {
+
+/// A clock that moves only when a test moves it; both times advance together.
+class manual_clock final : public core::clock {
+public:
+    [[nodiscard]] core::steady_time now() const override { return m_now; }
+    [[nodiscard]] core::wall_time wall_now() const override { return m_wall; }
+
+    /// Moves both clocks forward.
+    void advance(std::chrono::nanoseconds step) {
+        m_now += std::chrono::duration_cast<std::chrono::steady_clock::duration>(step);
+        m_wall += std::chrono::duration_cast<std::chrono::system_clock::duration>(step);
+    }
+
+private:
+    core::steady_time m_now{std::chrono::hours(1)};
+    core::wall_time m_wall{std::chrono::hours(24 * 365 * 50)};
+};
+
+} // namespace monsoonlift::testing
--- /dev/null
+++ b/src/tools/relay.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/clock.h"
+#include "tools/types/relay_options.h"
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace monsoonlift::tools {
+
+/// A TCP relay that delays what passes, as a link between data centres does.
+class relay {
+public:
+    relay() = default;
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+    virtual ~relay() = default;
+
+    /// Where it listens, "ip:port".
+    [[nodiscard]] virtual std::string address() const = 0;
+
+    /// Starts to accept connections.
+    virtual void start() = 0;
+};
+
+/// Opens the listening socket; throws if an address is wrong or taken. For a context run by one thread.
+[[nodiscard]] std::unique_ptr<relay> make_relay(boost::asio::io_context& context, const core::clock& clock,
+                                                const relay_options& options);
+
+} // namespace monsoonlift::tools
--- /dev/null
+++ b/src/tools/tests/fault_reader_tests.cpp
@@ -0,0 +1,36 @@
+#include "tools/fault_reader.h"
+
+#include <catch2/catch.hpp>
+
+namespace monsoonlift::tools {
+namespace {
+
+bool is_accepted(const char* json) {
+    return core::settle([&] { return read_faults(json, {}); }, [](const fault_settings&) { return true; },
+                        [](const core::error&) { return false; });
+}
+
+} // namespace
+
+TEST_CASE("faults are read over those set before", "[tools]") {
+    fault_settings before;
+    before.lie = true;
+    const auto faults = read_faults(R"({"slow_factor":10,"crash_on":"x"})", before);
+    REQUIRE(faults);
+    CHECK(faults->lie);
+    CHECK(faults->slow_factor == 10);
+    CHECK(faults->crash_on == "x");
+}
+
+TEST_CASE("unknown faults and wrong values are refused", "[tools]") {
+    CHECK(is_accepted("{}"));
+    CHECK(is_accepted(R"({"fail_fast":0.5,"hang":false,"refuse":true})"));
+    const char* refused[] = {
+        "", "[]", "{", R"({"slow":1})", R"({"fail_fast":1.5})", R"({"lie":1})", R"({"crash_on":1})"};
+    for (const auto* json : refused) {
+        INFO(json);
+        CHECK_FALSE(is_accepted(json));
+    }
+}
+
+} // namespace monsoonlift::tools
--- /dev/null
+++ b/src/tools/tests/relay_tests.cpp
@@ -0,0 +1,99 @@
+#include "tools/relay.h"
+
+#include "testing/manual_clock.h"
+#include "tools/network_address.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <functional>
+
+namespace monsoonlift::tools {
+namespace {
+
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+
+constexpr const char* near_ip = "127.0.0.2";
+constexpr const char* far_ip = "127.0.0.3";
+constexpr int most_turns = 1'000'000;
+
+/// A relay in front of a listening socket; its clock stands still unless a test moves it.
+struct relayed_target {
+    relayed_target() {
+        // NOTE: the relay's timers go by the machine's clock, which must be past what this clock says.
+        clock.advance(-1h);
+        under_test->start();
+    }
+
+    /// A connection through the relay: the caller's end and the target's.
+    std::pair<tcp::socket, tcp::socket> connect(const char* from) {
+        tcp::socket caller(context);
+        caller.open(tcp::v4());
+        caller.bind({boost::asio::ip::make_address(from), 0});
+        const auto relay = parse_address(under_test->address());
+        caller.connect(relay.value());
+        tcp::socket accepted(context);
+        bool done = false;
+        acceptor.async_accept(accepted, [&](boost::system::error_code) { done = true; });
+        run_until([&] { return done; });
+        return {std::move(caller), std::move(accepted)};
+    }
+
+    void run_until(const std::function<bool()>& condition) {
+        for (int turn = 0; turn < most_turns && !condition(); ++turn) {
+            context.run_one();
+        }
+        REQUIRE(condition());
+    }
+
+    relay_options options() {
+        relay_options chosen;
+        chosen.target = to_string(acceptor.local_endpoint());
+        chosen.prompt_from = near_ip;
+        chosen.delay = 4ms;
+        return chosen;
+    }
+
+    testing::manual_clock clock;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::unique_ptr<relay> under_test = make_relay(context, clock, options());
+};
+
+/// One byte on its way from one end to the other.
+struct byte_under_way {
+    byte_under_way(tcp::socket& from, tcp::socket& to) {
+        boost::asio::async_read(to, boost::asio::buffer(arrived),
+                                [this](boost::system::error_code failure, std::size_t) { done = !failure; });
+        boost::asio::write(from, boost::asio::buffer("x", 1));
+    }
+
+    std::array<char, 1> arrived{};
+    bool done = false;
+};
+
+} // namespace
+
+TEST_CASE("a relay delays both directions, but not for callers on this side of the link", "[tools]") {
+    relayed_target target;
+    auto [far_caller, far_accepted] = target.connect(far_ip);
+    auto [near_caller, near_accepted] = target.connect(near_ip);
+
+    byte_under_way far_forth(far_caller, far_accepted);
+    byte_under_way far_back(far_accepted, far_caller);
+    byte_under_way near_forth(near_caller, near_accepted);
+    byte_under_way near_back(near_accepted, near_caller);
+    target.run_until([&] { return near_forth.done && near_back.done; });
+    CHECK_FALSE(far_forth.done);
+    CHECK_FALSE(far_back.done);
+
+    target.clock.advance(4ms);
+    target.run_until([&] { return far_forth.done && far_back.done; });
+    CHECK(far_forth.arrived[0] == 'x');
+}
+
+} // namespace monsoonlift::tools
--- /dev/null
+++ b/src/transfer/async_queue.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <optional>
+#include <utility>
+
+namespace monsoonlift::transfer {
+
+/// Items handed to one waiting coroutine. Used on one strand only.
+template <class Item> class async_queue {
+public:
+    /// An open, empty queue.
+    explicit async_queue(const boost::asio::any_io_executor& strand) : m_wake(strand) {}
+
+    /// Adds an item; nothing is added once the queue is closed.
+    void push(Item item) {
+        if (m_closed) {
+            return;
+        }
+        m_items.push_back(std::move(item));
+        m_wake.cancel();
+    }
+
+    /// Lets a waiting coroutine go on; items already there can still be taken.
+    void close() {
+        m_closed = true;
+        m_wake.cancel();
+    }
+
+    /// Whether close() was called.
+    [[nodiscard]] bool is_closed() const { return m_closed; }
+
+    /// The next item, or nothing at the deadline or once the queue is closed and empty.
+    boost::asio::awaitable<std::optional<Item>> next(core::steady_time deadline) {
+        while (m_items.empty() && !m_closed) {
+            m_wake.expires_at(deadline);
+            const auto [cancelled] =
+                co_await m_wake.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            if (!cancelled && m_items.empty()) {
+                co_return std::nullopt;
+            }
+        }
+        if (m_items.empty()) {
+            co_return std::nullopt;
+        }
+        auto item = std::move(m_items.front());
+        m_items.pop_front();
+        co_return item;
+    }
+
+private:
+    std::deque<Item> m_items;
+    boost::asio::steady_timer m_wake;
+    bool m_closed = false;
+};
+
+} // namespace monsoonlift::transfer
--- /dev/null
+++ b/src/transfer/tests/body_receiver_tests.cpp
@@ -0,0 +1,62 @@
+#include "transfer/body_receiver.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace monsoonlift;
+using namespace monsoonlift::transfer;
+using transport::body_chunk;
+
+TEST_CASE("credit comes back in halves of the window", "[transfer]") {
+    body_receiver intake(4);
+    REQUIRE(intake.first_credit() == 4);
+    std::uint64_t offset = 0;
+    std::vector<std::uint32_t> credits;
+    for (int index = 0; index < 6; ++index) {
+        REQUIRE(intake.accept({offset, "abc"}));
+        offset += 3;
+        credits.push_back(intake.consumed());
+    }
+    REQUIRE(credits == std::vector<std::uint32_t>{0, 2, 0, 2, 0, 2});
+}
+
+TEST_CASE("a chunk that breaks a rule is refused", "[transfer]") {
+    struct fault {
+        const char* what;
+        body_chunk chunk;
+    };
+    const fault cases[] = {
+        {"doubled", {0, "ab"}},
+        {"a gap", {5, "ab"}},
+        {"empty", {2, ""}},
+        {"too large", {2, std::string(1024 * 1024 + 1, 'x')}},
+    };
+    for (const auto& one : cases) {
+        INFO(one.what);
+        body_receiver intake(8);
+        static_cast<void>(intake.first_credit());
+        REQUIRE(intake.accept({0, "ab"}));
+        REQUIRE_FALSE(intake.accept(one.chunk));
+    }
+}
+
+TEST_CASE("chunks beyond the credit are refused", "[transfer]") {
+    body_receiver intake(2);
+    REQUIRE_FALSE(intake.accept({0, "a"}));
+    static_cast<void>(intake.first_credit());
+    REQUIRE(intake.accept({0, "a"}));
+    REQUIRE(intake.accept({1, "b"}));
+    REQUIRE_FALSE(intake.accept({2, "c"}));
+}
+
+TEST_CASE("only the whole and unchanged body is complete", "[transfer]") {
+    body_receiver intake(4);
+    intake.begin("head ");
+    static_cast<void>(intake.first_credit());
+    REQUIRE(intake.accept({5, "tail"}));
+    REQUIRE(intake.is_complete(total_of("head tail")));
+    REQUIRE_FALSE(intake.is_complete(total_of("head tai")));
+    REQUIRE_FALSE(intake.is_complete(total_of("head tail.")));
+    REQUIRE_FALSE(intake.is_complete(total_of("head tajl")));
+}
--- /dev/null
+++ b/src/transfer/watchdog.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace monsoonlift::transfer {
+
+/// Calls a handler once when the allowed time has passed without having been extended. Used on one strand
+/// only.
+class watchdog : public std::enable_shared_from_this<watchdog> {
+public:
+    /// Watches nothing before start().
+    explicit watchdog(const boost::asio::any_io_executor& strand) : m_strand(strand), m_timer(strand) {}
+
+    /// Begins to watch; `expired` runs on the strand.
+    void start(core::steady_time until, std::function<void()> expired) {
+        m_until = until;
+        m_expired = std::move(expired);
+        wait();
+    }
+
+    /// Sets another end; an earlier one takes effect at once.
+    void allow_until(core::steady_time until) {
+        const bool earlier = until < m_until;
+        m_until = until;
+        if (earlier && m_expired) {
+            m_timer.cancel();
+        }
+    }
+
+    /// Ends the watch; the handler is released and will not run.
+    void stop() {
+        m_expired = nullptr;
+        m_timer.cancel();
+    }
+
+private:
+    void wait() {
+        m_timer.expires_at(m_until);
+        m_timer.async_wait(boost::asio::bind_executor(
+            m_strand, [self = shared_from_this()](const boost::system::error_code&) { self->woken(); }));
+    }
+
+    void woken() {
+        if (!m_expired) {
+            return;
+        }
+        if (boost::asio::steady_timer::clock_type::now() < m_until) {
+            wait();
+            return;
+        }
+        std::exchange(m_expired, nullptr)();
+    }
+
+    boost::asio::any_io_executor m_strand;
+    boost::asio::steady_timer m_timer;
+    core::steady_time m_until;
+    std::function<void()> m_expired;
+};
+
+} // namespace monsoonlift::transfer
--- /dev/null
+++ b/src/transport/internal/connections.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "transport/internal/frame_inbox.h"
+#include "transport/internal/peer_link.h"
+#include "transport/tcp_transport.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace monsoonlift::transport {
+
+/// The links to peers and the inbox of one transport.
+class tcp_transport::connections {
+public:
+    connections(boost::asio::io_context& io, const transport_addresses& addresses, core::incarnation life,
+                const core::clock& clock, logging::event_log& log);
+    connections(boost::asio::io_context& io, const network::listening_acceptor& peers,
+                const transport_addresses& addresses, core::incarnation life, const core::clock& clock,
+                logging::event_log& log);
+
+    ~connections();
+    connections(const connections&) = delete;
+    connections& operator=(const connections&) = delete;
+
+    void start(frame_handlers handlers);
+    void send(const core::endpoint_id& to, const frame& message);
+    void forget(const std::string& address);
+    [[nodiscard]] const core::endpoint_id& self() const { return m_self; }
+    [[nodiscard]] transport_counters counters() const;
+
+private:
+    using link = std::shared_ptr<internal::peer_link>;
+
+    [[nodiscard]] link link_to(const std::string& address, bool bulk);
+    void report_unsent(const internal::outgoing_frame& message);
+    void report_cut(const internal::outgoing_frame& message);
+    [[nodiscard]] bool take(std::string_view bytes);
+    void refuse_over_long();
+    void not_accepted(const std::string& why, std::uint64_t left_out);
+
+    boost::asio::io_context& m_io;
+    const core::clock& m_clock;
+    logging::event_log& m_log;
+    internal::frame_inbox m_inbox;
+    const core::endpoint_id m_self;
+    const std::string m_source_ip;
+    frame_handlers m_handlers;
+
+    std::mutex m_links_mutex;
+    std::map<std::pair<std::string, bool>, link> m_links;
+
+    std::atomic<std::uint64_t> m_received = 0;
+    std::atomic<std::uint64_t> m_sent = 0;
+    std::atomic<std::uint64_t> m_unsent = 0;
+    std::atomic<std::uint64_t> m_corrupt = 0;
+    std::atomic<std::uint64_t> m_wrong_incarnation = 0;
+};
+
+} // namespace monsoonlift::transport
--- /dev/null
+++ b/src/transport/internal/frame_codec.cpp
@@ -0,0 +1,308 @@
+#include "transport/frame_codec.h"
+
+#include "transport/proto/frames.pb.h"
+
+#include <algorithm>
+
+namespace monsoonlift::transport {
+
+namespace {
+
+constexpr std::uint32_t wire_version = 1;
+constexpr std::chrono::microseconds longest_time_left = std::chrono::hours(1);
+
+template <class... Kinds> struct overloaded : Kinds... { using Kinds::operator()...; };
+template <class... Kinds> overloaded(Kinds...) -> overloaded<Kinds...>;
+
+std::chrono::microseconds since_epoch(core::wall_time time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
+}
+
+void write(const std::vector<header>& headers, google::protobuf::RepeatedPtrField<wire::header>& target) {
+    for (const auto& one : headers) {
+        auto* field = target.Add();
+        field->set_name(one.name);
+        field->set_value(one.value);
+    }
+}
+
+std::vector<header> read(google::protobuf::RepeatedPtrField<wire::header>& source) {
+    std::vector<header> headers;
+    headers.reserve(static_cast<std::size_t>(source.size()));
+    for (auto& one : source) {
+        headers.push_back({std::move(*one.mutable_name()), std::move(*one.mutable_value())});
+    }
+    return headers;
+}
+
+void write(const core::call_context& context, wire::call_context& target, core::steady_time now) {
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(core::time_left(context, now));
+    target.set_root(context.root.bytes.data(), context.root.bytes.size());
+    target.set_depth(context.depth);
+    target.set_rank(context.rank);
+    target.set_time_left_us(left.count());
+    target.set_attempts_left(context.attempts_left);
+    target.set_caller(context.caller);
+    target.set_key(context.key);
+    target.set_idempotent(context.idempotent);
+}
+
+std::optional<core::call_context> read(const wire::call_context& source, core::steady_time now) {
+    core::call_context context;
+    const auto left = std::chrono::microseconds(source.time_left_us());
+    const bool sound = source.root().size() == context.root.bytes.size() && source.rank() <= 255 &&
+                       left >= std::chrono::microseconds::zero() && left <= longest_time_left;
+    if (!sound) {
+        return std::nullopt;
+    }
+    std::copy(source.root().begin(), source.root().end(), context.root.bytes.begin());
+    context.depth = source.depth();
+    context.rank = static_cast<core::class_rank>(source.rank());
+    context.deadline = now + left;
+    context.attempts_left = source.attempts_left();
+    context.caller = source.caller();
+    context.key = source.key();
+    context.idempotent = source.idempotent();
+    return context;
+}
+
+void write(const body_total& total, wire::body_total& target) {
+    target.set_length(total.length);
+    target.set_digest(total.digest);
+}
+
+body_total read(const wire::body_total& source) {
+    return {source.length(), source.digest()};
+}
+
+void write(const attempt_end& end, wire::attempt_end& target) {
+    target.set_run(static_cast<std::uint32_t>(end.run));
+    target.set_reason(static_cast<std::uint32_t>(end.reason));
+    target.set_detail(end.detail);
+    target.set_service_us(end.service_time.count());
+    if (!end.home.address.empty()) {
+        target.set_home_address(end.home.address);
+        target.set_home_life(end.home.life.value);
+    }
+    target.set_homes_version(end.homes_version);
+    if (end.nested_attempts) {
+        target.set_nested_attempts(*end.nested_attempts);
+    }
+    if (end.retry_after) {
+        target.set_retry_after_ms(static_cast<std::uint32_t>(end.retry_after->count()));
+    }
+    if (end.load) {
+        auto& load = *target.mutable_load();
+        load.set_rank(end.load->level.rank);
+        load.set_bucket(end.load->level.bucket);
+        load.set_running(end.load->running);
+        load.set_waiting(end.load->waiting);
+        load.set_limit(end.load->limit);
+    }
+}
+
+routing::load_report read(const wire::load_report& source) {
+    routing::load_report load;
+    load.level.rank = static_cast<core::class_rank>(std::min(source.rank(), 255U));
+    load.level.bucket = source.bucket();
+    load.running = source.running();
+    load.waiting = source.waiting();
+    load.limit = source.limit();
+    return load;
+}
+
+std::optional<attempt_end> read(const wire::attempt_end& source) {
+    const bool known = source.run() <= static_cast<std::uint32_t>(core::verdict::may_have_run) &&
+                       source.reason() <= static_cast<std::uint32_t>(end_reason::quarantined);
+    if (!known) {
+        return std::nullopt;
+    }
+    attempt_end end;
+    end.run = static_cast<core::verdict>(source.run());
+    end.reason = static_cast<end_reason>(source.reason());
+    end.detail = source.detail();
+    end.home = {source.home_address(), {source.home_life()}};
+    end.homes_version = source.homes_version();
+    end.service_time = std::chrono::microseconds(source.service_us());
+    if (source.has_nested_attempts()) {
+        end.nested_attempts = source.nested_attempts();
+    }
+    if (source.retry_after_ms() != 0) {
+        end.retry_after = std::chrono::milliseconds(source.retry_after_ms());
+    }
+    if (source.has_load()) {
+        end.load = read(source.load());
+    }
+    return end;
+}
+
+void write(const request_head& head, wire::request_head& target, core::steady_time now) {
+    target.set_reply_address(head.reply_address);
+    write(head.context, *target.mutable_context(), now);
+    target.set_service(head.service);
+    target.set_method(head.method);
+    target.set_target(head.target);
+    write(head.headers, *target.mutable_headers());
+    target.set_body(head.body);
+    target.set_homes_version(head.homes_version);
+    if (head.expires != core::wall_time::max()) {
+        target.set_expires_us(since_epoch(head.expires).count());
+    }
+    if (head.total) {
+        write(*head.total, *target.mutable_total());
+    }
+}
+
+std::optional<request_head> read(wire::request_head& source, core::steady_time now) {
+    auto context = read(source.context(), now);
+    if (!context) {
+        return std::nullopt;
+    }
+    request_head head;
+    head.context = std::move(*context);
+    head.reply_address = std::move(*source.mutable_reply_address());
+    head.service = std::move(*source.mutable_service());
+    head.method = std::move(*source.mutable_method());
+    head.target = std::move(*source.mutable_target());
+    head.headers = read(*source.mutable_headers());
+    head.body = std::move(*source.mutable_body());
+    head.homes_version = source.homes_version();
+    if (source.expires_us() != 0) {
+        head.expires = core::wall_time(std::chrono::microseconds(source.expires_us()));
+    }
+    if (source.has_total()) {
+        head.total = read(source.total());
+    }
+    return head;
+}
+
+void write(const response_head& head, wire::response_head& target) {
+    target.set_status(head.status);
+    target.set_reason(head.reason);
+    write(head.headers, *target.mutable_headers());
+    target.set_body(head.body);
+    if (head.total) {
+        write(*head.total, *target.mutable_total());
+        write(head.end, *target.mutable_end());
+    }
+}
+
+std::optional<response_head> read(wire::response_head& source) {
+    response_head head;
+    head.status = source.status();
+    head.reason = std::move(*source.mutable_reason());
+    head.headers = read(*source.mutable_headers());
+    head.body = std::move(*source.mutable_body());
+    if (!source.has_total()) {
+        return head;
+    }
+    auto end = read(source.end());
+    if (!end) {
+        return std::nullopt;
+    }
+    head.total = read(source.total());
+    head.end = std::move(*end);
+    return head;
+}
+
+std::optional<body_end> read(const wire::body_end& source) {
+    body_end end{read(source.total()), std::nullopt};
+    if (source.has_end()) {
+        end.end = read(source.end());
+        if (!end.end) {
+            return std::nullopt;
+        }
+    }
+    return end;
+}
+
+void write_payload(const frame& message, wire::frame& target, core::steady_time now) {
+    std::visit(overloaded{
+                   [&](const request_head& head) { write(head, *target.mutable_request(), now); },
+                   [&](const response_head& head) { write(head, *target.mutable_response()); },
+                   [&](const body_chunk& chunk) {
+                       target.mutable_chunk()->set_offset(chunk.offset);
+                       target.mutable_chunk()->set_data(chunk.data);
+                   },
+                   [&](const body_end& end) {
+                       write(end.total, *target.mutable_end()->mutable_total());
+                       if (end.end) {
+                           write(*end.end, *target.mutable_end()->mutable_end());
+                       }
+                   },
+                   [&](const credit& granted) { target.mutable_credit()->set_chunks(granted.chunks); },
+                   [&](const cancel&) { target.mutable_cancel(); },
+                   [&](const attempt_end& end) { write(end, *target.mutable_failure()); },
+               },
+               message.payload);
+}
+
+template <class Payload> bool store(frame& message, std::optional<Payload> payload) {
+    if (!payload) {
+        return false;
+    }
+    message.payload = std::move(*payload);
+    return true;
+}
+
+bool read_payload(wire::frame& source, frame& message, core::steady_time now) {
+    switch (source.payload_case()) {
+    case wire::frame::kRequest:
+        return store(message, read(*source.mutable_request(), now));
+    case wire::frame::kResponse:
+        return store(message, read(*source.mutable_response()));
+    case wire::frame::kChunk:
+        message.payload =
+            body_chunk{source.chunk().offset(), std::move(*source.mutable_chunk()->mutable_data())};
+        return true;
+    case wire::frame::kEnd:
+        return store(message, read(source.end()));
+    case wire::frame::kCredit:
+        message.payload = credit{source.credit().chunks()};
+        return true;
+    case wire::frame::kCancel:
+        message.payload = cancel{};
+        return true;
+    case wire::frame::kFailure:
+        return store(message, read(source.failure()));
+    case wire::frame::PAYLOAD_NOT_SET:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+std::string encode(const frame& message, core::steady_time now) {
+    wire::frame target;
+    target.set_version(wire_version);
+    target.set_receiver(message.receiver.value);
+    target.set_sender(message.sender.value);
+    target.set_origin(message.attempt.origin.value);
+    target.set_call(message.attempt.call);
+    target.set_attempt(message.attempt.attempt);
+    target.set_to_gate(message.target == frame_target::gate);
+    write_payload(message, target, now);
+    return target.SerializeAsString();
+}
+
+std::optional<frame> decode(std::string_view bytes, core::steady_time now) {
+    wire::frame source;
+    if (!source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    if (source.version() != wire_version) {
+        return std::nullopt;
+    }
+    frame message;
+    message.receiver.value = source.receiver();
+    message.sender.value = source.sender();
+    message.attempt = {{source.origin()}, source.call(), source.attempt()};
+    message.target = source.to_gate() ? frame_target::gate : frame_target::entry;
+    if (!read_payload(source, message, now)) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace monsoonlift::transport
--- /dev/null
+++ b/src/transport/internal/framing.cpp
@@ -0,0 +1,74 @@
+#include "transport/internal/framing.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace monsoonlift::transport::internal {
+
+namespace {
+
+constexpr std::size_t usual_buffer_bytes = 16 * 1024;
+
+/// A buffer that grew beyond this shrinks again once it is empty.
+constexpr std::size_t most_kept_bytes = 256 * 1024;
+constexpr unsigned bits_per_byte = 8;
+
+} // namespace
+
+std::string with_prefix(std::string_view frame) {
+    std::string bytes;
+    bytes.reserve(prefix_bytes + frame.size());
+    for (std::size_t index = prefix_bytes; index > 0; --index) {
+        bytes.push_back(static_cast<char>((frame.size() >> (bits_per_byte * (index - 1))) & 0xffU));
+    }
+    bytes.append(frame);
+    return bytes;
+}
+
+frame_splitter::frame_splitter() : m_buffer(usual_buffer_bytes, '\0') {}
+
+std::span<char> frame_splitter::space() {
+    if (held() == 0 && m_buffer.size() > most_kept_bytes) {
+        m_buffer.assign(usual_buffer_bytes, '\0');
+        m_buffer.shrink_to_fit();
+    }
+    if (m_begin > 0) {
+        std::memmove(m_buffer.data(), m_buffer.data() + m_begin, held());
+        m_end -= m_begin;
+        m_begin = 0;
+    }
+    const auto length = announced();
+    const std::size_t needed = length ? prefix_bytes + *length : prefix_bytes;
+    if (needed > m_buffer.size()) {
+        m_buffer.resize(std::min(needed, prefix_bytes + max_frame_bytes));
+    }
+    return std::span(m_buffer).subspan(m_end);
+}
+
+void frame_splitter::filled(std::size_t bytes) {
+    m_end += bytes;
+}
+
+std::optional<std::string_view> frame_splitter::next() {
+    const auto length = announced();
+    m_over_long = length && *length > max_frame_bytes;
+    if (!length || m_over_long || held() < prefix_bytes + *length) {
+        return std::nullopt;
+    }
+    const auto frame = std::string_view(m_buffer).substr(m_begin + prefix_bytes, *length);
+    m_begin += prefix_bytes + *length;
+    return frame;
+}
+
+std::optional<std::size_t> frame_splitter::announced() const {
+    if (held() < prefix_bytes) {
+        return std::nullopt;
+    }
+    std::size_t length = 0;
+    for (std::size_t index = 0; index < prefix_bytes; ++index) {
+        length = (length << bits_per_byte) | static_cast<unsigned char>(m_buffer[m_begin + index]);
+    }
+    return length;
+}
+
+} // namespace monsoonlift::transport::internal
--- /dev/null
+++ b/src/transport/internal/tcp_transport.cpp
@@ -0,0 +1,188 @@
+#include "transport/tcp_transport.h"
+
+#include "transport/frame_codec.h"
+#include "transport/internal/connections.h"
+#include "transport/internal/framing.h"
+#include "transport/internal/tcp_address.h"
+
+#include <utility>
+
+namespace monsoonlift::transport {
+
+namespace {
+
+/// How the owner knows the frame. Its sender is the part of this daemon that the frame was not for.
+unsent_frame describe(const internal::outgoing_frame& message) {
+    const auto sender = message.target == frame_target::gate ? frame_target::entry : frame_target::gate;
+    return {message.attempt, sender, message.begins_attempt};
+}
+
+} // namespace
+
+tcp_transport::connections::connections(boost::asio::io_context& io, const transport_addresses& addresses,
+                                        core::incarnation life, const core::clock& clock,
+                                        logging::event_log& log)
+    : connections(io, network::listen(io, internal::endpoint_to_bind(addresses.listen), clock), addresses,
+                  life, clock, log) {}
+
+tcp_transport::connections::connections(boost::asio::io_context& io, const network::listening_acceptor& peers,
+                                        const transport_addresses& addresses, core::incarnation life,
+                                        const core::clock& clock, logging::event_log& log)
+    : m_io(io), m_clock(clock), m_log(log),
+      m_inbox(peers), m_self{addresses.advertised.empty() ? internal::to_text(peers.address)
+                                                          : addresses.advertised,
+                             life},
+      m_source_ip(addresses.source_ip) {}
+
+tcp_transport::connections::~connections() {
+    for (auto& [key, peer] : m_links) {
+        peer->abandon();
+    }
+}
+
+void tcp_transport::connections::start(frame_handlers handlers) {
+    m_handlers = std::move(handlers);
+    internal::inbox_handlers inbox;
+    inbox.taken = [this](std::string_view bytes) {
+        return take(bytes);
+    };
+    inbox.over_long = [this] {
+        refuse_over_long();
+    };
+    inbox.not_accepted = [this](const std::string& why, std::uint64_t left_out) {
+        not_accepted(why, left_out);
+    };
+    m_inbox.start(std::move(inbox));
+}
+
+void tcp_transport::connections::send(const core::endpoint_id& to, const frame& message) {
+    const auto bytes = encode(message, m_clock.now());
+    if (to.address == m_self.address) {
+        static_cast<void>(take(bytes));
+        return;
+    }
+    ++m_sent;
+    internal::outgoing_frame outgoing;
+    outgoing.attempt = message.attempt;
+    outgoing.target = message.target;
+    outgoing.begins_attempt = std::holds_alternative<request_head>(message.payload);
+    if (bytes.size() > internal::max_frame_bytes) {
+        report_unsent(outgoing);
+        return;
+    }
+    outgoing.bytes = internal::with_prefix(bytes);
+    link_to(to.address, is_bulk(message))->send(std::move(outgoing));
+}
+
+void tcp_transport::connections::forget(const std::string& address) {
+    for (const bool bulk : {false, true}) {
+        link gone;
+        {
+            const std::scoped_lock lock(m_links_mutex);
+            const auto found = m_links.find({address, bulk});
+            if (found == m_links.end()) {
+                continue;
+            }
+            gone = std::move(found->second);
+            m_links.erase(found);
+        }
+        gone->close();
+    }
+}
+
+transport_counters tcp_transport::connections::counters() const {
+    return {m_received, m_sent, m_unsent, m_corrupt, m_wrong_incarnation};
+}
+
+tcp_transport::connections::link tcp_transport::connections::link_to(const std::string& address, bool bulk) {
+    const std::scoped_lock lock(m_links_mutex);
+    auto& peer = m_links[{address, bulk}];
+    if (!peer) {
+        internal::link_handlers handlers;
+        handlers.unsent = [this](const internal::outgoing_frame& message) {
+            report_unsent(message);
+        };
+        handlers.cut = [this](const internal::outgoing_frame& message) {
+            report_cut(message);
+        };
+        peer = std::make_shared<internal::peer_link>(m_io, internal::route{address, m_source_ip}, bulk,
+                                                     m_clock, std::move(handlers));
+    }
+    return peer;
+}
+
+void tcp_transport::connections::report_unsent(const internal::outgoing_frame& message) {
+    ++m_unsent;
+    m_handlers.unsent(describe(message));
+}
+
+void tcp_transport::connections::report_cut(const internal::outgoing_frame& message) {
+    if (m_handlers.cut) {
+        m_handlers.cut(describe(message));
+    }
+}
+
+bool tcp_transport::connections::take(std::string_view bytes) {
+    ++m_received;
+    auto message = decode(bytes, m_clock.now());
+    if (!message) {
+        ++m_corrupt;
+        m_log.write(logging::event_id::frame_corrupt, {{"bytes", std::to_string(bytes.size())}});
+        return false;
+    }
+    if (message->receiver != m_self.life) {
+        ++m_wrong_incarnation;
+        m_log.write(logging::event_id::frame_of_other_incarnation,
+                    {{"receiver", std::to_string(message->receiver.value)},
+                     {"sender", std::to_string(message->sender.value)}});
+        return true;
+    }
+    m_handlers.received(std::move(*message));
+    return true;
+}
+
+void tcp_transport::connections::refuse_over_long() {
+    ++m_received;
+    ++m_corrupt;
+    m_log.write(logging::event_id::frame_corrupt,
+                {{"longer_than_bytes", std::to_string(internal::max_frame_bytes)}});
+}
+
+void tcp_transport::connections::not_accepted(const std::string& why, std::uint64_t left_out) {
+    m_log.write(logging::event_id::peers_not_accepted,
+                {{"why", why}, {"left_out", std::to_string(left_out)}});
+}
+
+tcp_transport::tcp_transport(boost::asio::io_context& io, const transport_addresses& addresses,
+                             core::incarnation life, const core::clock& clock, logging::event_log& log)
+    : m_connections(std::make_unique<connections>(io, addresses, life, clock, log)) {}
+
+tcp_transport::tcp_transport(boost::asio::io_context& io, const network::listening_acceptor& peers,
+                             core::incarnation life, const core::clock& clock, logging::event_log& log)
+    : m_connections(std::make_unique<connections>(io, peers, transport_addresses(), life, clock, log)) {}
+
+tcp_transport::~tcp_transport() = default;
+
+void tcp_transport::start(frame_handlers handlers) {
+    m_connections->start(std::move(handlers));
+}
+
+void tcp_transport::send(const core::endpoint_id& to, frame message) {
+    message.receiver = to.life;
+    message.sender = m_connections->self().life;
+    m_connections->send(to, message);
+}
+
+core::endpoint_id tcp_transport::self() const {
+    return m_connections->self();
+}
+
+void tcp_transport::forget(const std::string& address) {
+    m_connections->forget(address);
+}
+
+transport_counters tcp_transport::counters() const {
+    return m_connections->counters();
+}
+
+} // namespace monsoonlift::transport
