--- /dev/null
+++ b/src/transport/tests/tcp_transport_tests.cpp
@@ -0,0 +1,96 @@
+#include "transport/tests/two_daemons.h"
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift;
+using namespace monsoonlift::transport;
+using namespace monsoonlift::transport::testing;
+using monsoonlift::transport::internal::with_prefix;
+
+TEST_CASE("frames arrive in order, also on the first connection", "[transport]") {
+    two_daemons daemons;
+    for (std::uint64_t call = 1; call <= 200; ++call) {
+        daemons.left.send(daemons.right.self(), credit_frame(call));
+    }
+    const auto seen = daemons.right_seen.frames(200);
+    REQUIRE(seen.size() == 200);
+    for (std::size_t index = 0; index < seen.size(); ++index) {
+        REQUIRE(seen[index].attempt.call == index + 1);
+        REQUIRE(seen[index].sender.value == 1);
+    }
+}
+
+TEST_CASE("a daemon reaches itself", "[transport]") {
+    two_daemons daemons;
+    daemons.left.send(daemons.left.self(), credit_frame(5));
+    REQUIRE(daemons.left_seen.frames(1).size() == 1);
+}
+
+TEST_CASE("a frame for another life of the address is dropped", "[transport]") {
+    two_daemons daemons;
+    auto earlier = daemons.right.self();
+    earlier.life = {99};
+    daemons.left.send(earlier, credit_frame(1));
+    daemons.left.send(daemons.right.self(), credit_frame(2));
+    const auto seen = daemons.right_seen.frames(1);
+    REQUIRE(seen.size() == 1);
+    REQUIRE(seen[0].attempt.call == 2);
+    REQUIRE(daemons.right.counters().wrong_incarnation == 1);
+}
+
+TEST_CASE("garbage is counted, and the next frame is taken", "[transport]") {
+    two_daemons daemons;
+    for (const std::string garbage : {"", "garbage", "\xff\xff\xff\xff"}) {
+        stranger(daemons.right.self().address).write(with_prefix(garbage));
+    }
+    while (daemons.right.counters().received < 3) {
+        std::this_thread::yield();
+    }
+    daemons.left.send(daemons.right.self(), credit_frame(1));
+    REQUIRE(daemons.right_seen.frames(1).size() == 1);
+    REQUIRE(daemons.right.counters().corrupt == 3);
+}
+
+TEST_CASE("a frame for a daemon that is not there is reported as unsent", "[transport]") {
+    two_daemons daemons;
+    frame message;
+    message.attempt = {{1}, 3, 0};
+    message.payload = request_head{};
+    daemons.left.send({"127.0.0.1:1", {5}}, message);
+    const auto unsent = daemons.left_seen.unsent(1);
+    REQUIRE(unsent.size() == 1);
+    REQUIRE(unsent[0].attempt.call == 3);
+    REQUIRE(unsent[0].begins_attempt);
+    REQUIRE(unsent[0].from == frame_target::entry);
+}
+
+TEST_CASE("two daemons can't have one address", "[transport]") {
+    two_daemons daemons;
+    REQUIRE_THROWS_AS(
+        tcp_transport(daemons.io, {daemons.left.self().address}, {3}, daemons.clock, daemons.log),
+        boost::system::system_error);
+}
+
+TEST_CASE("a daemon goes by its advertised address", "[transport]") {
+    two_daemons daemons({"127.0.0.1:0", "192.0.2.1:7000"});
+    REQUIRE(daemons.left.self().address == "192.0.2.1:7000");
+    daemons.left.send(daemons.left.self(), credit_frame(5));
+    REQUIRE(daemons.left_seen.frames(1).size() == 1);
+}
+
+TEST_CASE("connections to peers come from the source ip", "[transport]") {
+    using boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    tcp::acceptor peer(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    two_daemons daemons({"127.0.0.1:0", {}, "127.0.0.9"});
+    const std::string address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
+    daemons.left.send({address, {5}}, credit_frame(1));
+    tcp::socket accepted = peer.accept();
+    REQUIRE(accepted.remote_endpoint().address().to_string() == "127.0.0.9");
+}
+
+TEST_CASE("frames sent from a source ip arrive", "[transport]") {
+    two_daemons daemons({"127.0.0.1:0", {}, "127.0.0.9"});
+    daemons.left.send(daemons.right.self(), credit_frame(1));
+    REQUIRE(daemons.right_seen.frames(1).size() == 1);
+}
--- /dev/null
+++ b/src/transport/types/frame.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types/call_context.h"
+#include "core/types/call_ids.h"
+#include "core/types/verdict.h"
+#include "routing/routing_table.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace monsoonlift::transport {
+
+/// One HTTP header field.
+struct header {
+    std::string name;
+    std::string value;
+};
+
+/// What the sender of a body knows of it at its end.
+struct body_total {
+    std::uint64_t length = 0;
+    std::uint64_t digest = 0; ///< XXH3 of all bytes sent.
+};
+
+/// Begins an attempt. Carries the first bytes of the body; `total` is there when they are all of it.
+struct request_head {
+    std::string reply_address; ///< Transport address of the entry.
+    core::call_context context;
+    std::string service;
+    std::string method;
+    std::string target;
+    std::vector<header> headers;
+    std::string body;
+    std::optional<body_total> total;
+    core::wall_time expires = core::wall_time::max(); ///< The deadline by wall time.
+    std::uint64_t homes_version = 0;                  ///< Latest table of homes that the entry knows.
+};
+
+/// Why an attempt ended, beyond its verdict.
+enum class end_reason : std::uint8_t {
+    answered,        ///< The backend server's answer is whole.
+    shed,            ///< Refused by the threshold or the queue of the gate.
+    draining,        ///< The gate takes no new work.
+    no_backend,      ///< No backend server has announced itself, or it refuses connections.
+    deadline,        ///< The deadline passed.
+    cancelled,       ///< The entry asked for it.
+    backend_failed,  ///< The backend server broke off.
+    backend_refused, ///< The backend server said that it did not run the request.
+    body_damaged,    ///< The request body did not arrive as its entry sent it.
+    key_conflict,    ///< The key was used for another request.
+    already_running, ///< A request of the same key may have run.
+    wrong_service,   ///< The backend server beside the gate is of another service.
+    wrong_home,      ///< Another gate is the home of the key.
+    home_unknown,    ///< The home of the key is not known or is being handed over.
+    refused_key,     ///< The key is not valid any more or not yet, or an earlier request of it is unclear.
+    quarantined      ///< The request crashed backend servers.
+};
+
+/// The end of an attempt as its gate saw it.
+struct attempt_end {
+    core::verdict run = core::verdict::may_have_run;
+    end_reason reason = end_reason::answered;
+    std::string detail;
+    std::optional<std::chrono::milliseconds> retry_after;
+    /// Attempts spent by nested calls beyond their first; nothing if that is not known.
+    std::optional<std::uint32_t> nested_attempts;
+    std::optional<routing::load_report> load;
+    std::chrono::microseconds service_time{0};
+    core::endpoint_id home; ///< With wrong_home.
+    std::uint64_t homes_version = 0;
+};
+
+/// Begins an answer. `total` and `end` are there when `body` is the whole body.
+struct response_head {
+    std::uint32_t status = 0;
+    std::string reason;
+    std::vector<header> headers;
+    std::string body;
+    std::optional<body_total> total;
+    attempt_end end;
+};
+
+/// A piece of a body; sent only against credit.
+struct body_chunk {
+    std::uint64_t offset = 0;
+    std::string data;
+};
+
+/// The end of a body sent in chunks; of an answer, the end of the attempt too.
+struct body_end {
+    body_total total;
+    std::optional<attempt_end> end;
+};
+
+/// Permission to send that many more chunks.
+struct credit {
+    std::uint32_t chunks = 0;
+};
+
+/// Asks the gate to give an attempt up.
+struct cancel {};
+
+/// Which part of the receiving daemon a frame is for.
+enum class frame_target { entry, gate };
+
+/// One message between daemons.
+struct frame {
+    core::incarnation receiver;
+    core::incarnation sender;
+    core::attempt_id attempt;
+    frame_target target = frame_target::gate;
+    std::variant<request_head, response_head, body_chunk, body_end, credit, cancel, attempt_end> payload;
+};
+
+/// Bulk frames travel on a connection of their own, so that small calls don't wait behind them.
+[[nodiscard]] inline bool is_bulk(const frame& message) {
+    return std::holds_alternative<body_chunk>(message.payload) ||
+           std::holds_alternative<body_end>(message.payload);
+}
+
+} // namespace monsoonlift::transport
