Draw the lives of daemons so that a fleet that starts at once has no two alike

Cause: an incarnation was the microsecond of the start. An attempt is named by its entry's incarnation, the entry's number for the call and the attempt, and every entry counts its calls from 1. With two entries of one incarnation a gate takes the call of one for a late copy of the other's and drops it without an answer; its caller gets 504 may_have_run. Brought about: monsoonliftd built with a fixed incarnation. Ruled out by reading: the epoll path of kept connections, frames lost between links, slots leaked at the stand-in, a deadline spent in the gate's queue (that ends in not_run). Change: milliseconds of the start above 21 random bits; still larger for a later life of an address.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -26,9 +26,9 @@
 /// How long a planned stop waits for the homes of plain keys to be handed over; in an outage they can't be.
 constexpr std::chrono::milliseconds longest_hand_over = 5000ms;
 
-core::incarnation draw_life() {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return {static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count())};
+core::incarnation draw_life(const core::clock& clock) {
+    std::random_device random;
+    return core::make_incarnation(clock.wall_now(), random());
 }
 
 gate::gate_options gate_options_of(const settings::daemon_settings& chosen) {
@@ -58,7 +58,7 @@
 } // namespace
 
 daemon::daemon(settings::daemon_settings chosen, logging::event_log& log)
-    : m_settings(std::move(chosen)), m_life(draw_life()), m_log(log),
+    : m_settings(std::move(chosen)), m_life(draw_life(m_clock)), m_log(log),
       m_io(static_cast<int>(m_settings.workers)), m_control(boost::asio::make_strand(m_io)),
       m_timer(m_control), m_signals(m_control, SIGTERM, SIGINT),
       m_lifecycle([this](lifecycle::phase now) { entered(now); }), m_scheduler(m_control),
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -96,8 +96,8 @@
     void end();
 
     const settings::daemon_settings m_settings;
-    const core::incarnation m_life;
     core::system_clock m_clock;
+    const core::incarnation m_life;
     logging::event_log& m_log;
     boost::asio::io_context m_io;
     control_strand m_control;
--- a/src/core/tests/call_ids_tests.cpp
+++ b/src/core/tests/call_ids_tests.cpp
@@ -2,7 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <random>
+#include <set>
+
 using monsoonlift::core::bucket_of;
+using monsoonlift::core::make_incarnation;
 using monsoonlift::core::parse_root_id;
 using monsoonlift::core::root_id;
 
@@ -26,3 +31,24 @@
     REQUIRE(bucket_of(id, 128) < 128);
     REQUIRE(bucket_of(id, 0) == 0);
 }
+
+TEST_CASE("a fleet that starts at once draws different lives", "[call_ids]") {
+    constexpr std::size_t daemons = 920;
+    const monsoonlift::core::wall_time started{std::chrono::hours(24 * 365 * 57)};
+    std::mt19937_64 random(1);
+    std::set<std::uint64_t> lives;
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        // NOTE: all within 100 ms, as when a whole fleet is switched on.
+        const auto delay = std::chrono::microseconds(random() % 100'000);
+        lives.insert(make_incarnation(started + delay, random()).value);
+    }
+    REQUIRE(lives.size() == daemons);
+}
+
+TEST_CASE("a later life of an address is larger whatever is drawn", "[call_ids]") {
+    using namespace std::chrono_literals;
+    const monsoonlift::core::wall_time started{std::chrono::hours(24 * 365 * 57)};
+    const auto highest = make_incarnation(started, ~std::uint64_t{0});
+    const auto lowest_of_next = make_incarnation(started + 1ms, 0);
+    REQUIRE(highest < lowest_of_next);
+}
--- a/src/core/types/call_ids.cpp
+++ b/src/core/types/call_ids.cpp
@@ -5,6 +5,24 @@
 
 namespace monsoonlift::core {
 
+namespace {
+
+/// Low bits of an incarnation that are random; the time in milliseconds above them fits until the year 2109.
+constexpr unsigned random_bits = 21;
+
+} // namespace
+
+incarnation make_incarnation(wall_time started, std::uint64_t random) {
+    const auto since_epoch =
+        std::chrono::duration_cast<std::chrono::milliseconds>(started.time_since_epoch());
+    const std::uint64_t random_mask = (std::uint64_t{1} << random_bits) - 1;
+    return {static_cast<std::uint64_t>(since_epoch.count()) << random_bits | (random & random_mask)};
+}
+
+std::string to_string(const attempt_id& id) {
+    return std::to_string(id.origin.value) + "/" + std::to_string(id.call) + "/" + std::to_string(id.attempt);
+}
+
 std::string to_string(const root_id& id) {
     std::string text;
     boost::algorithm::hex_lower(id.bytes.begin(), id.bytes.end(), std::back_inserter(text));
--- a/src/core/types/call_ids.h
+++ b/src/core/types/call_ids.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <array>
 #include <compare>
 #include <cstddef>
@@ -18,6 +20,11 @@
     auto operator<=>(const incarnation&) const = default;
 };
 
+/// The life of a process that starts at `started`. Later lives of one address are larger, since a process
+/// takes longer than a millisecond to start; `random` tells apart the many daemons that start in one
+/// millisecond.
+[[nodiscard]] incarnation make_incarnation(wall_time started, std::uint64_t random);
+
 /// Identity of a whole request: drawn where the root call enters and carried to every nested call.
 struct root_id {
     std::array<std::uint8_t, 16> bytes{};
@@ -45,6 +52,9 @@
     auto operator<=>(const endpoint_id&) const = default;
 };
 
+/// "origin/call/attempt", as logs name an attempt.
+[[nodiscard]] std::string to_string(const attempt_id& id);
+
 /// 32 lower-case hexadecimal digits.
 [[nodiscard]] std::string to_string(const root_id& id);
 
