Notice a caller that leaves during a later request of its connection

Cause: while a call is served its caller's connection is watched for its end by a wait for readability, which stays pending when the call ends. The next request's bytes end that wait and the read together, and with several workers the two handlers may reach the strand in either order. If the request is being served by the time the wait's handler runs, it finds nothing to read, and the watch was over: a caller that left then was never noticed and its work ran on for nobody. Change: a wait that finds nothing to read is begun again; the stand-in's watch likewise.

--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -44,6 +44,7 @@
 
 boost::asio::awaitable<caller_connection::head_outcome> caller_connection::read_head() {
     m_request = {};
+    m_request_id.clear();
     m_parser.emplace();
     m_parser->header_limit(m_head_limit);
     m_parser->body_limit(boost::none);
@@ -109,6 +110,9 @@
     }
     response.set("Monsoonlift-Verdict", core::to_string(notes.run));
     response.set("Monsoonlift-Attempts", std::to_string(notes.attempts));
+    if (!m_request_id.empty()) {
+        response.set("Monsoonlift-Request-Id", m_request_id);
+    }
     m_can_go_on = m_can_go_on && !m_last && m_parser->is_done();
     response.keep_alive(m_can_go_on);
 }
@@ -187,26 +191,30 @@
 
 void caller_connection::watch(std::function<void()> gone) {
     m_gone = std::move(gone);
+    wait_for_caller();
+}
+
+void caller_connection::wait_for_caller() {
     if (std::exchange(m_watching, true)) {
         return;
     }
     m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
                         [self = shared_from_this()](const boost::system::error_code& failure) {
                             self->m_watching = false;
-                            if (!failure) {
-                                self->watched();
+                            if (!failure && self->m_gone) {
+                                self->look_at_caller();
                             }
                         });
 }
 
-void caller_connection::watched() {
-    if (!m_gone) {
-        return;
-    }
+void caller_connection::look_at_caller() {
     char byte = 0;
     const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool closed = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    if (closed) {
+    const bool is_quiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (is_quiet) {
+        // NOTE: what ended the wait were bytes of this request, read since by the worker that serves it.
+        wait_for_caller();
+    } else if (got <= 0) {
         std::exchange(m_gone, nullptr)();
     }
 }
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace monsoonlift::entry::internal {
 
@@ -50,6 +51,9 @@
     awaitable<bool> read_body(std::string& into, std::size_t limit);
     [[nodiscard]] bool is_body_read() const { return m_parser->is_done(); }
 
+    /// Every answer to the request that was read last carries this id.
+    void name_request(std::string id) { m_request_id = std::move(id); }
+
     /// Writes a whole answer.
     awaitable<bool> write_answer(transport::response_head head, answer_notes notes);
 
@@ -86,13 +90,15 @@
     void fill_response(boost::beast::http::response<Body>& response, const transport::response_head& head,
                        answer_notes notes);
     void keep_request();
-    void watched();
+    void wait_for_caller();
+    void look_at_caller();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     std::uint32_t m_head_limit;
     std::optional<parser> m_parser;
     request_fields m_request;
+    std::string m_request_id; ///< Empty for a head that is no request.
     std::optional<buffer_response> m_response;
     std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> m_serializer;
     std::function<void()> m_gone;
--- a/src/tools/internal/backend_connection.cpp
+++ b/src/tools/internal/backend_connection.cpp
@@ -103,16 +103,28 @@
 }
 
 void backend_connection::watch(const request_parser& parser, std::function<void()> on_gone) {
-    if (!parser.is_done() || m_buffer.size() > 0) {
-        return;
+    if (parser.is_done() && m_buffer.size() == 0) {
+        wait_for_close(++m_watch, std::move(on_gone));
     }
-    m_socket.async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [this, watch = ++m_watch, on_gone = std::move(on_gone)](boost::system::error_code error) {
-            if (!error && watch == m_watch && is_closed_by_peer()) {
-                on_gone();
-            }
-        });
+}
+
+void backend_connection::wait_for_close(std::uint64_t watch, std::function<void()> on_gone) {
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [this, watch, on_gone = std::move(on_gone)](boost::system::error_code error) mutable {
+                            if (error || watch != m_watch) {
+                                return;
+                            }
+                            switch (look_at_peer()) {
+                            case peer_state::quiet:
+                                wait_for_close(watch, std::move(on_gone));
+                                break;
+                            case peer_state::closed:
+                                on_gone();
+                                break;
+                            case peer_state::spoke:
+                                break;
+                            }
+                        });
 }
 
 void backend_connection::stop_watching() {
@@ -126,12 +138,15 @@
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
 }
 
-bool backend_connection::is_closed_by_peer() {
+backend_connection::peer_state backend_connection::look_at_peer() {
     char byte = 0;
     boost::system::error_code error;
     m_socket.non_blocking(true, error);
     m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error && error != asio::error::would_block;
+    if (!error) {
+        return peer_state::spoke;
+    }
+    return error == asio::error::would_block ? peer_state::quiet : peer_state::closed;
 }
 
 } // namespace monsoonlift::tools::internal
--- a/src/tools/internal/backend_connection.h
+++ b/src/tools/internal/backend_connection.h
@@ -51,7 +51,10 @@
     void close();
 
 private:
-    bool is_closed_by_peer();
+    enum class peer_state { quiet, spoke, closed };
+
+    void wait_for_close(std::uint64_t watch, std::function<void()> on_gone);
+    [[nodiscard]] peer_state look_at_peer();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
