--- a/scripts/lib/harness/fleet.py
+++ b/scripts/lib/harness/fleet.py
@@ -120,9 +120,10 @@
     def start_daemon(self, name: str, data_centre: str) -> Daemon:
         """Starts a daemon; it serves once its addresses are asked for."""
         settings = {
-            "fleet": self.name, "name": name, "data_centre": data_centre, "caller_address": ANY_ADDRESS, "admin_address": ANY_ADDRESS,
+            "fleet": self.name, "name": name, "data_centre": data_centre,
+            "caller_address": ANY_ADDRESS, "admin_address": ANY_ADDRESS,
             **self._transport_settings(name, data_centre), "membership_address": ANY_ADDRESS,
-            "platform_address": self.platform_address, "admin_token": ADMIN_TOKEN, "log_level": "warning",
+            "platform_address": self.platform_address, "admin_token": ADMIN_TOKEN,
             "decisions": self.decisions, "workers": self.workers,
         }
         file = self.folder / f"{name}.yaml"
--- a/scripts/lib/harness/process.py
+++ b/scripts/lib/harness/process.py
@@ -1,4 +1,4 @@
-"""One child process that says `ready {...}` when it serves."""
+"""One child process that says where it listens when it serves."""
 from __future__ import annotations
 
 import json
@@ -6,10 +6,12 @@
 import pathlib
 import signal
 import subprocess
-import threading
+import time
 from collections.abc import Sequence
 
 READY_PATIENCE_S = 20.0
+READY_LOOK_S = 0.01
+DAEMON_ADDRESSES = ("caller", "admin", "transport", "membership")
 STOP_PATIENCE_S = 70.0
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
@@ -24,12 +26,10 @@
     def __init__(self, name: str, command: Sequence[str], log: pathlib.Path) -> None:
         self.name = name
         self.log = log
-        self._ready = threading.Event()
+        self._began = log.stat().st_size if log.exists() else 0
         self._addresses: dict[str, str] = {}
-        with open(log, "ab") as errors:
-            self._child = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors, text=True)
-        self._reader = threading.Thread(target=self._read_output, daemon=True)
-        self._reader.start()
+        with open(log, "ab") as output:
+            self._child = subprocess.Popen(command, stdout=output, stderr=subprocess.STDOUT)
 
     @property
     def pid(self) -> int:
@@ -40,9 +40,15 @@
         return self._child.poll() is None
 
     def addresses(self) -> dict[str, str]:
-        """What the ready line said; waits for it."""
-        if not self._ready.wait(READY_PATIENCE_S) or not self._addresses:
-            raise ProcessFailed(f"{self.name} did not get ready:\n{self.log_tail()}")
+        """What the process said of its addresses when it began to serve; waits for it."""
+        end = time.monotonic() + READY_PATIENCE_S
+        while not self._addresses:
+            ended = not self.running
+            self._addresses = self._find_addresses()
+            if not self._addresses and (ended or time.monotonic() > end):
+                raise ProcessFailed(f"{self.name} did not get ready:\n{self.log_tail()}")
+            if not self._addresses:
+                time.sleep(READY_LOOK_S)
         return self._addresses
 
     def signal(self, number: signal.Signals) -> None:
@@ -84,10 +90,17 @@
         """The last lines of its log."""
         return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
 
-    def _read_output(self) -> None:
-        assert self._child.stdout is not None
-        for line in self._child.stdout:
+    def _find_addresses(self) -> dict[str, str]:
+        """The addresses in the log so far: a daemon's first event, or a stand-in's ready line."""
+        with open(self.log, "rb") as written:
+            written.seek(self._began)
+            lines = written.read().decode(errors="replace").splitlines(keepends=True)
+        for line in lines:
+            if not line.endswith("\n"):
+                break
             if line.startswith("ready "):
-                self._addresses = json.loads(line.removeprefix("ready "))
-                self._ready.set()
-        self._ready.set()
+                return json.loads(line.removeprefix("ready "))
+            if '"name":"process_started"' in line:
+                event = json.loads(line)
+                return {name: event[name] for name in DAEMON_ADDRESSES}
+        return {}
--- a/src/app/monsoonctl/commands.h
+++ b/src/app/monsoonctl/commands.h
@@ -1,6 +1,7 @@
 /// The commands of monsoonctl. Each prints its answer and gives the exit code.
 #pragma once
 
+#include <iosfwd>
 #include <string>
 
 #include "app/monsoonctl/console.h"
@@ -40,6 +41,9 @@
 exit_code run_quarantine_ruling(const command_line& line, bool held, const std::string& token,
                                 control_session& session, console& out);
 
+/// Prints what logs say of one request; "-" among the logs is `input`.
+exit_code run_explain(const command_line& line, std::istream& input, console& out);
+
 /// Frees the homes of a gate whose VM is destroyed; the assertion is recorded first.
 exit_code run_fence(const command_line& line, control_session& session, console& out);
 
--- a/src/app/monsoonctl/internal/command_line_parser.cpp
+++ b/src/app/monsoonctl/internal/command_line_parser.cpp
@@ -7,6 +7,7 @@
 
 #include <docopt/docopt.h>
 
+#include "core/types/call_ids.h"
 #include "platform/http_target.h"
 
 namespace monsoonlift::monsoonctl {
@@ -29,6 +30,7 @@
   monsoonctl quarantine hold REQUEST --daemon ADDRESS --token-file PATH [options]
   monsoonctl quarantine release REQUEST --daemon ADDRESS --token-file PATH [options]
   monsoonctl fence ADDRESS --service NAME --as WHO [options]
+  monsoonctl explain ID [LOG...] [options]
   monsoonctl --help
 
 Options:
@@ -45,6 +47,9 @@
   --patience SECONDS  Longest time the command takes [default: 10].
   --help              Show this text.
 
+"explain" prints what the logs say of the request that callers know by the header Monsoonlift-Request-Id; each
+LOG is a file with the lines of one or more daemons, "-" or none standard input.
+
 FILE may be "-" for standard input. "fence" asserts that the VM of the gate at transport address ADDRESS is
 destroyed: other gates take over its idempotency keys. Never use it on a VM that may still run. Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 unavailable,
 5 unknown outcome.
@@ -62,6 +67,12 @@
     return found != arguments.end() && found->second.isBool() && found->second.asBool();
 }
 
+std::vector<std::string> list_of(const arguments_map& arguments, const std::string& key) {
+    const auto found = arguments.find(key);
+    return found != arguments.end() && found->second.isStringList() ? found->second.asStringList()
+                                                                    : std::vector<std::string>{};
+}
+
 std::uint64_t number_of(const arguments_map& arguments, const std::string& key) {
     const auto parsed = platform::parse_whole_number(text_of(arguments, key));
     if (!parsed) {
@@ -81,7 +92,8 @@
                                                             {"list", command::quarantine_list},
                                                             {"hold", command::quarantine_hold},
                                                             {"release", command::quarantine_release},
-                                                            {"fence", command::fence}};
+                                                            {"fence", command::fence},
+                                                            {"explain", command::explain}};
     for (const auto& [name, value] : names) {
         if (is_set(arguments, name)) {
             return value;
@@ -108,6 +120,10 @@
     if (needs_platform(line.what) && line.platform.empty()) {
         throw std::invalid_argument(std::string("--platform or ") + platform_variable + " is needed");
     }
+    if (line.what == command::explain && !core::parse_root_id(line.request)) {
+        throw std::invalid_argument("ID is the 32 hexadecimal digits of Monsoonlift-Request-Id, found \"" +
+                                    line.request + "\"");
+    }
     if (!line.submission.empty() && !line.base_revision) {
         throw std::invalid_argument("--submission needs the --base it was sent with");
     }
@@ -117,7 +133,8 @@
     command_line line;
     line.what = command_of(arguments);
     line.file = text_of(arguments, "FILE");
-    line.request = text_of(arguments, "REQUEST");
+    line.request = text_of(arguments, "REQUEST") + text_of(arguments, "ID");
+    line.logs = list_of(arguments, "LOG");
     line.address = text_of(arguments, "ADDRESS");
     line.service = text_of(arguments, "--service");
     line.who = text_of(arguments, "--as");
@@ -131,6 +148,9 @@
     if (!text_of(arguments, "--base").empty()) {
         line.base_revision = number_of(arguments, "--base");
     }
+    if (line.logs.empty()) {
+        line.logs.emplace_back("-");
+    }
     const auto output = text_of(arguments, "--output");
     if (output != "text" && output != "json") {
         throw std::invalid_argument("--output is text or json");
--- /dev/null
+++ b/src/app/monsoonctl/internal/request_story.cpp
@@ -0,0 +1,139 @@
+#include "app/monsoonctl/request_story.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace monsoonlift::monsoonctl {
+
+namespace {
+
+constexpr std::string_view left_out_event = "lines_left_out";
+
+/// Fields that stand before the others, or that say nothing in a story of one request.
+constexpr std::array<std::string_view, 6> fields_not_listed{"time",     "event",   "name",
+                                                            "severity", "process", "root"};
+
+std::string text_of(const boost::json::object& event, std::string_view name) {
+    const auto* value = event.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+bool is_listed(std::string_view name) {
+    return std::find(fields_not_listed.begin(), fields_not_listed.end(), name) == fields_not_listed.end();
+}
+
+std::string value_text(const boost::json::value& value) {
+    return value.is_string() ? std::string(value.get_string()) : boost::json::serialize(value);
+}
+
+bool is_earlier(const story_line& left, const story_line& right) {
+    return left.time < right.time;
+}
+
+std::string line_text(const story_line& line) {
+    std::string text = line.time + "  " + text_of(line.event, "process") + "  " + text_of(line.event, "name");
+    for (const auto& field : line.event) {
+        const std::string value = value_text(field.value());
+        if (is_listed(field.key()) && !value.empty()) {
+            text += "  " + std::string(field.key()) + "=" + value;
+        }
+    }
+    return text + "\n";
+}
+
+std::size_t process_count(const request_story& story) {
+    std::set<std::string> processes;
+    for (const auto& line : story.lines) {
+        processes.insert(text_of(line.event, "process"));
+    }
+    return processes.size();
+}
+
+boost::json::array events_of(const std::vector<story_line>& lines) {
+    boost::json::array events;
+    for (const auto& line : lines) {
+        events.push_back(line.event);
+    }
+    return events;
+}
+
+} // namespace
+
+story_reader::story_reader(std::string root) : m_root(std::move(root)) {}
+
+void story_reader::add(std::istream& log) {
+    std::string line;
+    while (std::getline(log, line)) {
+        if (!line.empty()) {
+            add_line(line);
+        }
+    }
+}
+
+void story_reader::add_line(const std::string& line) {
+    ++m_story.lines_read;
+    boost::system::error_code fault;
+    auto parsed = boost::json::parse(line, fault);
+    const bool is_event = !fault && parsed.is_object() && !text_of(parsed.get_object(), "name").empty();
+    if (!is_event) {
+        ++m_story.lines_not_events;
+        return;
+    }
+    auto& event = parsed.get_object();
+    story_line found{text_of(event, "time"), {}};
+    if (text_of(event, "root") == m_root) {
+        found.event = std::move(event);
+        m_story.lines.push_back(std::move(found));
+    } else if (text_of(event, "name") == left_out_event) {
+        found.event = std::move(event);
+        m_story.left_out.push_back(std::move(found));
+    }
+}
+
+request_story story_reader::finish() const {
+    request_story story = m_story;
+    std::stable_sort(story.lines.begin(), story.lines.end(), is_earlier);
+    std::stable_sort(story.left_out.begin(), story.left_out.end(), is_earlier);
+    std::set<std::string> processes;
+    for (const auto& line : story.lines) {
+        processes.insert(text_of(line.event, "process"));
+    }
+    std::erase_if(story.left_out, [&](const story_line& line) {
+        return !processes.contains(text_of(line.event, "process"));
+    });
+    return story;
+}
+
+std::string story_text(const request_story& story) {
+    std::string text;
+    for (const auto& line : story.lines) {
+        text += line_text(line);
+    }
+    text += std::to_string(story.lines.size()) + " lines of " + std::to_string(process_count(story)) +
+            " processes, of " + std::to_string(story.lines_read) + " lines read\n";
+    if (story.lines_not_events > 0) {
+        text += std::to_string(story.lines_not_events) + " lines read are no events\n";
+    }
+    if (!story.left_out.empty()) {
+        text += "these processes left lines out, so the story may have gaps:\n";
+    }
+    for (const auto& line : story.left_out) {
+        text += line_text(line);
+    }
+    return text;
+}
+
+boost::json::object story_object(const request_story& story) {
+    return {{"lines", events_of(story.lines)},
+            {"left_out", events_of(story.left_out)},
+            {"lines_read", story.lines_read},
+            {"lines_not_events", story.lines_not_events}};
+}
+
+} // namespace monsoonlift::monsoonctl
--- a/src/app/monsoonctl/main.cpp
+++ b/src/app/monsoonctl/main.cpp
@@ -55,6 +55,8 @@
         return tool::run_quarantine_ruling(line, false, read_token(line.token_file), session, out);
     case tool::command::fence:
         return tool::run_fence(line, session, out);
+    case tool::command::explain:
+        return tool::run_explain(line, std::cin, out);
     }
     return tool::exit_code::usage;
 }
--- a/src/app/monsoonctl/tests/command_line_tests.cpp
+++ b/src/app/monsoonctl/tests/command_line_tests.cpp
@@ -41,6 +41,7 @@
          command::quarantine_hold},
         {{"quarantine", "release", "x", "--daemon", "127.0.0.1:2", "--token-file", "t"},
          command::quarantine_release},
+        {{"explain", "0123456789abcdef0123456789abcdef", "a.log", "b.log"}, command::explain},
     };
     for (const auto& each : cases) {
         INFO(each.arguments.front());
@@ -64,6 +65,8 @@
         {"drain", "--daemon", "127.0.0.1:2"},
         {"quarantine", "release", "x", "--daemon", "127.0.0.1:2"},
         {"show", "extra", platform},
+        {"explain"},
+        {"explain", "0123", "a.log"},
     };
     for (const auto& each : cases) {
         INFO((each.empty() ? std::string("(none)") : each.front() + " " + each.back()));
--- a/src/app/monsoonctl/types/command_line.h
+++ b/src/app/monsoonctl/types/command_line.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace monsoonlift::monsoonctl {
 
@@ -20,7 +21,8 @@
     quarantine_list,
     quarantine_hold,
     quarantine_release,
-    fence
+    fence,
+    explain
 };
 
 /// The command line, checked.
@@ -34,8 +36,9 @@
     std::size_t limit = 20;
     std::string daemon;
     std::string token_file;
-    std::string request; ///< Fingerprint of a request, as the quarantine list prints it.
-    std::string address; ///< Transport address of a gate.
+    std::string request; ///< Fingerprint of a request, as the quarantine list prints it; with explain its id.
+    std::vector<std::string> logs; ///< Files to read; "-" is standard input.
+    std::string address;           ///< Transport address of a gate.
     std::string service;
     std::string platform;
     bool json = false;
--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -1,8 +1,6 @@
 #include "app/monsoonliftd/daemon.h"
 #include "logging/log4cplus_event_log.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <docopt/docopt.h>
 
 #include <fstream>
@@ -10,6 +8,8 @@
 #include <iterator>
 #include <string>
 
+#include <unistd.h>
+
 namespace {
 
 using namespace monsoonlift;
@@ -23,6 +23,9 @@
 Options:
   --settings=FILE  YAML file with the settings of this process.
   -h --help        Show this text.
+
+The log goes to standard output, a JSON object a line; the first says where the process listens.
+Exit codes: 0 a planned stop has ended, 1 it can't start or was broken off, 2 the settings are wrong.
 )";
 
 constexpr int exit_bad_settings = 2;
@@ -35,18 +38,28 @@
     return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
+logging::log_options log_options_of(const settings::daemon_settings& chosen) {
+    logging::log_options options;
+    options.process = chosen.name;
+    options.lowest = chosen.log_level;
+    options.lines_per_second = static_cast<double>(chosen.log_lines_per_second);
+    options.descriptor = STDOUT_FILENO;
+    return options;
+}
+
 int serve(const settings::daemon_settings& chosen) {
-    logging::log4cplus_event_log log(chosen.name, chosen.log_level);
+    core::system_clock clock;
+    logging::log4cplus_event_log log(log_options_of(chosen), clock);
     try {
         app::daemon process(chosen, log);
         process.start();
         const auto bound = process.addresses();
-        const boost::json::object addresses{{"caller", bound.caller},
-                                            {"admin", bound.admin},
-                                            {"transport", bound.transport},
-                                            {"membership", bound.membership}};
-        std::cout << "ready " << boost::json::serialize(addresses) << std::endl;
-        log.write(logging::event_id::process_started, {{"caller", bound.caller}, {"admin", bound.admin}});
+        log.write(logging::event_id::process_started, {{"fleet", chosen.fleet},
+                                                       {"data_centre", chosen.data_centre},
+                                                       {"caller", bound.caller},
+                                                       {"admin", bound.admin},
+                                                       {"transport", bound.transport},
+                                                       {"membership", bound.membership}});
         process.run();
         return 0;
     } catch (const std::exception& failure) {
--- a/src/app/monsoonliftd/tests/call_process_tests.py
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -13,6 +13,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from dataclasses import dataclass
 
 ROOT = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path(".").resolve()
 sys.path.insert(0, str(ROOT / "scripts" / "lib"))
@@ -42,7 +43,14 @@
 """
 SLOW_MS = 1500
 PAUSE_S = 5.0
+LEAVING_CALLERS = 20
+LEAVING_SLOTS = 64  # NOTE: so many that the limit on running calls never comes into play.
+LEAVING_ROUNDS = 20
 LONG_ANSWER_BYTES = 64 * 1024 * 1024
+STORY_ENDS = {"call_accepted": ("call_answered", "call_refused", "call_abandoned"),
+              "attempt_sent": ("attempt_answered", "attempt_failed", "attempt_redirected")}
+ENTRY_AND_GATE_OF_REFUSAL = ("call_accepted", "attempt_sent", "attempt_not_admitted", "attempt_failed", "call_refused")
+LOG_LINES_OF_FAILURE = 60
 QUOTED_BYTES = 300
 MOST_QUOTED = 5
 BAD_REQUESTS = (
@@ -83,6 +91,21 @@
         return answer
 
 
+def open_caller(address: str) -> http.client.HTTPConnection:
+    """A caller's connection, which is kept between its requests."""
+    host, port = address.rsplit(":", 1)
+    caller = http.client.HTTPConnection(host, int(port), timeout=10)
+    caller.connect()
+    return caller
+
+
+def read_status(caller: http.client.HTTPConnection) -> int:
+    """Reads a whole answer; its status."""
+    response = caller.getresponse()
+    response.read()
+    return response.status
+
+
 def metric(daemon: Daemon, series: str) -> float:
     """The value of one series on the daemon's admin port."""
     for line in calls.call(daemon.admin, "GET", "/metrics").body.decode().splitlines():
@@ -91,13 +114,54 @@
     raise KeyError(series)
 
 
+def callers_gone(daemon: Daemon) -> float:
+    """Calls whose callers went away, as the daemon counts them."""
+    return sum(metric(daemon, f'monsoonlift_calls_ended_total{{class="lookup",outcome="caller_gone",verdict="{verdict}"}}')
+               for verdict in ("not_run", "ran", "may_have_run"))
+
+
 def events(daemon: Daemon, name: str) -> list[dict[str, str]]:
     """The events of that name in the daemon's log."""
-    lines = [line.partition(" ")[2] for line in daemon.process.log.read_text().splitlines()]
-    written = [json.loads(line) for line in lines if line.startswith("{")]
+    written = [json.loads(line) for line in daemon.process.log.read_text().splitlines() if line.startswith("{")]
     return [event for event in written if event["name"] == name]
 
 
+@dataclass(frozen=True)
+class Story:
+    """What monsoonctl explain says of one request."""
+
+    lines: list[dict[str, str]]
+    text: str
+
+    @property
+    def names(self) -> list[str]:
+        return [line["name"] for line in self.lines]
+
+    def event(self, name: str) -> dict[str, str]:
+        """The only line of that event."""
+        found = [line for line in self.lines if line["name"] == name]
+        if len(found) != 1:
+            raise AssertionError(f"{len(found)} lines of {name}:\n{self.text}")
+        return found[0]
+
+
+def explain(fleet: Fleet, answer: calls.Answer) -> Story:
+    """The story of an answered call, from the logs of all daemons, once its last line is written."""
+    logs = [str(daemon.process.log) for daemon in fleet.daemons]
+    request = answer.headers["monsoonlift-request-id"]
+
+    def run(output: str) -> str:
+        command = [str(BINARIES / "monsoonctl"), "explain", request, *logs, "--output", output]
+        return subprocess.run(command, capture_output=True, text=True, check=False).stdout
+
+    def is_complete() -> bool:
+        names = [line["name"] for line in json.loads(run("json")).get("lines", [])]
+        return all(sum(names.count(end) for end in ends) == names.count(begin) > 0 for begin, ends in STORY_ENDS.items())
+
+    wait_for(is_complete, "the end of the call in the logs")
+    return Story(json.loads(run("json"))["lines"], run("text"))
+
+
 def wait_beside_call(condition: Callable[[], bool], what: str, answers: list[calls.Answer],
                      patience_s: float = CONVERGE_PATIENCE_S) -> None:
     """Waits as wait_for() does while a call runs; its failure names the last answers that have come."""
@@ -129,9 +193,21 @@
 class CallProcessTests(unittest.TestCase):
     """One small fleet for each test."""
 
-    def start(self, *options: BackendOptions) -> Fleet:
-        fleet = Fleet()
+    def enter_fleet(self, fleet: Fleet) -> Fleet:
+        """Ends the fleet with the test; if the test failed, its logs are printed first."""
         self.enterContext(fleet)
+        self.addCleanup(self.print_logs_of_failure, fleet)
+        return fleet
+
+    def print_logs_of_failure(self, fleet: Fleet) -> None:
+        """Prints the last lines of every daemon if this test has failed."""
+        result = self._outcome.result
+        if any(getattr(test, "test_case", test) is self for test, _ in result.failures + result.errors):
+            for daemon in fleet.daemons:
+                print(f"--- {daemon.name}\n{daemon.process.log_tail(LOG_LINES_OF_FAILURE)}", file=sys.stderr)
+
+    def start(self, *options: BackendOptions) -> Fleet:
+        fleet = self.enter_fleet(Fleet())
         fleet.start_servers([(("palermo", "catania")[index % 2], one) for index, one in enumerate(options)])
         fleet.submit(DOCUMENT)
         paths = {"squadre": "/crews", "priorita": "/flags"}
@@ -231,6 +307,30 @@
         connection.close()
         wait_for(lambda: fleet.backends[0].stats()["cancelled"] > before, "the call to be cancelled")
 
+    def test_callers_that_leave_during_a_later_request_are_noticed(self) -> None:
+        fleet = self.enter_fleet(Fleet(workers=4))
+        fleet.start_servers([("palermo", BackendOptions("squadre", slots=LEAVING_SLOTS)),
+                             ("catania", BackendOptions("priorita"))])
+        fleet.submit(DOCUMENT)
+        fleet.wait_until_serving([("squadre", "GET", "/crews")])
+        entry, backend = fleet.daemons[1], fleet.backends[0]
+        for number in range(LEAVING_ROUNDS):
+            with self.subTest(round=number):
+                before = callers_gone(entry)
+                callers = [open_caller(entry.caller) for _ in range(LEAVING_CALLERS)]
+                for caller in callers:
+                    caller.request("GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+                self.assertEqual([read_status(caller) for caller in callers], [200] * LEAVING_CALLERS)
+                backend.set_faults(hang=True)
+                for caller in callers:
+                    caller.request("GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+                wait_for(lambda: backend.stats()["running"] == LEAVING_CALLERS, "the calls to run")
+                for caller in callers:
+                    caller.close()
+                wait_for(lambda: metric(entry, "monsoonlift_calls_in_flight") == 0, "the calls to end")
+                backend.set_faults(hang=False)
+                self.assertEqual(callers_gone(entry) - before, LEAVING_CALLERS)
+
     def test_a_planned_stop_cuts_nothing(self) -> None:
         fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
         answers: list[calls.Answer] = []
@@ -284,6 +384,67 @@
         self.assertEqual([(one["event"], one["class"]) for one in events(gate, "backend_broke_off")],
                          [(3007, "urgent")])
 
+    def test_a_call_refused_under_overload_is_explained(self) -> None:
+        fleet = self.start(BackendOptions("squadre", slots=1, service_ms=SLOW_MS), BackendOptions("priorita"))
+        answers: list[calls.Answer] = []
+        headers = {"Monsoonlift-Service": "squadre", "Monsoonlift-Timeout-Ms": "3000"}
+        callers = [threading.Thread(target=lambda: answers.append(
+            calls.call(fleet.daemons[1].caller, "GET", "/crews", headers=headers))) for _ in range(6)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        refused = [one for one in answers if one.status == 429]
+        self.assertTrue(refused, [one.status for one in answers])
+        story = explain(fleet, refused[0])
+        self.assertEqual([name for name in story.names if name in ENTRY_AND_GATE_OF_REFUSAL],
+                         list(ENTRY_AND_GATE_OF_REFUSAL), story.text)
+        refusal = story.event("call_refused")
+        self.assertEqual((refusal["status"], refusal["verdict"], refusal["class"]), ("429", "not_run", "lookup"))
+        self.assertEqual(story.event("attempt_not_admitted")["reason"], "shed")
+
+    def test_a_call_that_may_have_run_after_a_crash_is_explained(self) -> None:
+        fleet = self.start(BackendOptions("squadre", service_ms=SLOW_MS), BackendOptions("priorita"))
+        entry = fleet.daemons[1].caller
+        self.settle(fleet, entry, "warm-up")
+        answers: list[calls.Answer] = []
+        caller = threading.Thread(target=lambda: answers.append(self.dispatch(entry, "crashing")))
+        caller.start()
+        wait_beside_call(lambda: self.runs(fleet, "crashing") == 1, "the dispatch to run", answers)
+        fleet.backends[0].process.signal(signal.SIGKILL)
+        caller.join()
+        self.assertEqual(answers[0].verdict, "may_have_run")
+        story = explain(fleet, answers[0])
+        broken = story.event("attempt_broken")
+        self.assertEqual((broken["sent"], broken["verdict"], broken["reason"]), ("yes", "may_have_run", "backend_failed"))
+        self.assertEqual(story.event("attempt_failed")["next"], "none: it ran or may have run")
+        self.assertEqual(story.event("call_refused")["verdict"], "may_have_run")
+
+    def test_a_call_out_of_time_deep_in_a_chain_is_explained(self) -> None:
+        fleet = self.start(BackendOptions("priorita"), BackendOptions("squadre", calls=("priorita:/flags",)))
+        fleet.backends[0].set_faults(hang=True)
+        answer = calls.call(fleet.daemons[0].caller, "GET", "/crews",
+                            headers={"Monsoonlift-Service": "squadre", "Monsoonlift-Timeout-Ms": "800"})
+        self.assertEqual((answer.status, answer.verdict), (504, "may_have_run"))
+        story = explain(fleet, answer)
+        depths = [event["depth"] for event in story.lines if event["name"] == "call_accepted"]
+        self.assertEqual(depths, ["0", "1"], story.text)
+        deepest = [event for event in story.lines if event["name"] == "attempt_started"][-1]
+        self.assertEqual(deepest["service"], "priorita")
+        out_of_time = [event for event in story.lines
+                       if event["name"] == "attempt_broken" and event["service"] == "priorita"]
+        self.assertEqual([event["sent"] for event in out_of_time], ["yes"], story.text)
+
+    def test_every_answer_names_its_request(self) -> None:
+        fleet = self.start(BackendOptions("squadre"))
+        entry = fleet.daemons[0].caller
+        for headers, status in (({"Monsoonlift-Service": "squadre"}, 200), ({"Monsoonlift-Service": "nobody"}, 404),
+                                ({}, 400)):
+            with self.subTest(status=status):
+                answer = calls.call(entry, "GET", "/crews", headers=headers)
+                self.assertEqual(answer.status, status)
+                self.assertRegex(answer.headers["monsoonlift-request-id"], "^[0-9a-f]{32}$")
+
     def test_calls_and_keys_are_served_during_an_outage_of_the_platform(self) -> None:
         fleet = self.start(BackendOptions("squadre"), BackendOptions("squadre"))
         for number in range(16):
--- a/src/configuration/internal/configuration_holder.cpp
+++ b/src/configuration/internal/configuration_holder.cpp
@@ -31,6 +31,7 @@
     }
     auto next = std::make_shared<adopted_configuration>(adopted_configuration{
         offered.revision, make_peer_copy(offered), std::move(std::get<document>(read))});
+    next->rules.revision = offered.revision;
     if (!replace(next)) {
         return adoption::not_newer;
     }
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -52,6 +52,7 @@
 
 /// The configuration that operators submit; checked whole before it is accepted.
 struct document {
+    std::uint64_t revision = 0; ///< Under which it is in force; 0 for a text that is only read.
     std::vector<std::string> data_centres;
     std::vector<std::string> classes; ///< The first is shed last.
     std::vector<caller_rule> callers;
--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -103,7 +103,6 @@
 
 boost::asio::awaitable<call_exchange::attempt_outcome>
 call_exchange::take_answer(transport::response_head head) {
-    m_answer_status = head.status;
     if (head.total) {
         co_return co_await take_whole_answer(std::move(head));
     }
@@ -112,6 +111,7 @@
 
 boost::asio::awaitable<call_exchange::attempt_outcome>
 call_exchange::take_whole_answer(transport::response_head head) {
+    m_answer_status = head.status;
     auto end = head.end;
     if (!transfer::matches(transfer::total_of(head.body), *head.total)) {
         m_shared.log.write(logging::event_id::body_broken, {{"call", std::to_string(m_call_number)}});
@@ -126,6 +126,7 @@
 
 boost::asio::awaitable<call_exchange::attempt_outcome>
 call_exchange::stream_answer(transport::response_head head) {
+    m_answer_status = head.status;
     m_connection->stop_watching();
     extend_patience();
     transfer::body_receiver intake(m_shared.options.body_credit_chunks);
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -17,10 +17,6 @@
 
 namespace {
 
-/// Attempts of one call that may end with a backend server breaking off: a request that crashes servers must
-/// not crash a third one before the reports of the first two have met.
-constexpr std::uint32_t most_broken_attempts = 2;
-
 using namespace std::chrono_literals;
 
 /// Bytes of a request body that are kept, so that the request can be sent again.
@@ -32,20 +28,6 @@
 /// Between two looks for a backend server that can be reached.
 constexpr std::chrono::milliseconds route_pause = 20ms;
 
-/// Whether another attempt would end the same way.
-bool is_final(end_reason reason) {
-    switch (reason) {
-    case end_reason::cancelled:
-    case end_reason::key_conflict:
-    case end_reason::already_running:
-    case end_reason::refused_key:
-    case end_reason::quarantined:
-        return true;
-    default:
-        return false;
-    }
-}
-
 problem no_configuration() {
     return {503,
             verdict::not_run,
@@ -73,6 +55,10 @@
       m_watchdog(std::move(watchdog)), m_class(&shared.classes.unknown()) {}
 
 boost::asio::awaitable<void> call_exchange::run() {
+    m_began = m_shared.clock.now();
+    m_call.context.root = m_shared.routes.draw_root();
+    m_call_number = m_shared.next_call();
+    m_connection->name_request(core::to_string(m_call.context.root));
     if (asks_for_permit()) {
         co_await give_permit();
         co_return;
@@ -83,9 +69,8 @@
         co_return;
     }
     m_watchdog->allow_until(m_call.context.deadline + writing_patience);
-    const auto began = m_shared.clock.now();
     co_await serve();
-    m_class->call_time.record(m_shared.clock.now() - began);
+    m_class->call_time.record(m_shared.clock.now() - m_began);
     m_connection->stop_watching();
     give_budget_back();
 }
@@ -100,15 +85,20 @@
     if (auto* trouble = std::get_if<problem>(&parsed)) {
         return std::move(*trouble);
     }
+    const auto drawn = m_call.context.root;
     m_call = std::move(std::get<parsed_call>(parsed));
     m_class = &m_shared.classes.of(m_call.context.rank);
+    if (!m_call.parent) {
+        m_call.context.root = drawn;
+    }
+    m_connection->name_request(core::to_string(m_call.context.root));
     begin_context(*configuration);
+    m_shared.decisions.accepted(decided(), m_call, configuration->revision);
     return std::nullopt;
 }
 
 void call_exchange::begin_context(const configuration::document& configuration) {
     if (!m_call.parent) {
-        m_call.context.root = m_shared.routes.draw_root();
         m_call.context.attempts_left = configuration.retries.attempts_per_root;
         m_shared.routes.set_retry_ratio(configuration.retries.ratio);
         m_shared.routes.grant(m_call.context);
@@ -132,7 +122,7 @@
 boost::asio::awaitable<void> call_exchange::serve() {
     const bool invited = co_await m_connection->invite_body();
     if (!invited) {
-        m_class->count_end(call_outcome::caller_gone, verdict::not_run);
+        count_abandoned(verdict::not_run);
         m_connection->abort();
         co_return;
     }
@@ -158,7 +148,6 @@
 }
 
 boost::asio::awaitable<void> call_exchange::make_attempts() {
-    m_call_number = m_shared.next_call();
     while (true) {
         auto trouble = begin_attempt();
         const bool found = trouble && co_await wait_for_route(*trouble);
@@ -199,17 +188,6 @@
     co_return co_await pause(route_pause);
 }
 
-boost::asio::awaitable<bool> call_exchange::wait_for_next(const attempt_outcome& outcome) {
-    if (is_about_home(outcome.end.reason)) {
-        co_return co_await look_for_home(outcome);
-    }
-    const auto delay = next_delay(outcome);
-    if (!delay) {
-        co_return false;
-    }
-    co_return co_await pause(*delay);
-}
-
 std::optional<problem> call_exchange::begin_attempt() {
     auto chosen = choose_destination();
     if (auto* trouble = std::get_if<problem>(&chosen)) {
@@ -224,6 +202,7 @@
     m_shared.open(m_attempt, m_channel);
     ++m_attempts;
     ++m_shared.attempts;
+    m_shared.decisions.sent(decided(), {m_attempt, endpoint, m_route_reason, m_evidence, m_homes_version});
     send_request();
     return std::nullopt;
 }
@@ -296,53 +275,37 @@
                                   now);
     m_tried.push_back(m_channel->endpoint());
     if (outcome.settled) {
+        note_settled(outcome);
         count_end(end);
     }
 }
 
+void call_exchange::note_settled(const attempt_outcome& outcome) {
+    if (outcome.end.reason == end_reason::answered) {
+        m_shared.decisions.attempt_answered(decided(), ended(outcome));
+        return;
+    }
+    const auto* next =
+        m_caller_gone ? "none: the caller went away" : "none: the caller's connection was reset";
+    m_shared.decisions.attempt_failed(decided(), ended(outcome), next);
+}
+
 void call_exchange::count_end(const transport::attempt_end& end) {
     const bool whole = end.reason == end_reason::answered;
     ++(whole ? m_shared.answered : m_shared.failed);
     if (whole) {
         m_class->count_end(call_outcome::answered, end.run);
+        m_shared.decisions.answered(decided(), ended_now(), m_answer_status);
+    } else if (m_caller_gone) {
+        count_abandoned(end.run);
     } else {
-        m_class->count_end(m_caller_gone ? call_outcome::caller_gone : call_outcome::cut_short, end.run);
+        m_class->count_end(call_outcome::cut_short, end.run);
     }
 }
 
-std::optional<std::chrono::nanoseconds> call_exchange::next_delay(const attempt_outcome& outcome) {
-    m_broken_attempts += outcome.end.reason == end_reason::backend_failed ? 1 : 0;
-    const bool may_crash_servers = m_broken_attempts >= most_broken_attempts;
-    if (!m_replayable || m_caller_gone || may_crash_servers || is_final(outcome.end.reason)) {
-        return std::nullopt;
-    }
-    // NOTE: only the home of a key may run its request, so that one is asked again.
-    if (!is_bound_to_home() && !m_shared.routes.has_untried({m_call.service, m_call.context, m_tried})) {
-        return std::nullopt;
-    }
-    const retry::attempt_outcome ended{outcome.end.run, m_attempts - 1, outcome.end.service_time,
-                                       outcome.end.retry_after};
-    const auto delay = m_shared.routes.next_attempt(m_call.context, ended, m_shared.clock.now());
-    if (delay) {
-        ++m_spent_retries;
-        ++m_shared.retries;
-        m_class->retries.add();
-    } else {
-        note_spent_budget(outcome.end.run);
-    }
-    return delay;
-}
-
-void call_exchange::note_spent_budget(verdict run) {
-    const bool repeatable =
-        run == verdict::not_run || (run == verdict::may_have_run && m_call.context.idempotent);
-    const bool call_spent = m_call.context.attempts_left == 0;
-    if (!repeatable || !m_shared.options.decisions_on || (!call_spent && m_shared.routes.may_retry())) {
-        return;
-    }
-    const auto budget = call_spent ? spent_budget::root_call : spent_budget::daemon;
-    m_class->count_withheld(budget);
-    m_shared.events.budget_spent(subject(), budget);
+void call_exchange::count_abandoned(verdict run) {
+    m_class->count_end(call_outcome::caller_gone, run);
+    m_shared.decisions.abandoned(decided(), ended_now(), run);
 }
 
 boost::asio::awaitable<bool> call_exchange::pause(std::chrono::nanoseconds delay) {
@@ -355,16 +318,30 @@
 boost::asio::awaitable<void> call_exchange::refuse(const problem& trouble) {
     ++(trouble.run == verdict::not_run ? m_shared.refused : m_shared.failed);
     if (m_caller_gone) {
-        m_class->count_end(call_outcome::caller_gone, trouble.run);
+        count_abandoned(trouble.run);
         m_connection->abort();
         co_return;
     }
     m_class->count_end(call_outcome::problem, trouble.run);
     m_class->count_problem(trouble);
     m_shared.events.told(subject(), trouble);
+    m_shared.decisions.refused(decided(), ended_now(), trouble, m_evidence);
     co_await m_connection->write_problem(trouble, attempts_spent());
 }
 
+decided_call call_exchange::decided() const {
+    return {m_call.context.root, m_call_number, m_call.service, m_class->name()};
+}
+
+ended_attempt call_exchange::ended(const attempt_outcome& outcome) const {
+    return {m_attempt, m_channel->endpoint(), outcome.end, outcome.from_gate,
+            m_shared.clock.now() - m_attempt_began};
+}
+
+ended_call call_exchange::ended_now() const {
+    return {attempts_spent(), m_shared.clock.now() - m_began};
+}
+
 void call_exchange::watch_caller() {
     if (!m_connection->is_body_read()) {
         return;
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace monsoonlift::entry::internal {
@@ -37,6 +38,12 @@
         bool from_gate = false; ///< The gate said so; otherwise it is this entry's own view.
     };
 
+    /// When the call is attempted again, or why it isn't.
+    struct retry_choice {
+        std::optional<std::chrono::nanoseconds> delay;
+        std::string_view why_not;
+    };
+
     /// Where an attempt goes, or what the caller is told.
     using destination = std::variant<core::endpoint_id, problem>;
 
@@ -71,9 +78,19 @@
     [[nodiscard]] attempt_outcome outcome_of(local_event event) const;
     void end_attempt(const attempt_outcome& outcome);
     void count_end(const transport::attempt_end& end);
-    void note_spent_budget(core::verdict run);
+    void note_settled(const attempt_outcome& outcome);
+    void count_abandoned(core::verdict run);
+    [[nodiscard]] retry_choice choose_retry(const attempt_outcome& outcome);
+
+    /// Why an attempt that ended so must not be followed by another; empty if nothing speaks against it.
+    [[nodiscard]] std::string_view reason_against_retry(transport::end_reason reason);
+
+    /// Counts a retry that a budget did not allow; gives the reason.
+    [[nodiscard]] std::string_view note_withheld(core::verdict run);
     [[nodiscard]] event_subject subject() const { return {*m_class, m_call.service, m_call.context.root}; }
-    [[nodiscard]] std::optional<std::chrono::nanoseconds> next_delay(const attempt_outcome& outcome);
+    [[nodiscard]] decided_call decided() const;
+    [[nodiscard]] ended_attempt ended(const attempt_outcome& outcome) const;
+    [[nodiscard]] ended_call ended_now() const;
     awaitable<bool> pause(std::chrono::nanoseconds delay);
     awaitable<void> upload(std::shared_ptr<attempt_channel> channel, core::attempt_id attempt);
     awaitable<void> refuse(const problem& trouble);
@@ -92,7 +109,10 @@
     std::string m_first_bytes; ///< Kept, so that the request can be sent again.
     bool m_replayable = true;
     bool m_caller_gone = false;
+    core::steady_time m_began;
     std::uint64_t m_call_number = 0;
+    route_reason m_route_reason = route_reason::load;
+    routing::route_evidence m_evidence; ///< Of the last choice of an endpoint.
     std::uint32_t m_attempts = 0;
     std::uint32_t m_nested_attempts = 0;
     std::uint32_t m_spent_retries = 0;
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -3,6 +3,7 @@
 #include "entry/entry_service.h"
 #include "entry/internal/attempt_channel.h"
 #include "entry/internal/call_class.h"
+#include "entry/internal/call_decisions.h"
 #include "entry/internal/entry_events.h"
 #include "entry/internal/route_book.h"
 #include "execution/home_directory.h"
@@ -61,6 +62,7 @@
 
     call_classes classes;
     entry_events events;
+    call_decisions decisions;
 
     std::atomic<std::uint64_t> calls = 0;
     std::atomic<std::uint64_t> answered = 0;
--- a/src/entry/internal/home_exchange.cpp
+++ b/src/entry/internal/home_exchange.cpp
@@ -49,6 +49,8 @@
 call_exchange::destination call_exchange::choose_any() {
     const auto now = m_shared.clock.now();
     const auto choice = m_shared.routes.choose({m_call.service, m_call.context, m_tried}, now);
+    m_route_reason = route_reason::load;
+    m_evidence = choice.evidence;
     if (choice.endpoint) {
         return *choice.endpoint;
     }
@@ -63,6 +65,7 @@
 call_exchange::destination call_exchange::choose_home(const execution::execution_key& key) {
     if (key.gate) {
         if (m_shared.routes.is_known(*key.gate)) {
+            m_route_reason = route_reason::permit;
             return *key.gate;
         }
         return home_lost("the gate that the permit names is gone; an earlier copy may have run there");
@@ -73,6 +76,7 @@
     }
     m_homes_version = home->version;
     if (m_shared.routes.is_known(home->gate)) {
+        m_route_reason = route_reason::home;
         return home->gate;
     }
     m_shared.homes.forget(m_call.service, key.text, home->gate);
--- /dev/null
+++ b/src/entry/internal/retry_exchange.cpp
@@ -0,0 +1,103 @@
+// The part of call_exchange that decides whether a call is attempted again.
+#include "entry/internal/attempt_problem.h"
+#include "entry/internal/call_exchange.h"
+
+namespace monsoonlift::entry::internal {
+
+using core::verdict;
+using transport::end_reason;
+
+namespace {
+
+/// Attempts of one call that may end with a backend server breaking off: a request that crashes servers must
+/// not crash a third one before the reports of the first two have met.
+constexpr std::uint32_t most_broken_attempts = 2;
+
+/// Whether another attempt would end the same way.
+bool is_final(end_reason reason) {
+    switch (reason) {
+    case end_reason::cancelled:
+    case end_reason::key_conflict:
+    case end_reason::already_running:
+    case end_reason::refused_key:
+    case end_reason::quarantined:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+boost::asio::awaitable<bool> call_exchange::wait_for_next(const attempt_outcome& outcome) {
+    if (is_about_home(outcome.end.reason)) {
+        m_shared.decisions.attempt_redirected(decided(), ended(outcome));
+        co_return co_await look_for_home(outcome);
+    }
+    const auto choice = choose_retry(outcome);
+    const auto next = choice.delay ? retry_text(*choice.delay) : "none: " + std::string(choice.why_not);
+    m_shared.decisions.attempt_failed(decided(), ended(outcome), next);
+    if (!choice.delay) {
+        co_return false;
+    }
+    co_return co_await pause(*choice.delay);
+}
+
+call_exchange::retry_choice call_exchange::choose_retry(const attempt_outcome& outcome) {
+    const auto against = reason_against_retry(outcome.end.reason);
+    if (!against.empty()) {
+        return {std::nullopt, against};
+    }
+    const retry::attempt_outcome ended{outcome.end.run, m_attempts - 1, outcome.end.service_time,
+                                       outcome.end.retry_after};
+    const auto delay = m_shared.routes.next_attempt(m_call.context, ended, m_shared.clock.now());
+    if (!delay) {
+        return {std::nullopt, note_withheld(outcome.end.run)};
+    }
+    ++m_spent_retries;
+    ++m_shared.retries;
+    m_class->retries.add();
+    return {delay, {}};
+}
+
+std::string_view call_exchange::reason_against_retry(end_reason reason) {
+    m_broken_attempts += reason == end_reason::backend_failed ? 1 : 0;
+    if (!m_replayable) {
+        return "the body is not kept";
+    }
+    if (m_caller_gone) {
+        return "the caller went away";
+    }
+    if (m_shared.clock.now() >= m_call.context.deadline) {
+        return "no time is left";
+    }
+    if (m_broken_attempts >= most_broken_attempts) {
+        return "it may crash backend servers";
+    }
+    if (is_final(reason)) {
+        return "another attempt would end the same way";
+    }
+    // NOTE: only the home of a key may run its request, so that one is asked again.
+    if (!is_bound_to_home() && !m_shared.routes.has_untried({m_call.service, m_call.context, m_tried})) {
+        return "every backend server was tried";
+    }
+    return {};
+}
+
+std::string_view call_exchange::note_withheld(verdict run) {
+    const bool repeatable =
+        run == verdict::not_run || (run == verdict::may_have_run && m_call.context.idempotent);
+    if (!repeatable) {
+        return "it ran or may have run";
+    }
+    const bool call_spent = m_call.context.attempts_left == 0;
+    if (!m_shared.options.decisions_on || (!call_spent && m_shared.routes.may_retry())) {
+        return "too little time is left";
+    }
+    const auto budget = call_spent ? spent_budget::root_call : spent_budget::daemon;
+    m_class->count_withheld(budget);
+    m_shared.events.budget_spent(subject(), budget);
+    return call_spent ? "the budget of the root call is spent" : "the retry budget of the daemon is spent";
+}
+
+} // namespace monsoonlift::entry::internal
--- a/src/entry/internal/route_book.cpp
+++ b/src/entry/internal/route_book.cpp
@@ -123,7 +123,7 @@
         return {};
     }
     std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
-    return {candidates[any(m_random)], {}};
+    return {candidates[any(m_random)], {}, {}};
 }
 
 } // namespace monsoonlift::entry::internal
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -42,12 +42,13 @@
                      const core::attempt_id& attempt, transport::request_head head)
     : m_env(environment), m_run(run), m_entry{head.reply_address, entry}, m_attempt(attempt),
       m_head(std::move(head)), m_class(environment.classes.of(m_head.context.rank)),
-      m_strand(boost::asio::make_strand(environment.executor)),
+      m_arrived(environment.clock.now()), m_strand(boost::asio::make_strand(environment.executor)),
       m_watchdog(std::make_shared<transfer::watchdog>(m_strand)), m_inbox(m_strand), m_credit(m_strand) {}
 
 void gate_call::start(ended_handler ended) {
     m_ended = std::move(ended);
     m_class.admitted.add();
+    m_env.decisions.started(decided(), waited(), m_env.table.report());
     boost::asio::co_spawn(
         m_strand, [self = shared_from_this()] { return self->run(); },
         [self = shared_from_this()](const std::exception_ptr& failure) {
@@ -77,6 +78,7 @@
     if (reason == end_reason::shed) {
         end.retry_after = m_env.table.retry_after();
     }
+    m_env.decisions.not_admitted(decided(), waited(), end);
     send(std::move(end));
 }
 
@@ -197,11 +199,20 @@
     if (reason == end_reason::cancelled) {
         m_env.events.cancelled(m_class, m_attempt, "it was on the backend server");
     }
+    if (m_answered) {
+        m_env.decisions.ran(decided(), m_report.service_time);
+    } else {
+        m_env.decisions.broken(decided(), m_end, m_sent);
+    }
     if (m_report.broken) {
         m_env.events.broke_off(m_class, m_attempt, m_end.detail);
     }
 }
 
+decided_attempt gate_call::decided() const {
+    return {m_head.context.root, m_attempt, m_head.service, m_class.name()};
+}
+
 void gate_call::finish() {
     if (std::exchange(m_finished, true)) {
         return;
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gate/gate_service.h"
+#include "gate/internal/attempt_decisions.h"
 #include "gate/internal/backend_pool.h"
 #include "gate/internal/gate_class.h"
 #include "gate/internal/gate_events.h"
@@ -36,6 +37,7 @@
     logging::event_log& log;
     gate_classes& classes;
     gate_events& events;
+    attempt_decisions& decisions;
     gate_table& table;
     backend_pool& pool;
     boost::asio::any_io_executor executor;
@@ -112,6 +114,8 @@
     void fail(core::verdict run, transport::end_reason reason, std::string detail);
     [[nodiscard]] transport::attempt_end complete_end();
     void note_end();
+    [[nodiscard]] decided_attempt decided() const;
+    [[nodiscard]] std::chrono::nanoseconds waited() const { return m_env.clock.now() - m_arrived; }
     void finish();
     void give_connection_back();
     void send(decltype(transport::frame::payload) payload);
@@ -122,6 +126,7 @@
     core::attempt_id m_attempt;
     transport::request_head m_head;
     const gate_class& m_class;
+    const core::steady_time m_arrived;
     boost::asio::any_io_executor m_strand;
     ended_handler m_ended;
 
--- a/src/gate/internal/gate_class.cpp
+++ b/src/gate/internal/gate_class.cpp
@@ -10,53 +10,29 @@
 
 namespace {
 
-/// A reason that is counted, and its label.
-struct counted_reason {
-    end_reason reason;
-    std::string_view name;
-};
+constexpr auto refusal_reasons = std::to_array<end_reason>(
+    {end_reason::shed, end_reason::draining, end_reason::no_backend, end_reason::deadline,
+     end_reason::cancelled, end_reason::body_damaged, end_reason::key_conflict, end_reason::already_running,
+     end_reason::wrong_service, end_reason::wrong_home, end_reason::home_unknown, end_reason::refused_key,
+     end_reason::quarantined});
 
-constexpr auto refusal_reasons = std::to_array<counted_reason>({
-    {end_reason::shed, "shed"},
-    {end_reason::draining, "draining"},
-    {end_reason::no_backend, "no_backend"},
-    {end_reason::deadline, "deadline"},
-    {end_reason::cancelled, "cancelled"},
-    {end_reason::body_damaged, "body_damaged"},
-    {end_reason::key_conflict, "key_conflict"},
-    {end_reason::already_running, "already_running"},
-    {end_reason::wrong_service, "wrong_service"},
-    {end_reason::wrong_home, "wrong_home"},
-    {end_reason::home_unknown, "home_unknown"},
-    {end_reason::refused_key, "refused_key"},
-    {end_reason::quarantined, "quarantined"},
-});
-
-constexpr auto run_reasons = std::to_array<counted_reason>({
-    {end_reason::answered, "answered"},
-    {end_reason::no_backend, "no_backend"},
-    {end_reason::deadline, "deadline"},
-    {end_reason::cancelled, "cancelled"},
-    {end_reason::backend_failed, "backend_failed"},
-    {end_reason::backend_refused, "backend_refused"},
-    {end_reason::body_damaged, "body_damaged"},
-});
+constexpr auto run_reasons = std::to_array<end_reason>(
+    {end_reason::answered, end_reason::no_backend, end_reason::deadline, end_reason::cancelled,
+     end_reason::backend_failed, end_reason::backend_refused, end_reason::body_damaged});
 
 /// The labels, with one more for any other reason.
-std::vector<std::string_view> names_of(std::span<const counted_reason> reasons) {
+std::vector<std::string_view> names_of(std::span<const end_reason> reasons) {
     std::vector<std::string_view> names;
     names.reserve(reasons.size() + 1);
-    for (const auto& each : reasons) {
-        names.push_back(each.name);
+    for (const auto each : reasons) {
+        names.push_back(transport::to_string(each));
     }
     names.emplace_back("other");
     return names;
 }
 
-std::size_t position_of(std::span<const counted_reason> reasons, end_reason reason) {
-    const auto found = std::find_if(reasons.begin(), reasons.end(),
-                                    [&](const counted_reason& each) { return each.reason == reason; });
-    return static_cast<std::size_t>(found - reasons.begin());
+std::size_t position_of(std::span<const end_reason> reasons, end_reason reason) {
+    return static_cast<std::size_t>(std::find(reasons.begin(), reasons.end(), reason) - reasons.begin());
 }
 
 std::string label_of(const std::string& class_name) {
--- a/src/gate/internal/gate_execution.cpp
+++ b/src/gate/internal/gate_execution.cpp
@@ -111,6 +111,7 @@
     switch (decision.action) {
     case begin_action::run:
         m_execution_begun = true;
+        m_env.decisions.key_admitted(decided(), "its record was opened");
         return true;
     case begin_action::replay:
         replay(*decision.answer);
@@ -120,6 +121,8 @@
         break;
     case begin_action::drop:
         m_env.events.copy_refused(m_attempt, "the attempt is being served");
+        m_env.decisions.key_admitted(decided(),
+                                     "a copy of an attempt that is being served; it gets no answer");
         break;
     }
     end_execution();
@@ -155,11 +158,13 @@
     end.load = m_env.table.report();
     end.home = decision.home;
     end.homes_version = decision.homes_version;
+    m_env.decisions.key_not_admitted(decided(), end);
     send(std::move(end));
 }
 
 void gate_call::replay(const execution::stored_answer& answer) {
     m_class.replayed.add();
+    m_env.decisions.key_admitted(decided(), "it ran before and its kept answer is given again");
     transport::response_head head;
     head.status = answer.status;
     head.reason = answer.reason;
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -33,9 +33,10 @@
     : m_options(options), m_clock(clock), m_classes([&metrics](const std::string& name) {
           return std::make_unique<internal::gate_class>(metrics, name);
       }),
-      m_events(log, clock, metrics), m_table(options.decisions_on),
-      m_pool(io.get_executor()), m_env{m_options, sender,    ledger,   crashes, budgets, clock,
-                                       log,       m_classes, m_events, m_table, m_pool,  io.get_executor()},
+      m_events(log, clock, metrics), m_decisions(log), m_table(options.decisions_on),
+      m_pool(io.get_executor()), m_env{m_options, sender, ledger,           crashes,  budgets,
+                                       clock,     log,    m_classes,        m_events, m_decisions,
+                                       m_table,   m_pool, io.get_executor()},
       m_timer(io), m_backend_silence(options.backend_silence) {}
 
 void gate_service::state::start() {
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -67,6 +67,7 @@
     const core::clock& m_clock;
     internal::gate_classes m_classes;
     internal::gate_events m_events;
+    internal::attempt_decisions m_decisions;
     internal::load_watch m_load_watch;
     gate_table m_table;
     internal::backend_pool m_pool;
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -8,7 +8,12 @@
 namespace monsoonlift::logging {
 
 /// Severity of an event.
-enum class severity { info, warning, error };
+enum class severity {
+    info,
+    notice, ///< Start, stop and the like: written at every log level.
+    warning,
+    error
+};
 
 /// Number of an event; it never changes its meaning and is never reused.
 enum class event_id : std::uint16_t {
@@ -21,6 +26,7 @@
     drain_finished = 1005,
     admin_not_accepted = 1006,
     drain_overdue = 1007,
+    lines_left_out = 1008,
 
     // 2000: entry
     callers_not_accepted = 2000,
@@ -30,6 +36,14 @@
     call_may_have_run = 2004,
     retry_budget_spent = 2005,
     answer_cut_short = 2006,
+    call_accepted = 2010,
+    attempt_sent = 2011,
+    attempt_answered = 2012,
+    attempt_failed = 2013,
+    call_answered = 2014,
+    call_refused = 2015,
+    call_abandoned = 2016,
+    attempt_redirected = 2017,
 
     // 3000: gate, execution, quarantine
     overload_started = 3000,
@@ -40,6 +54,12 @@
     attempt_refused = 3005,
     backend_refused_connection = 3006,
     backend_broke_off = 3007,
+    attempt_started = 3010,
+    attempt_not_admitted = 3011,
+    attempt_ran = 3012,
+    attempt_broken = 3013,
+    key_admitted = 3014,
+    key_not_admitted = 3015,
     homes_written = 3500,
     homes_malformed = 3501,
     backend_crashed = 3502,
@@ -90,17 +110,19 @@
 /// Every event, in the order of numbers.
 inline constexpr auto event_catalogue = std::to_array<event_description>({
     // 1000: process and lifecycle
-    {event_id::process_started, severity::info, "process_started", "The process is up and serves."},
-    {event_id::process_stopping, severity::info, "process_stopping", "A stop was asked for."},
-    {event_id::process_stopped, severity::info, "process_stopped", "The process ends."},
+    {event_id::process_started, severity::notice, "process_started", "The process is up and serves."},
+    {event_id::process_stopping, severity::notice, "process_stopping", "A stop was asked for."},
+    {event_id::process_stopped, severity::notice, "process_stopped", "The process ends."},
     {event_id::settings_refused, severity::error, "settings_refused", "The settings file has errors."},
-    {event_id::drain_started, severity::info, "drain_started",
+    {event_id::drain_started, severity::notice, "drain_started",
      "No new work is taken; work in flight goes on."},
-    {event_id::drain_finished, severity::info, "drain_finished", "No work is left in flight."},
+    {event_id::drain_finished, severity::notice, "drain_finished", "No work is left in flight."},
     {event_id::admin_not_accepted, severity::error, "admin_not_accepted",
      "Connections to the admin port can't be accepted, as when no file descriptor is left."},
     {event_id::drain_overdue, severity::warning, "drain_overdue",
      "Work is still in flight after the service's drain_time; the drain goes on."},
+    {event_id::lines_left_out, severity::notice, "lines_left_out",
+     "Lines of these events were not written in the last second or so, to bound the log; a count for each."},
 
     // 2000: entry
     {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
@@ -116,6 +138,22 @@
      "A call that might have been repeated was not, for want of budget or time."},
     {event_id::answer_cut_short, severity::error, "answer_cut_short",
      "An answer broke off while it was passed on; the caller's connection was reset."},
+    {event_id::call_accepted, severity::info, "call_accepted",
+     "A call was understood: its class, its time left and the attempts that it may spend."},
+    {event_id::attempt_sent, severity::info, "attempt_sent",
+     "A call was sent to a gate: what was known of it, how old that was, and why it was chosen."},
+    {event_id::attempt_answered, severity::info, "attempt_answered",
+     "The answer of an attempt was passed on whole."},
+    {event_id::attempt_failed, severity::warning, "attempt_failed",
+     "An attempt gave no whole answer: who said so, the verdict, and whether the call is tried again."},
+    {event_id::call_answered, severity::info, "call_answered",
+     "A caller got a backend server's answer whole."},
+    {event_id::call_refused, severity::warning, "call_refused",
+     "A caller got a problem document: the reason, the verdict, the attempts and the time spent."},
+    {event_id::call_abandoned, severity::info, "call_abandoned",
+     "A caller went away before it had its answer."},
+    {event_id::attempt_redirected, severity::info, "attempt_redirected",
+     "The gate asked is not the home of the key, or does not know it; the call goes on to look for it."},
 
     // 3000: gate, execution, quarantine
     {event_id::overload_started, severity::warning, "overload_started",
@@ -134,6 +172,18 @@
      "The local backend server refuses connections."},
     {event_id::backend_broke_off, severity::error, "backend_broke_off",
      "The local backend server closed a connection without a whole answer."},
+    {event_id::attempt_started, severity::info, "attempt_started",
+     "An attempt got a slot: how long it waited and how many run of how many that may."},
+    {event_id::attempt_not_admitted, severity::warning, "attempt_not_admitted",
+     "An attempt never got a slot: the reason and the load that decided it."},
+    {event_id::attempt_ran, severity::info, "attempt_ran",
+     "The local backend server answered an attempt whole."},
+    {event_id::attempt_broken, severity::warning, "attempt_broken",
+     "An attempt that had a slot gave no whole answer: the reason and whether it may have run."},
+    {event_id::key_admitted, severity::info, "key_admitted",
+     "The record of a non-idempotent request was opened, or its kept answer is given again."},
+    {event_id::key_not_admitted, severity::warning, "key_not_admitted",
+     "The record of a non-idempotent request does not allow the attempt: the reason and the verdict."},
     {event_id::homes_written, severity::info, "homes_written",
      "This gate changed the table of homes of its service."},
     {event_id::homes_malformed, severity::error, "homes_malformed",
--- a/src/logging/event_log.h
+++ b/src/logging/event_log.h
@@ -23,8 +23,12 @@
     event_log& operator=(const event_log&) = delete;
     virtual ~event_log() = default;
 
-    /// Writes one event. Safe to call from any thread.
+    /// Writes one event. Never waits for a reader. Safe to call from any thread.
     virtual void write(event_id id, std::initializer_list<field> fields) = 0;
+
+    /// Whether a line of that event would be written now; if not, it is counted as left out. Lets a caller on
+    /// the path of a request skip the work of composing a line. Safe to call from any thread.
+    [[nodiscard]] virtual bool wants(event_id /*id*/) { return true; }
 };
 
 } // namespace monsoonlift::logging
--- a/src/logging/internal/event_format.cpp
+++ b/src/logging/internal/event_format.cpp
@@ -1,18 +1,22 @@
 #include "logging/event_format.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace monsoonlift::logging {
 
-namespace {
-
 std::string_view to_string(severity level) {
     switch (level) {
     case severity::info:
         return "info";
+    case severity::notice:
+        return "notice";
     case severity::warning:
         return "warning";
     case severity::error:
@@ -21,7 +25,18 @@
     return "error";
 }
 
-} // namespace
+std::string utc_text(core::wall_time when) {
+    const auto since_epoch = std::chrono::duration_cast<std::chrono::microseconds>(when.time_since_epoch());
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(since_epoch);
+    const std::time_t whole = seconds.count();
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    std::array<char, 40> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    const auto micros = static_cast<long>((since_epoch - seconds).count());
+    std::snprintf(text.data() + length, text.size() - length, ".%06ldZ", micros);
+    return text.data();
+}
 
 const event_description* describe(event_id id) {
     const auto* found = std::find_if(event_catalogue.begin(), event_catalogue.end(),
@@ -29,8 +44,10 @@
     return found == event_catalogue.end() ? nullptr : found;
 }
 
-std::string format_event(event_id id, std::string_view process, std::initializer_list<field> fields) {
+std::string format_event(core::wall_time when, event_id id, std::string_view process,
+                         std::span<const field> fields) {
     boost::json::object line;
+    line["time"] = utc_text(when);
     line["event"] = static_cast<std::uint16_t>(id);
     if (const event_description* entry = describe(id); entry != nullptr) {
         line["name"] = entry->name;
--- a/src/logging/internal/log4cplus_event_log.cpp
+++ b/src/logging/internal/log4cplus_event_log.cpp
@@ -1,10 +1,11 @@
 #include "logging/log4cplus_event_log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <vector>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include "logging/event_format.h"
 
@@ -12,9 +13,32 @@
 
 namespace {
 
+/// Lines that wait for the reader of the log.
+constexpr std::size_t queue_capacity = 2048;
+
+/// Places in that queue that routine lines leave to important ones.
+constexpr std::size_t reserved_places = queue_capacity / 2;
+
+severity parse_level(const std::string& text) {
+    if (text == "error") {
+        return severity::error;
+    }
+    return text == "warning" ? severity::warning : severity::info;
+}
+
+severity severity_of(event_id id) {
+    const event_description* entry = describe(id);
+    return entry == nullptr ? severity::error : entry->level;
+}
+
+importance importance_of(event_id id) {
+    return severity_of(id) == severity::info ? importance::routine : importance::important;
+}
+
 log4cplus::LogLevel level_of(severity level) {
     switch (level) {
     case severity::info:
+    case severity::notice:
         return log4cplus::INFO_LOG_LEVEL;
     case severity::warning:
         return log4cplus::WARN_LOG_LEVEL;
@@ -24,44 +48,114 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-log4cplus::LogLevel parse_level(const std::string& text) {
-    if (text == "error") {
-        return log4cplus::ERROR_LOG_LEVEL;
-    }
-    if (text == "warning") {
-        return log4cplus::WARN_LOG_LEVEL;
-    }
-    return log4cplus::INFO_LOG_LEVEL;
+/// The logger of this process. The library can't be started again once it was ended, so it ends with the
+/// process.
+log4cplus::Logger process_logger() {
+    static const log4cplus::Initializer initializer;
+    return log4cplus::Logger::getInstance("monsoonlift");
 }
 
+/// Hands lines to the writer, which never blocks; log4cplus' own AsyncAppender does when its queue is full.
+class writer_appender final : public log4cplus::Appender {
+public:
+    explicit writer_appender(output_writer& writer) : m_writer(writer) {}
+    writer_appender(const writer_appender&) = delete;
+    writer_appender& operator=(const writer_appender&) = delete;
+    ~writer_appender() override { destructorImpl(); }
+
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+        // NOTE: the owner has looked for room under its lock; what still doesn't fit, the reader left.
+        static_cast<void>(m_writer.push(event.getMessage()));
+    }
+
+private:
+    output_writer& m_writer;
+};
+
 } // namespace
 
 struct log4cplus_event_log::sink {
-    log4cplus::Initializer initializer;
-    log4cplus::Logger logger;
+    sink(int descriptor, std::function<void()> idle) : writer(descriptor, queue_capacity, std::move(idle)) {
+        logger.removeAllAppenders();
+        logger.addAppender(log4cplus::SharedAppenderPtr(new writer_appender(writer)));
+        logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+    }
+    sink(const sink&) = delete;
+    sink& operator=(const sink&) = delete;
+    ~sink() { logger.removeAllAppenders(); }
+
+    log4cplus::Logger logger = process_logger();
+    output_writer writer;
 };
 
-log4cplus_event_log::log4cplus_event_log(const std::string& process, const std::string& lowest)
-    : m_sink(std::make_unique<sink>()), m_process(process) {
-    constexpr bool to_standard_error = true;
-    constexpr bool flush_each_line = true;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(to_standard_error, flush_each_line));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%d{%Y-%m-%dT%H:%M:%S.%q} %m%n"));
-    m_sink->logger = log4cplus::Logger::getInstance("monsoonlift");
-    m_sink->logger.removeAllAppenders();
-    m_sink->logger.addAppender(appender);
-    m_sink->logger.setLogLevel(parse_level(lowest));
+log4cplus_event_log::log4cplus_event_log(const log_options& options, const core::clock& clock)
+    : m_process(options.process), m_lowest(parse_level(options.lowest)), m_clock(clock),
+      m_budget(make_line_budget(options.lines_per_second, clock.now())) {
+    const std::scoped_lock lock(m_mutex);
+    m_sink = std::make_unique<sink>(options.descriptor, [this] { sum_up(); });
 }
 
-log4cplus_event_log::~log4cplus_event_log() = default;
+log4cplus_event_log::~log4cplus_event_log() {
+    const std::scoped_lock lock(m_mutex);
+    m_ending = true;
+}
 
 void log4cplus_event_log::write(event_id id, std::initializer_list<field> fields) {
-    const event_description* entry = describe(id);
-    const log4cplus::LogLevel level = entry == nullptr ? log4cplus::ERROR_LOG_LEVEL : level_of(entry->level);
-    if (!m_sink->logger.isEnabledFor(level)) {
+    if (!is_enabled(id)) {
+        return;
+    }
+    const auto line = format_event(m_clock.wall_now(), id, m_process, {fields.begin(), fields.size()});
+    const auto worth = importance_of(id);
+    const std::scoped_lock lock(m_mutex);
+    if (!has_place(worth) || !take_line(m_budget, worth, m_clock.now())) {
+        m_left_out.add(id);
+        return;
+    }
+    m_sink->logger.forcedLog(level_of(severity_of(id)), line);
+}
+
+bool log4cplus_event_log::wants(event_id id) {
+    if (!is_enabled(id)) {
+        return false;
+    }
+    const auto worth = importance_of(id);
+    const std::scoped_lock lock(m_mutex);
+    const bool wanted = has_place(worth) && has_room(m_budget, worth, m_clock.now());
+    if (!wanted) {
+        m_left_out.add(id);
+    }
+    return wanted;
+}
+
+std::uint64_t log4cplus_event_log::left_out() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_left_out.total();
+}
+
+bool log4cplus_event_log::is_enabled(event_id id) const {
+    const auto level = severity_of(id);
+    return level == severity::notice || level >= m_lowest;
+}
+
+bool log4cplus_event_log::has_place(importance worth) const {
+    return m_sink->writer.has_room(worth == importance::routine ? reserved_places : 0);
+}
+
+void log4cplus_event_log::sum_up() {
+    const std::scoped_lock lock(m_mutex);
+    if (m_ending || m_left_out.empty() || !has_place(importance::important)) {
         return;
     }
-    m_sink->logger.forcedLog(level, format_event(id, m_process, fields));
+    std::vector<field> counts;
+    for (const auto& [id, count] : m_left_out.take()) {
+        const auto* entry = describe(id);
+        counts.push_back({entry == nullptr ? "unknown" : entry->name, std::to_string(count)});
+    }
+    const auto line = format_event(m_clock.wall_now(), event_id::lines_left_out, m_process, counts);
+    m_sink->logger.forcedLog(log4cplus::INFO_LOG_LEVEL, line);
 }
 
 } // namespace monsoonlift::logging
--- /dev/null
+++ b/src/logging/internal/output_writer.cpp
@@ -0,0 +1,172 @@
+#include "logging/output_writer.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <unistd.h>
+
+namespace monsoonlift::logging {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long the thread waits for a reader before it looks whether it should stop.
+constexpr std::chrono::milliseconds poll_patience = 100ms;
+
+/// How long lines that wait may take to leave when the process ends.
+constexpr std::chrono::milliseconds last_lines_patience = 500ms;
+
+constexpr std::chrono::seconds idle_interval = 1s;
+
+/// A pipe that polls as writable takes this much without blocking.
+constexpr std::size_t most_at_once = PIPE_BUF;
+
+/// A reader that is gone then shows as a failed write of this thread, not as the end of the process.
+void block_broken_pipe_signal() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+bool is_writable(int descriptor) {
+    pollfd watched{descriptor, POLLOUT, 0};
+    return ::poll(&watched, 1, static_cast<int>(poll_patience.count())) > 0;
+}
+
+} // namespace
+
+/// What the owner and the thread share; the thread may outlive the owner if a write never returns.
+struct output_writer::state {
+    state(int to, std::size_t most, std::function<void()> when_idle)
+        : descriptor(to), capacity(most), idle(std::move(when_idle)) {}
+
+    void run();
+    [[nodiscard]] std::optional<std::string> next_line();
+    void write_line(const std::string& line);
+    [[nodiscard]] bool write_piece(std::string_view& rest);
+    void call_idle();
+
+    const int descriptor;
+    const std::size_t capacity;
+
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<std::string> lines;
+    bool ending = false;
+    bool given_up = false; ///< The owner waits no longer, or the reader is gone.
+    bool ended = false;
+    std::function<void()> idle;
+    std::chrono::steady_clock::time_point next_idle = std::chrono::steady_clock::now() + idle_interval;
+};
+
+void output_writer::state::run() {
+    block_broken_pipe_signal();
+    while (true) {
+        const auto line = next_line();
+        if (line) {
+            write_line(*line);
+        }
+        call_idle();
+        const std::scoped_lock lock(mutex);
+        if (ending && (lines.empty() || given_up)) {
+            ended = true;
+            changed.notify_all();
+            return;
+        }
+    }
+}
+
+std::optional<std::string> output_writer::state::next_line() {
+    std::unique_lock lock(mutex);
+    changed.wait_until(lock, next_idle, [this] { return ending || !lines.empty(); });
+    if (lines.empty()) {
+        return std::nullopt;
+    }
+    auto line = std::move(lines.front());
+    lines.pop_front();
+    return line;
+}
+
+void output_writer::state::write_line(const std::string& line) {
+    const std::string bytes = line + '\n';
+    std::string_view rest = bytes;
+    while (!rest.empty() && write_piece(rest)) {
+        call_idle();
+    }
+}
+
+bool output_writer::state::write_piece(std::string_view& rest) {
+    if (is_writable(descriptor)) {
+        const auto written = ::write(descriptor, rest.data(), std::min(rest.size(), most_at_once));
+        if (written >= 0) {
+            rest.remove_prefix(static_cast<std::size_t>(written));
+            return true;
+        }
+        if (errno != EINTR && errno != EAGAIN) {
+            const std::scoped_lock lock(mutex);
+            given_up = true;
+            lines.clear();
+        }
+    }
+    const std::scoped_lock lock(mutex);
+    return !given_up;
+}
+
+void output_writer::state::call_idle() {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < next_idle) {
+        return;
+    }
+    next_idle = now + idle_interval;
+    std::function<void()> call;
+    {
+        const std::scoped_lock lock(mutex);
+        call = ending ? nullptr : idle;
+    }
+    if (call) {
+        call();
+    }
+}
+
+output_writer::output_writer(int descriptor, std::size_t capacity, std::function<void()> idle)
+    : m_state(std::make_shared<state>(descriptor, capacity, std::move(idle))) {
+    std::thread([shared = m_state] { shared->run(); }).detach();
+}
+
+output_writer::~output_writer() {
+    std::unique_lock lock(m_state->mutex);
+    m_state->ending = true;
+    m_state->changed.notify_all();
+    m_state->changed.wait_for(lock, last_lines_patience, [this] { return m_state->ended; });
+    m_state->given_up = true;
+}
+
+bool output_writer::push(std::string line) {
+    const std::scoped_lock lock(m_state->mutex);
+    if (m_state->given_up || m_state->lines.size() >= m_state->capacity) {
+        return false;
+    }
+    m_state->lines.push_back(std::move(line));
+    m_state->changed.notify_all();
+    return true;
+}
+
+bool output_writer::has_room(std::size_t kept_free) const {
+    const std::scoped_lock lock(m_state->mutex);
+    return !m_state->given_up && m_state->lines.size() + kept_free < m_state->capacity;
+}
+
+} // namespace monsoonlift::logging
--- /dev/null
+++ b/src/logging/number_text.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace monsoonlift::logging {
+
+/// Milliseconds with three decimals, such as "12.345".
+[[nodiscard]] std::string milliseconds_text(std::chrono::nanoseconds time);
+
+} // namespace monsoonlift::logging
--- a/src/logging/tests/event_catalogue_tests.cpp
+++ b/src/logging/tests/event_catalogue_tests.cpp
@@ -27,32 +27,22 @@
     return found;
 }
 
-std::string severity_name(severity level) {
-    switch (level) {
-    case severity::info:
-        return "info";
-    case severity::warning:
-        return "warning";
-    case severity::error:
-        return "error";
-    }
-    return "";
-}
-
 } // namespace
 
 TEST_CASE("docs/EVENTS.md and the catalogue agree", "[events]") {
     std::map<int, std::string> catalogued;
     for (const auto& entry : event_catalogue) {
-        catalogued[static_cast<int>(entry.id)] = std::string(entry.name) + " " + severity_name(entry.level);
+        catalogued[static_cast<int>(entry.id)] =
+            std::string(entry.name) + " " + std::string(to_string(entry.level));
     }
     REQUIRE(catalogued.size() == event_catalogue.size());
     REQUIRE(catalogued == documented_events());
 }
 
-TEST_CASE("an event line is one JSON object with its number, name and fields", "[events]") {
-    const std::string line =
-        format_event(event_id::process_started, "d1", {{"address", "a \"quoted\" one\n"}});
-    REQUIRE(line == R"({"event":1000,"name":"process_started","severity":"info","process":"d1",)"
-                    R"("address":"a \"quoted\" one\n"})");
+TEST_CASE("an event line is one JSON object with its time, number, name and fields", "[events]") {
+    const monsoonlift::core::wall_time when{std::chrono::microseconds(1'773'342'245'000'042)};
+    const field fields[] = {{"address", "a \"quoted\" one\n"}};
+    const std::string line = format_event(when, event_id::process_started, "d1", fields);
+    REQUIRE(line == R"({"time":"2026-03-12T19:04:05.000042Z","event":1000,"name":"process_started",)"
+                    R"("severity":"notice","process":"d1","address":"a \"quoted\" one\n"})");
 }
--- /dev/null
+++ b/src/logging/tests/output_writer_tests.cpp
@@ -0,0 +1,71 @@
+#include "logging/output_writer.h"
+
+#include "logging/tests/output_pipe.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using monsoonlift::logging::output_writer;
+using monsoonlift::logging::tests::output_pipe;
+
+namespace {
+
+constexpr std::size_t capacity = 64;
+
+/// More than a pipe holds.
+constexpr std::size_t long_line_bytes = 100'000;
+
+} // namespace
+
+TEST_CASE("lines arrive whole and in order, long ones too", "[events][threads]") {
+    output_pipe pipe;
+    output_writer writer(pipe.writer(), capacity, [] {});
+    REQUIRE(writer.push("first"));
+    REQUIRE(writer.push(std::string(long_line_bytes, 'x')));
+    REQUIRE(writer.push("last"));
+    CHECK(pipe.read_line() == "first");
+    CHECK(pipe.read_line() == std::string(long_line_bytes, 'x'));
+    CHECK(pipe.read_line() == "last");
+}
+
+TEST_CASE("a reader that stopped reading makes lines be refused, not whoever writes wait",
+          "[events][threads]") {
+    output_pipe pipe;
+    std::size_t taken = 0;
+    {
+        output_writer writer(pipe.writer(), capacity, [] {});
+        while (writer.push(std::string(long_line_bytes, 'x'))) {
+            ++taken;
+            REQUIRE(taken <= 2 * capacity);
+        }
+        CHECK_FALSE(writer.has_room(0));
+    }
+    // NOTE: reaching this line shows that the end of the writer didn't wait for the reader either.
+    CHECK(taken >= capacity);
+}
+
+TEST_CASE("lines are taken again once the reader goes on", "[events][threads]") {
+    output_pipe pipe;
+    output_writer writer(pipe.writer(), capacity, [] {});
+    std::size_t taken = 0;
+    while (writer.push(std::string(long_line_bytes, 'x'))) {
+        ++taken;
+    }
+    for (std::size_t line = 0; line < taken; ++line) {
+        REQUIRE(pipe.read_line().size() == long_line_bytes);
+    }
+    REQUIRE(writer.push("again"));
+    CHECK(pipe.read_line() == "again");
+}
+
+TEST_CASE("a reader that is gone ends the writing and nothing else", "[events][threads]") {
+    output_pipe pipe;
+    output_writer writer(pipe.writer(), capacity, [] {});
+    pipe.close_reader();
+    std::size_t taken = 0;
+    while (writer.push("nobody reads this")) {
+        ++taken;
+    }
+    CHECK_FALSE(writer.has_room(0));
+}
--- a/src/routing/internal/routing_table.cpp
+++ b/src/routing/internal/routing_table.cpp
@@ -115,8 +115,9 @@
     std::vector<std::size_t> avoided;
     std::optional<std::size_t> stalest; ///< Idle and longest without a result.
     peer_best best;
-    bool any_usable = false;
-    bool admitted = false; ///< By the thresholds of the service as a whole.
+    std::size_t usable = 0;
+    admission::shed_level level; ///< Threshold of the service as a whole.
+    bool admitted = false;       ///< By that threshold.
 };
 
 void note_stalest(const routing_table& table, std::size_t position, core::steady_time now,
@@ -140,7 +141,7 @@
         if (!is_usable(endpoint, request)) {
             continue;
         }
-        lists.any_usable = true;
+        ++lists.usable;
         lists.best.success = std::max(lists.best.success, endpoint.success);
         if (has_fresh_level(endpoint, now)) {
             levels.push_back(endpoint.report.level);
@@ -154,7 +155,8 @@
             lists.remote.push_back(position);
         }
     }
-    lists.admitted = admission::admits(median_level(levels), request.context);
+    lists.level = median_level(levels);
+    lists.admitted = admission::admits(lists.level, request.context);
     return lists;
 }
 
@@ -247,24 +249,37 @@
     }
 }
 
+void add_endpoint(route_evidence& evidence, const routing_table& table, const endpoint_state& chosen,
+                  core::steady_time now) {
+    evidence.is_local = chosen.data_centre == table.data_centre;
+    evidence.report = chosen.report;
+    evidence.report_age = now - chosen.reported;
+    evidence.in_flight = chosen.in_flight;
+}
+
 } // namespace
 
 route_choice choose(routing_table& table, const route_request& request, random_engine& random,
                     core::steady_time now) {
     const auto found = table.by_service.find(request.service);
     if (found == table.by_service.end() || found->second.empty()) {
-        return {std::nullopt, no_route::unknown_service};
+        return {std::nullopt, no_route::unknown_service, {}};
     }
     const candidate_lists lists = list_candidates(table, found->second, request, now);
-    if (!lists.any_usable) {
-        return {std::nullopt, no_route::all_excluded};
+    route_evidence evidence;
+    evidence.usable = lists.usable;
+    evidence.level = lists.level;
+    if (lists.usable == 0) {
+        return {std::nullopt, no_route::all_excluded, evidence};
     }
     if (!lists.admitted) {
-        return {std::nullopt, no_route::shed};
+        return {std::nullopt, no_route::shed, evidence};
     }
     const auto probe = choose_probe(lists, request.context, random);
     const std::size_t chosen = probe ? *probe : choose_among(table, lists, random, now);
-    return {table.endpoints[chosen].id, no_route::unknown_service};
+    evidence.is_probe = probe.has_value();
+    add_endpoint(evidence, table, table.endpoints[chosen], now);
+    return {table.endpoints[chosen].id, no_route::unknown_service, evidence};
 }
 
 bool has_untried(const routing_table& table, const route_request& request) {
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -66,10 +66,22 @@
 /// Why no endpoint was chosen.
 enum class no_route { unknown_service, all_excluded, shed };
 
+/// What a choice rested on, for the log.
+struct route_evidence {
+    std::size_t usable = 0;      ///< Endpoints that could have been chosen.
+    admission::shed_level level; ///< Threshold of the service as a whole, of reports that are fresh.
+    bool is_local = false;       ///< The endpoint chosen is in the entry's data centre.
+    bool is_probe = false;       ///< Chosen to learn about it again.
+    load_report report;          ///< Latest of the endpoint chosen.
+    std::chrono::nanoseconds report_age{0};
+    std::uint32_t in_flight = 0; ///< Calls of this entry at the endpoint.
+};
+
 /// The choice: an endpoint, or the reason why there is none.
 struct route_choice {
     std::optional<core::endpoint_id> endpoint;
     no_route reason = no_route::unknown_service;
+    route_evidence evidence;
 };
 
 /// How an attempt at an endpoint ended.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -27,7 +27,8 @@
     std::string admin_token;         ///< Demanded by every administrative change.
     std::vector<std::string> seed_peers; ///< Membership addresses to join by when the platform is out.
     std::string log_level = "info";
-    std::string decisions = "on"; ///< "off" makes the daemon a pass-through, for comparison.
+    std::size_t log_lines_per_second = 200; ///< Beyond it lines are counted and summed up.
+    std::string decisions = "on";           ///< "off" makes the daemon a pass-through, for comparison.
     std::size_t workers = 2;
     std::size_t body_chunk_bytes = 64 * 1024;
     std::size_t body_credit_chunks = 8;
--- a/src/settings/internal/daemon_settings.cpp
+++ b/src/settings/internal/daemon_settings.cpp
@@ -23,6 +23,7 @@
                                           "admin_token",
                                           "seed_peers",
                                           "log_level",
+                                          "log_lines_per_second",
                                           "decisions",
                                           "workers",
                                           "body_chunk_bytes",
@@ -105,9 +106,12 @@
 
 void read_limits(yaml_reader& reader, daemon_settings& settings) {
     constexpr std::uint64_t most_workers = 64;
+    constexpr std::uint64_t most_log_lines = 100'000;
     constexpr std::uint64_t least_chunk_bytes = 1024;
     constexpr std::uint64_t most_chunk_bytes = 1024 * 1024;
     constexpr std::uint64_t most_credit_chunks = 64;
+    settings.log_lines_per_second =
+        reader.whole_number("log_lines_per_second", 1, most_log_lines, settings.log_lines_per_second);
     settings.workers = reader.whole_number("workers", 1, most_workers, settings.workers);
     settings.body_chunk_bytes = reader.whole_number("body_chunk_bytes", least_chunk_bytes, most_chunk_bytes,
                                                     settings.body_chunk_bytes);
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -5,6 +5,7 @@
 #include "core/types/call_ids.h"
 #include "core/types/verdict.h"
 #include "routing/routing_table.h"
+#include "transport/types/end_reason.h"
 
 #include <chrono>
 #include <cstdint>
@@ -41,26 +42,6 @@
     std::uint64_t homes_version = 0;                  ///< Latest table of homes that the entry knows.
 };
 
-/// Why an attempt ended, beyond its verdict.
-enum class end_reason : std::uint8_t {
-    answered,        ///< The backend server's answer is whole.
-    shed,            ///< Refused by the threshold or the queue of the gate.
-    draining,        ///< The gate takes no new work.
-    no_backend,      ///< No backend server has announced itself, or it refuses connections.
-    deadline,        ///< The deadline passed.
-    cancelled,       ///< The entry asked for it.
-    backend_failed,  ///< The backend server broke off.
-    backend_refused, ///< The backend server said that it did not run the request.
-    body_damaged,    ///< The request body did not arrive as its entry sent it.
-    key_conflict,    ///< The key was used for another request.
-    already_running, ///< A request of the same key may have run.
-    wrong_service,   ///< The backend server beside the gate is of another service.
-    wrong_home,      ///< Another gate is the home of the key.
-    home_unknown,    ///< The home of the key is not known or is being handed over.
-    refused_key,     ///< The key is not valid any more or not yet, or an earlier request of it is unclear.
-    quarantined      ///< The request crashed backend servers.
-};
-
 /// The end of an attempt as its gate saw it.
 struct attempt_end {
     core::verdict run = core::verdict::may_have_run;
