--- a/cmake/monsoonlift.cmake
+++ b/cmake/monsoonlift.cmake
@@ -1,5 +1,8 @@
 # Build rules that every module folder shares.
 
+# A unit test that runs longer hangs; sanitized builds are not optimised and take several times longer.
+set(MONSOONLIFT_TEST_HANG_SECONDS 300)
+
 # monsoonlift_module(NAME SOURCES ... DEPENDS ...): a static library; DEPENDS names libraries or other modules.
 function(monsoonlift_module name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
@@ -39,7 +42,7 @@
         list(APPEND labels threads)
         add_dependencies(threads_tests ${name}_tests)
     endif()
-    set_tests_properties(${name}_tests PROPERTIES LABELS "${labels}" TIMEOUT 120)
+    set_tests_properties(${name}_tests PROPERTIES LABELS "${labels}" TIMEOUT ${MONSOONLIFT_TEST_HANG_SECONDS})
 endfunction()
 
 # monsoonlift_program(NAME SOURCES ... DEPENDS ...): an executable in build/bin.
