One reading of addresses and one silent log; a stalled log reader shown with a real daemon

Change: core/network_address serves transport, membership, network, gate, announcements, platform, settings, stand-ins and tools; testing/silent_log serves the tests. An IPv6 address in brackets is now allowed wherever an address is.

--- a/src/admin/internal/announcement.cpp
+++ b/src/admin/internal/announcement.cpp
@@ -1,10 +1,10 @@
 #include "admin/announcement.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "core/network_address.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace monsoonlift::admin {
@@ -35,16 +35,8 @@
 }
 
 bool is_address(const std::string& text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    boost::system::error_code failure;
-    static_cast<void>(boost::asio::ip::make_address(text.substr(0, colon), failure));
-    std::uint16_t port = 0;
-    const auto* end = text.data() + text.size();
-    const auto [rest, wrong] = std::from_chars(text.data() + colon + 1, end, port);
-    return !failure && wrong == std::errc() && rest == end && port != 0;
+    const auto address = core::parse_network_address(text);
+    return address && address->port != 0;
 }
 
 } // namespace
--- a/src/app/monsoonliftd/tests/call_process_tests.py
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -51,6 +51,8 @@
               "attempt_sent": ("attempt_answered", "attempt_failed", "attempt_redirected")}
 ENTRY_AND_GATE_OF_REFUSAL = ("call_accepted", "attempt_sent", "attempt_not_admitted", "attempt_failed", "call_refused")
 LOG_LINES_OF_FAILURE = 60
+UNREAD_LINES_PER_SECOND = 100_000
+MOST_UNREAD_CALLS = 5_000
 QUOTED_BYTES = 300
 MOST_QUOTED = 5
 BAD_REQUESTS = (
@@ -106,14 +108,19 @@
     return response.status
 
 
-def metric(daemon: Daemon, series: str) -> float:
-    """The value of one series on the daemon's admin port."""
-    for line in calls.call(daemon.admin, "GET", "/metrics").body.decode().splitlines():
+def metric_at(admin: str, series: str) -> float:
+    """The value of one series on a daemon's admin port."""
+    for line in calls.call(admin, "GET", "/metrics").body.decode().splitlines():
         if line.startswith(series + " "):
             return float(line.removeprefix(series))
     raise KeyError(series)
 
 
+def metric(daemon: Daemon, series: str) -> float:
+    """The value of one series of a daemon."""
+    return metric_at(daemon.admin, series)
+
+
 def callers_gone(daemon: Daemon) -> float:
     """Calls whose callers went away, as the daemon counts them."""
     return sum(metric(daemon, f'monsoonlift_calls_ended_total{{class="lookup",outcome="caller_gone",verdict="{verdict}"}}')
@@ -435,6 +442,39 @@
                        if event["name"] == "attempt_broken" and event["service"] == "priorita"]
         self.assertEqual([event["sent"] for event in out_of_time], ["yes"], story.text)
 
+    def test_a_reader_of_the_log_that_stalls_or_leaves_delays_no_call(self) -> None:
+        fleet = self.start(BackendOptions("squadre"))
+        settings = fleet.folder / "unread.yaml"
+        text = (fleet.folder / f"{fleet.daemons[0].name}.yaml").read_text()
+        settings.write_text(text.replace(f'name: "{fleet.daemons[0].name}"', 'name: "unread"') +
+                            f"log_lines_per_second: {UNREAD_LINES_PER_SECOND}\n")
+        daemon = subprocess.Popen([str(BINARIES / "monsoonliftd"), "--settings", str(settings)],
+                                  stdout=subprocess.PIPE, text=True)
+        self.addCleanup(daemon.wait)
+        self.addCleanup(daemon.kill)
+        self.addCleanup(daemon.stdout.close)
+        started = next(event for event in map(json.loads, daemon.stdout) if event["name"] == "process_started")
+        wait_for(lambda: calls.call(started["caller"], "GET", "/crews",
+                                    headers={"Monsoonlift-Service": "squadre"}).status == 200, "the daemon to serve")
+        self.assertEqual(self.lookups_until_lines_are_left_out(started), {200})
+        daemon.stdout.close()
+        answers = [calls.call(started["caller"], "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+                   for _ in range(10)]
+        self.assertEqual({answer.status for answer in answers}, {200})
+        daemon.send_signal(signal.SIGTERM)
+        self.assertEqual(daemon.wait(), 0)
+
+    def lookups_until_lines_are_left_out(self, started: dict[str, str]) -> set[int]:
+        """Sends lookups to a daemon whose log nobody reads until it leaves lines out; the statuses."""
+        statuses = set()
+        left_out = "monsoonlift_log_lines_left_out_total"
+        for _ in range(MOST_UNREAD_CALLS):
+            answer = calls.call(started["caller"], "GET", "/crews", headers={"Monsoonlift-Service": "squadre"})
+            statuses.add(answer.status)
+            if metric_at(started["admin"], left_out) > 0:
+                return statuses
+        raise AssertionError(f"no line left out after {MOST_UNREAD_CALLS} calls")
+
     def test_every_answer_names_its_request(self) -> None:
         fleet = self.start(BackendOptions("squadre"))
         entry = fleet.daemons[0].caller
--- a/src/app/platform_standin/main.cpp
+++ b/src/app/platform_standin/main.cpp
@@ -4,7 +4,6 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
-#include <limits>
 #include <map>
 #include <string>
 
@@ -14,6 +13,7 @@
 #include <boost/json.hpp>
 #include <docopt/docopt.h>
 
+#include "core/network_address.h"
 #include "platform/http_target.h"
 
 namespace {
@@ -37,15 +37,11 @@
 )";
 
 asio::ip::tcp::endpoint parse_listen(const std::string& text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        throw std::invalid_argument("--listen takes ip:port");
+    const auto address = monsoonlift::core::parse_network_address(text);
+    if (!address) {
+        throw std::invalid_argument("--listen takes ip:port, found \"" + text + "\"");
     }
-    const auto port = monsoonlift::platform::parse_whole_number(std::string_view(text).substr(colon + 1));
-    if (!port || *port > std::numeric_limits<std::uint16_t>::max()) {
-        throw std::invalid_argument("--listen takes a port from 0 to 65535");
-    }
-    return {asio::ip::make_address(text.substr(0, colon)), static_cast<std::uint16_t>(*port)};
+    return address->endpoint<asio::ip::tcp>();
 }
 
 int serve(const std::string& listen, std::uint64_t seed) {
--- a/src/execution/tests/crash_tests.cpp
+++ b/src/execution/tests/crash_tests.cpp
@@ -1,4 +1,5 @@
 #include "execution/crash_guard.h"
+#include "testing/silent_log.h"
 
 #include "testing/manual_clock.h"
 
@@ -18,15 +19,10 @@
 constexpr request_fingerprint bystander{1};
 constexpr request_fingerprint other{2};
 
-class silent_log final : public monsoonlift::logging::event_log {
-public:
-    void write(event_id, std::initializer_list<monsoonlift::logging::field>) override {}
-};
-
 /// Gates whose rumors reach each other as soon as deliver() is called.
 struct fleet {
     manual_clock clock;
-    silent_log log;
+    monsoonlift::testing::silent_log log;
     std::vector<std::pair<std::uint32_t, std::string>> rumors;
     std::vector<std::unique_ptr<crash_guard>> gates;
 
--- a/src/execution/tests/home_keeper_tests.cpp
+++ b/src/execution/tests/home_keeper_tests.cpp
@@ -1,4 +1,5 @@
 #include "execution/home_keeper.h"
+#include "testing/silent_log.h"
 
 #include "platform/testing/fake_object_api.h"
 #include "platform/testing/manual_scheduler.h"
@@ -20,11 +21,6 @@
 
 namespace {
 
-class silent_log final : public monsoonlift::logging::event_log {
-public:
-    void write(monsoonlift::logging::event_id, std::initializer_list<monsoonlift::logging::field>) override {}
-};
-
 /// Gates of one service on one store.
 struct fleet {
     struct gate {
@@ -38,7 +34,7 @@
     manual_clock clock;
     manual_scheduler scheduler{clock};
     memory_store store;
-    silent_log log;
+    monsoonlift::testing::silent_log log;
     std::vector<std::unique_ptr<gate>> gates;
     std::vector<endpoint_id> present; ///< Gates that take new work.
 
--- a/src/gate/internal/backend_pool.cpp
+++ b/src/gate/internal/backend_pool.cpp
@@ -1,5 +1,7 @@
 #include "gate/internal/backend_pool.h"
 
+#include "core/network_address.h"
+
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -18,10 +20,8 @@
 } // namespace
 
 boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    boost::system::error_code failure;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), failure);
-    return {ip, static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    const auto parsed = core::parse_network_address(address);
+    return parsed ? parsed->endpoint<boost::asio::ip::tcp>() : boost::asio::ip::tcp::endpoint();
 }
 
 backend_pool::backend_pool(boost::asio::any_io_executor executor) : m_executor(std::move(executor)) {}
--- a/src/gate/internal/backend_pool.h
+++ b/src/gate/internal/backend_pool.h
@@ -21,7 +21,7 @@
     std::string address;
 };
 
-/// The endpoint of a checked "ip:port".
+/// The endpoint of an "ip:port"; for another text one that refuses every connection.
 [[nodiscard]] boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address);
 
 /// Idle connections to the backend server. Thread-safe.
--- a/src/gate/tests/backend_restart_tests.cpp
+++ b/src/gate/tests/backend_restart_tests.cpp
@@ -1,5 +1,6 @@
 // A backend server that is restarted at the same address so fast that no connection is refused.
 #include "gate/gate_service.h"
+#include "testing/silent_log.h"
 
 #include "core/system_clock.h"
 #include "gate/gate_table.h"
@@ -23,11 +24,6 @@
 
 namespace {
 
-class silent_log final : public logging::event_log {
-public:
-    void write(logging::event_id, std::initializer_list<logging::field>) override {}
-};
-
 class counting_sender final : public transport::frame_sender {
 public:
     void send(const core::endpoint_id&, transport::frame) override { ++sent; }
@@ -100,7 +96,7 @@
     tcp::acceptor backend{io, {boost::asio::ip::address_v4::loopback(), 0}};
     tcp::socket connection{io};
     core::system_clock clock;
-    silent_log log;
+    testing::silent_log log;
     counting_sender sender;
     std::vector<execution::crash_report> reports;
     execution::execution_ledger ledger{clock, sender.self(), {}};
--- a/src/logging/event_log.h
+++ b/src/logging/event_log.h
@@ -3,6 +3,7 @@
 
 #include "logging/event_catalogue.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
     /// Whether a line of that event would be written now; if not, it is counted as left out. Lets a caller on
     /// the path of a request skip the work of composing a line. Safe to call from any thread.
     [[nodiscard]] virtual bool wants(event_id /*id*/) { return true; }
+
+    /// Lines that were not written since the start, to bound the log. Safe to call from any thread.
+    [[nodiscard]] virtual std::uint64_t left_out() const { return 0; }
 };
 
 } // namespace monsoonlift::logging
--- a/src/logging/internal/output_writer.cpp
+++ b/src/logging/internal/output_writer.cpp
@@ -11,9 +11,9 @@
 #include <thread>
 #include <utility>
 
+#include <csignal>
 #include <poll.h>
 #include <pthread.h>
-#include <signal.h>
 #include <unistd.h>
 
 namespace monsoonlift::logging {
--- a/src/logging/log4cplus_event_log.h
+++ b/src/logging/log4cplus_event_log.h
@@ -32,9 +32,7 @@
 
     void write(event_id id, std::initializer_list<field> fields) override;
     [[nodiscard]] bool wants(event_id id) override;
-
-    /// Lines that were not written since the start.
-    [[nodiscard]] std::uint64_t left_out() const;
+    [[nodiscard]] std::uint64_t left_out() const override;
 
 private:
     struct sink;
--- a/src/membership/internal/packed_address.cpp
+++ b/src/membership/internal/packed_address.cpp
@@ -1,11 +1,11 @@
 #include "membership/internal/packed_address.h"
 
+#include "core/network_address.h"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
-#include <optional>
 
 namespace monsoonlift::membership::internal {
 
@@ -17,13 +17,6 @@
 constexpr std::size_t packed_ip4_bytes = 6;
 constexpr std::size_t packed_ip6_bytes = 18;
 
-std::optional<std::uint16_t> parse_port(const std::string& text) {
-    std::uint16_t port = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), port);
-    const bool whole = fault == std::errc() && end == text.data() + text.size();
-    return whole ? std::optional(port) : std::nullopt;
-}
-
 std::string bytes_of(const ip::address& address) {
     std::string bytes;
     if (address.is_v4()) {
@@ -45,23 +38,13 @@
 } // namespace
 
 std::string pack_address(const std::string& text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return {};
-    }
-    std::string host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[') {
-        host = host.substr(1, host.size() - 2);
-    }
-    boost::system::error_code fault;
-    const ip::address address = ip::make_address(host, fault);
-    const std::optional<std::uint16_t> port = parse_port(text.substr(colon + 1));
-    if (fault || !port) {
+    const auto address = core::parse_network_address(text);
+    if (!address) {
         return {};
     }
-    std::string packed = bytes_of(address);
-    packed.push_back(static_cast<char>(*port >> 8));
-    packed.push_back(static_cast<char>(*port & 0xFF));
+    std::string packed = bytes_of(address->ip);
+    packed.push_back(static_cast<char>(address->port >> 8));
+    packed.push_back(static_cast<char>(address->port & 0xFF));
     return packed;
 }
 
--- a/src/membership/tests/member_object_tests.cpp
+++ b/src/membership/tests/member_object_tests.cpp
@@ -1,4 +1,5 @@
 #include "membership/internal/member_object_keeper.h"
+#include "testing/silent_log.h"
 
 #include "membership/membership_service.h"
 #include "membership/message_codec.h"
@@ -23,11 +24,6 @@
 
 namespace {
 
-class silent_log final : public logging::event_log {
-public:
-    void write(logging::event_id, std::initializer_list<logging::field>) override {}
-};
-
 constexpr std::chrono::seconds patience = member_object_cleaner::patience;
 
 std::string value_of(const std::string& membership_address, std::uint64_t life) {
@@ -86,7 +82,7 @@
     platform::testing::manual_scheduler scheduler{clock};
     platform::testing::memory_store store;
     platform::testing::fake_object_api api{store, scheduler};
-    silent_log log;
+    testing::silent_log log;
     std::map<std::string, member_belief> beliefs;
     std::vector<std::string> last_peers;
     std::shared_ptr<member_object_keeper> keeper;
@@ -251,7 +247,7 @@
     platform::testing::manual_scheduler scheduler(clock);
     platform::testing::memory_store store;
     platform::testing::fake_object_api api(store, scheduler);
-    silent_log log;
+    testing::silent_log log;
     member_directory directory;
     membership_options options;
     options.self.id = {"127.0.0.1:7000", {5}};
--- a/src/network/address_text.h
+++ b/src/network/address_text.h
@@ -6,7 +6,7 @@
 
 namespace monsoonlift::network {
 
-/// Reads "ip:port" that has been checked before; throws if it is something else.
+/// Reads "ip:port"; throws boost::system::system_error if the text is something else.
 [[nodiscard]] boost::asio::ip::tcp::endpoint parse_address(const std::string& text);
 
 /// "ip:port".
--- a/src/network/internal/address_text.cpp
+++ b/src/network/internal/address_text.cpp
@@ -1,17 +1,21 @@
 #include "network/address_text.h"
 
-#include <cstdint>
+#include "core/network_address.h"
+
+#include <boost/system/system_error.hpp>
 
 namespace monsoonlift::network {
 
 boost::asio::ip::tcp::endpoint parse_address(const std::string& text) {
-    const auto colon = text.rfind(':');
-    const auto port = static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)));
-    return {boost::asio::ip::make_address(text.substr(0, colon)), port};
+    const auto parsed = core::parse_network_address(text);
+    if (!parsed) {
+        throw boost::system::system_error(boost::asio::error::invalid_argument, text);
+    }
+    return parsed->endpoint<boost::asio::ip::tcp>();
 }
 
 std::string to_text(const boost::asio::ip::tcp::endpoint& address) {
-    return address.address().to_string() + ":" + std::to_string(address.port());
+    return core::to_string({address.address(), address.port()});
 }
 
 } // namespace monsoonlift::network
--- a/src/platform/internal/http_exchange.cpp
+++ b/src/platform/internal/http_exchange.cpp
@@ -1,13 +1,12 @@
 #include "platform/internal/http_exchange.h"
 
-#include <limits>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "platform/http_target.h"
+#include "core/network_address.h"
 
 namespace monsoonlift::platform::internal {
 
@@ -26,21 +25,8 @@
 } // namespace
 
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    auto host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    const auto port = parse_whole_number(std::string_view(address).substr(colon + 1));
-    boost::system::error_code failure;
-    const auto parsed = asio::ip::make_address(host, failure);
-    if (failure || !port || *port > std::numeric_limits<std::uint16_t>::max()) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(parsed, static_cast<std::uint16_t>(*port));
+    const auto parsed = core::parse_network_address(address);
+    return parsed ? std::optional(parsed->endpoint<asio::ip::tcp>()) : std::nullopt;
 }
 
 http_exchange::http_exchange(std::shared_ptr<connection_pool> pool, std::string address, http_request request,
--- a/src/settings/internal/daemon_settings.cpp
+++ b/src/settings/internal/daemon_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "core/network_address.h"
 #include "settings/yaml_reader.h"
 
 namespace monsoonlift::settings {
@@ -43,15 +44,7 @@
 }
 
 bool is_address(const std::string& text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6) {
-        return false;
-    }
-    if (!is_ip(text.substr(0, colon))) {
-        return false;
-    }
-    const std::string port = text.substr(colon + 1);
-    return port.find_first_not_of("0123456789") == std::string::npos && std::stoi(port) <= 65535;
+    return core::parse_network_address(text).has_value();
 }
 
 std::string read_address(yaml_reader& reader, std::string_view key) {
@@ -73,7 +66,8 @@
 }
 
 bool is_reachable(const std::string& text) {
-    return is_address(text) && std::stoi(text.substr(text.rfind(':') + 1)) != 0;
+    const auto address = core::parse_network_address(text);
+    return address && address->port != 0;
 }
 
 void read_transport(yaml_reader& reader, daemon_settings& settings) {
--- a/src/transport/tests/two_daemons.h
+++ b/src/transport/tests/two_daemons.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/system_clock.h"
+#include "testing/silent_log.h"
 #include "transport/internal/framing.h"
 #include "transport/tcp_transport.h"
 
@@ -19,11 +20,6 @@
 namespace monsoonlift::transport::testing {
 
 /// A log that keeps nothing.
-class silent_log final : public logging::event_log {
-public:
-    void write(logging::event_id, std::initializer_list<logging::field>) override {}
-};
-
 /// Keeps what arrives and waits for it.
 class recorder {
 public:
@@ -83,7 +79,7 @@
 
     core::system_clock system_time;
     const core::clock& clock;
-    silent_log log;
+    monsoonlift::testing::silent_log log;
     boost::asio::io_context io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{io.get_executor()};
     recorder left_seen;
