Write log lines in batches, and end the writer before its descriptor may be closed

Cause: the writer's thread woke for each line. Its owner did not wait for a thread that still held bytes for a reader who had stalled; with lines of 100,000 bytes a test saw the rest of an earlier test's line in its own pipe, whose descriptor had the same number (5 of 9 runs). Change: lines of 50 ms leave together; the destructor waits for the thread to give up. Lines are composed in memory on the stack. The test of a reader that is gone waits for that to be noticed in place of taking any refusal for it.

--- a/src/logging/internal/event_format.cpp
+++ b/src/logging/internal/event_format.cpp
@@ -6,11 +6,22 @@
 #include <cstdio>
 #include <ctime>
 
+#include <boost/json/monotonic_resource.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace monsoonlift::logging {
 
+namespace {
+
+/// Fields that every line has.
+constexpr std::size_t own_fields = 5;
+
+/// Most lines are composed without asking for memory.
+constexpr std::size_t usual_line_bytes = 4096;
+
+} // namespace
+
 std::string_view to_string(severity level) {
     switch (level) {
     case severity::info:
@@ -46,7 +57,10 @@
 
 std::string format_event(core::wall_time when, event_id id, std::string_view process,
                          std::span<const field> fields) {
-    boost::json::object line;
+    std::array<unsigned char, usual_line_bytes> space{};
+    boost::json::monotonic_resource memory(space.data(), space.size());
+    boost::json::object line(&memory);
+    line.reserve(own_fields + fields.size());
     line["time"] = utc_text(when);
     line["event"] = static_cast<std::uint16_t>(id);
     if (const event_description* entry = describe(id); entry != nullptr) {
--- a/src/logging/internal/output_writer.cpp
+++ b/src/logging/internal/output_writer.cpp
@@ -6,7 +6,6 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
-#include <optional>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -30,6 +29,9 @@
 
 constexpr std::chrono::seconds idle_interval = 1s;
 
+/// Lines of this time leave together, so that a busy process does not wake the thread for each.
+constexpr std::chrono::milliseconds gathering_time = 50ms;
+
 /// A pipe that polls as writable takes this much without blocking.
 constexpr std::size_t most_at_once = PIPE_BUF;
 
@@ -54,9 +56,10 @@
         : descriptor(to), capacity(most), idle(std::move(when_idle)) {}
 
     void run();
-    [[nodiscard]] std::optional<std::string> next_line();
-    void write_line(const std::string& line);
+    [[nodiscard]] std::string next_bytes();
+    void write_bytes(std::string_view rest);
     [[nodiscard]] bool write_piece(std::string_view& rest);
+    [[nodiscard]] bool is_given_up() const;
     void call_idle();
 
     const int descriptor;
@@ -75,10 +78,8 @@
 void output_writer::state::run() {
     block_broken_pipe_signal();
     while (true) {
-        const auto line = next_line();
-        if (line) {
-            write_line(*line);
-        }
+        const auto bytes = next_bytes();
+        write_bytes(bytes);
         call_idle();
         const std::scoped_lock lock(mutex);
         if (ending && (lines.empty() || given_up)) {
@@ -89,27 +90,29 @@
     }
 }
 
-std::optional<std::string> output_writer::state::next_line() {
+std::string output_writer::state::next_bytes() {
     std::unique_lock lock(mutex);
     changed.wait_until(lock, next_idle, [this] { return ending || !lines.empty(); });
-    if (lines.empty()) {
-        return std::nullopt;
+    if (!lines.empty()) {
+        changed.wait_for(lock, gathering_time, [this] { return ending; });
+    }
+    std::string bytes;
+    for (const auto& line : lines) {
+        bytes += line;
+        bytes += '\n';
     }
-    auto line = std::move(lines.front());
-    lines.pop_front();
-    return line;
+    lines.clear();
+    return bytes;
 }
 
-void output_writer::state::write_line(const std::string& line) {
-    const std::string bytes = line + '\n';
-    std::string_view rest = bytes;
+void output_writer::state::write_bytes(std::string_view rest) {
     while (!rest.empty() && write_piece(rest)) {
         call_idle();
     }
 }
 
 bool output_writer::state::write_piece(std::string_view& rest) {
-    if (is_writable(descriptor)) {
+    if (is_writable(descriptor) && !is_given_up()) {
         const auto written = ::write(descriptor, rest.data(), std::min(rest.size(), most_at_once));
         if (written >= 0) {
             rest.remove_prefix(static_cast<std::size_t>(written));
@@ -121,8 +124,12 @@
             lines.clear();
         }
     }
+    return !is_given_up();
+}
+
+bool output_writer::state::is_given_up() const {
     const std::scoped_lock lock(mutex);
-    return !given_up;
+    return given_up;
 }
 
 void output_writer::state::call_idle() {
@@ -150,8 +157,14 @@
     std::unique_lock lock(m_state->mutex);
     m_state->ending = true;
     m_state->changed.notify_all();
-    m_state->changed.wait_for(lock, last_lines_patience, [this] { return m_state->ended; });
+    const auto has_ended = [this] {
+        return m_state->ended;
+    };
+    m_state->changed.wait_for(lock, last_lines_patience, has_ended);
     m_state->given_up = true;
+    // NOTE: the thread looks at this after each wait for the reader, so it ends before the descriptor may be
+    // closed.
+    m_state->changed.wait_for(lock, last_lines_patience, has_ended);
 }
 
 bool output_writer::push(std::string line) {
@@ -160,10 +173,16 @@
         return false;
     }
     m_state->lines.push_back(std::move(line));
-    m_state->changed.notify_all();
+    if (m_state->lines.size() == 1) {
+        m_state->changed.notify_all();
+    }
     return true;
 }
 
+bool output_writer::is_reader_gone() const {
+    return m_state->is_given_up();
+}
+
 bool output_writer::has_room(std::size_t kept_free) const {
     const std::scoped_lock lock(m_state->mutex);
     return !m_state->given_up && m_state->lines.size() + kept_free < m_state->capacity;
--- a/src/logging/output_writer.h
+++ b/src/logging/output_writer.h
@@ -13,8 +13,8 @@
 /// A bounded queue of lines and the thread that writes them.
 class output_writer {
 public:
-    /// `descriptor` stays open for the writer's lifetime. At most `capacity` lines wait; `idle` is called
-    /// about once a second on the writer's thread, whether or not there is anything to write.
+    /// `descriptor` stays open for the writer's lifetime. At most `capacity` lines wait, and as many more are
+    /// being written. `idle` is called about once a second on the writer's thread, written to or not.
     output_writer(int descriptor, std::size_t capacity, std::function<void()> idle);
 
     /// Gives the lines that wait a moment to leave, then stops; never waits for a reader that has stalled.
@@ -26,6 +26,9 @@
     /// the reader. Safe to call from any thread.
     [[nodiscard]] bool push(std::string line);
 
+    /// Whether the reader has closed its end; no line is taken any more.
+    [[nodiscard]] bool is_reader_gone() const;
+
     /// Whether a line would be taken while leaving that many places free.
     [[nodiscard]] bool has_room(std::size_t kept_free) const;
 
--- a/src/logging/tests/output_writer_tests.cpp
+++ b/src/logging/tests/output_writer_tests.cpp
@@ -3,6 +3,7 @@
 #include "logging/tests/output_pipe.h"
 
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -63,9 +64,10 @@
     output_pipe pipe;
     output_writer writer(pipe.writer(), capacity, [] {});
     pipe.close_reader();
-    std::size_t taken = 0;
-    while (writer.push("nobody reads this")) {
-        ++taken;
+    REQUIRE(writer.push("nobody reads this"));
+    while (!writer.is_reader_gone()) {
+        std::this_thread::yield();
     }
+    CHECK_FALSE(writer.push("nor this"));
     CHECK_FALSE(writer.has_room(0));
 }
