Wait for log lines in a test, keep the common fields of a line, spell thresholds once

In the same print a member's line had the member's name in place of the event's: its field was called name. Change: the test waits for both lines and then checks them as before; the field is called member, and a field of an event can no longer take the place of one that every line has (test first). The spelling of a threshold stood at entry and gate. Ruled out: a lost line (nothing was left out, both lines come).

--- a/src/admission/internal/shedding.cpp
+++ b/src/admission/internal/shedding.cpp
@@ -1,5 +1,7 @@
 #include "admission/shedding.h"
 
+#include "admission/shed_level_text.h"
+
 #include <algorithm>
 
 namespace monsoonlift::admission {
@@ -152,6 +154,10 @@
 
 } // namespace
 
+std::string to_string(const shed_level& level) {
+    return std::to_string(level.rank) + "/" + std::to_string(level.bucket);
+}
+
 std::uint32_t position_of(const core::call_context& context) {
     return static_cast<std::uint32_t>(kind_of(context)) * root_buckets +
            core::bucket_of(context.root, root_buckets);
--- a/src/app/monsoonliftd/tests/call_process_tests.py
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -385,6 +385,8 @@
             for series, before in known.items():
                 wait_for(lambda d=daemon, s=series, b=before: metric(d, s) - b == 1, f"one more {series}")
         self.assertGreater(metric(gate, 'monsoonlift_gate_admitted_total{class="urgent"}'), 0)
+        for daemon, name in ((entry, "call_may_have_run"), (gate, "backend_broke_off")):
+            wait_for(lambda d=daemon, n=name: events(d, n), f"{name} in the log of {daemon.name}")
         told = events(entry, "call_may_have_run")
         self.assertEqual([(one["event"], one["class"], one["service"], one["left_out"]) for one in told],
                          [(2004, "urgent", "squadre", "0")])
--- a/src/entry/internal/call_decisions.cpp
+++ b/src/entry/internal/call_decisions.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/call_decisions.h"
 
+#include "admission/shed_level_text.h"
 #include "core/types/verdict.h"
 #include "logging/number_text.h"
 
@@ -29,13 +30,10 @@
     return value ? "yes" : "no";
 }
 
-std::string level_text(const admission::shed_level& level) {
-    return std::to_string(level.rank) + "/" + std::to_string(level.bucket);
-}
-
 std::string load_text(const routing::load_report& report) {
     return std::to_string(report.running) + " running, " + std::to_string(report.waiting) +
-           " waiting, limit " + std::to_string(report.limit) + ", level " + level_text(report.level);
+           " waiting, limit " + std::to_string(report.limit) + ", level " +
+           admission::to_string(report.level);
 }
 
 } // namespace
@@ -158,7 +156,7 @@
                                          {"attempts", std::to_string(end.attempts)},
                                          {"took_ms", milliseconds_text(end.took)},
                                          {"usable", std::to_string(evidence.usable)},
-                                         {"level", level_text(evidence.level)},
+                                         {"level", admission::to_string(evidence.level)},
                                          {"retry_after_s", retry_after}});
 }
 
--- a/src/gate/internal/attempt_decisions.cpp
+++ b/src/gate/internal/attempt_decisions.cpp
@@ -1,5 +1,6 @@
 #include "gate/internal/attempt_decisions.h"
 
+#include "admission/shed_level_text.h"
 #include "logging/number_text.h"
 
 namespace monsoonlift::gate::internal {
@@ -13,10 +14,6 @@
     return std::to_string(value);
 }
 
-std::string level_text(const admission::shed_level& level) {
-    return number(level.rank) + "/" + number(level.bucket);
-}
-
 } // namespace
 
 attempt_decisions::attempt_decisions(logging::event_log& log) : m_log(log) {}
@@ -54,7 +51,7 @@
                  {"running", number(load.running)},
                  {"waiting", number(load.waiting)},
                  {"limit", number(load.limit)},
-                 {"level", level_text(load.level)},
+                 {"level", admission::to_string(load.level)},
                  {"retry_after_ms", end.retry_after ? std::to_string(end.retry_after->count()) : ""}});
 }
 
--- a/src/logging/internal/event_format.cpp
+++ b/src/logging/internal/event_format.cpp
@@ -69,7 +69,7 @@
     }
     line["process"] = process;
     for (const field& each : fields) {
-        line[each.name] = each.value;
+        line.emplace(each.name, each.value);
     }
     return boost::json::serialize(line);
 }
--- a/src/logging/tests/event_catalogue_tests.cpp
+++ b/src/logging/tests/event_catalogue_tests.cpp
@@ -39,6 +39,13 @@
     REQUIRE(catalogued == documented_events());
 }
 
+TEST_CASE("a field of an event does not take the place of one that every line has", "[events]") {
+    const field fields[] = {{"name", "vm-1"}, {"time", "now"}, {"member", "vm-1"}};
+    const std::string line = format_event({}, event_id::member_alive, "d1", fields);
+    REQUIRE(line == R"({"time":"1970-01-01T00:00:00.000000Z","event":4003,"name":"member_alive",)"
+                    R"("severity":"info","process":"d1","member":"vm-1"})");
+}
+
 TEST_CASE("an event line is one JSON object with its time, number, name and fields", "[events]") {
     const monsoonlift::core::wall_time when{std::chrono::microseconds(1'773'342'245'000'042)};
     const field fields[] = {{"address", "a \"quoted\" one\n"}};
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -316,8 +316,9 @@
     const std::optional<member> before = m_directory.find(changed.id.address);
     const bool is_news = !before || before->status != changed.status || before->id.life != changed.id.life;
     if (is_news) {
-        m_log.write(event_of(changed.status),
-                    {{"name", changed.name}, {"address", changed.id.address}, {"service", changed.service}});
+        m_log.write(
+            event_of(changed.status),
+            {{"member", changed.name}, {"address", changed.id.address}, {"service", changed.service}});
     }
     m_directory.store(changed);
 }
