Don't count a daemon's own pause as time that others have been gone

A daemon that wakes from a pause took the pause for time in which others were dead or unknown, although it could hear nobody, and removed their objects with its first listing. Ruled out by reading: the suspicion of members, which forgives a stall already; two removals by the same listing. Change: after a gap of more than 2 s between signs of life of its own, a daemon counts anew. Test first: it fails on a dead and on an unknown member without the change. Not shown: which daemon removed the object in that run; its logs were not kept.

--- a/scripts/lib/harness/process.py
+++ b/scripts/lib/harness/process.py
@@ -6,11 +6,14 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import time
+import unittest
 from collections.abc import Sequence
 
 READY_PATIENCE_S = 20.0
 READY_LOOK_S = 0.01
+LOG_LINES_OF_FAILURE = 60
 DAEMON_ADDRESSES = ("caller", "admin", "transport", "membership")
 STOP_PATIENCE_S = 70.0
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
@@ -20,6 +23,13 @@
     """A process did not become ready, or ended otherwise than it should."""
 
 
+def print_log_of_failure(test: unittest.TestCase, process: Process) -> None:
+    """Prints the last lines of a process's log if the test has failed; for a test's clean-up."""
+    result = test._outcome.result  # NOTE: unittest has no public way to ask a test for its own outcome.
+    if any(getattr(failed, "test_case", failed) is test for failed, _ in result.failures + result.errors):
+        print(f"--- {process.name}\n{process.log_tail(LOG_LINES_OF_FAILURE)}", file=sys.stderr)
+
+
 class Process:
     """A started program; its log goes to a file. Signals go to this process alone."""
 
--- a/src/app/monsoonliftd/tests/call_process_tests.py
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -20,7 +20,7 @@
 
 from harness import http as calls  # noqa: E402
 from harness.fleet import BINARIES, CONVERGE_PATIENCE_S, BackendOptions, Daemon, Fleet, wait_for  # noqa: E402
-from harness.process import ProcessFailed  # noqa: E402
+from harness.process import ProcessFailed, print_log_of_failure  # noqa: E402
 
 DOCUMENT = """format: 1
 data_centres: [palermo, catania]
@@ -50,7 +50,6 @@
 STORY_ENDS = {"call_accepted": ("call_answered", "call_refused", "call_abandoned"),
               "attempt_sent": ("attempt_answered", "attempt_failed", "attempt_redirected")}
 ENTRY_AND_GATE_OF_REFUSAL = ("call_accepted", "attempt_sent", "attempt_not_admitted", "attempt_failed", "call_refused")
-LOG_LINES_OF_FAILURE = 60
 UNREAD_LINES_PER_SECOND = 100_000
 MOST_UNREAD_CALLS = 5_000
 QUOTED_BYTES = 300
@@ -208,10 +207,8 @@
 
     def print_logs_of_failure(self, fleet: Fleet) -> None:
         """Prints the last lines of every daemon if this test has failed."""
-        result = self._outcome.result
-        if any(getattr(test, "test_case", test) is self for test, _ in result.failures + result.errors):
-            for daemon in fleet.daemons:
-                print(f"--- {daemon.name}\n{daemon.process.log_tail(LOG_LINES_OF_FAILURE)}", file=sys.stderr)
+        for daemon in fleet.daemons:
+            print_log_of_failure(self, daemon.process)
 
     def start(self, *options: BackendOptions) -> Fleet:
         fleet = self.enter_fleet(Fleet())
--- a/src/membership/internal/member_object_cleaner.cpp
+++ b/src/membership/internal/member_object_cleaner.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// A gap between two signs of life of this process that is no mere delay.
+constexpr std::chrono::seconds pause_gap{2};
+
 bool is_over(const member_belief& belief) {
     return belief.status == member_status::dead || belief.status == member_status::left;
 }
@@ -16,9 +19,20 @@
 member_object_cleaner::member_object_cleaner(belief_source beliefs, std::chrono::milliseconds gone_patience)
     : m_beliefs(std::move(beliefs)), m_patience(gone_patience) {}
 
+void member_object_cleaner::awake(core::steady_time now) {
+    if (m_last_awake && now - *m_last_awake > pause_gap) {
+        m_counting_from = now;
+    }
+    m_last_awake = now;
+}
+
 std::optional<listed_member_object>
 member_object_cleaner::choose(const std::vector<listed_member_object>& listed, core::steady_time now,
                               std::mt19937_64& random) {
+    if (m_last_awake) {
+        // NOTE: after a pause this answer may come before the next tick.
+        awake(now);
+    }
     forget_unlisted(listed);
     std::vector<listed_member_object> removable;
     std::size_t present = 1; // This daemon.
@@ -34,7 +48,7 @@
         m_unknown.erase(object.name);
         ++(is_over(*belief) ? over : present);
         const bool of_that_life = object.id.life <= belief->life;
-        if (is_over(*belief) && of_that_life && now - belief->since >= m_patience) {
+        if (is_over(*belief) && of_that_life && is_for_long(belief->since, now)) {
             removable.push_back(object);
         }
     }
@@ -51,7 +65,11 @@
     if (noted.version != object.version) {
         noted = {object.version, now};
     }
-    return now - noted.first_seen >= m_patience;
+    return is_for_long(noted.first_seen, now);
+}
+
+bool member_object_cleaner::is_for_long(core::steady_time since, core::steady_time now) const {
+    return now - std::max(since, m_counting_from) >= m_patience;
 }
 
 void member_object_cleaner::forget_unlisted(const std::vector<listed_member_object>& listed) {
--- a/src/membership/internal/member_object_cleaner.h
+++ b/src/membership/internal/member_object_cleaner.h
@@ -41,6 +41,10 @@
     /// `gone_patience` is how long a member must have been gone, or an object must have been of nobody known.
     explicit member_object_cleaner(belief_source beliefs, std::chrono::milliseconds gone_patience = patience);
 
+    /// Tells that this process runs; call it every second at least. After a longer gap, in which the process
+    /// was paused and heard nobody, the time that others have been gone is counted anew.
+    void awake(core::steady_time now);
+
     /// The object to remove by the version that was listed, or nothing.
     [[nodiscard]] std::optional<listed_member_object> choose(const std::vector<listed_member_object>& listed,
                                                              core::steady_time now, std::mt19937_64& random);
@@ -52,12 +56,15 @@
         core::steady_time first_seen;
     };
 
+    [[nodiscard]] bool is_for_long(core::steady_time since, core::steady_time now) const;
     [[nodiscard]] bool is_unknown_for_long(const listed_member_object& object, core::steady_time now);
     void forget_unlisted(const std::vector<listed_member_object>& listed);
 
     belief_source m_beliefs;
     std::chrono::milliseconds m_patience;
     std::map<std::string, unknown_object> m_unknown; ///< By name.
+    std::optional<core::steady_time> m_last_awake;   ///< Nothing before awake() is called.
+    core::steady_time m_counting_from = core::steady_time::min();
 };
 
 } // namespace monsoonlift::membership::internal
--- a/src/membership/internal/member_object_keeper.cpp
+++ b/src/membership/internal/member_object_keeper.cpp
@@ -188,6 +188,10 @@
     m_platform.remove_if(chosen->name, chosen->version, call_patience, [](const auto&) {});
 }
 
+void member_object_keeper::awake() {
+    m_cleaner.awake(m_clock.now());
+}
+
 void member_object_keeper::list_again() {
     after_pause([this] { list(); });
 }
--- a/src/membership/internal/member_object_keeper.h
+++ b/src/membership/internal/member_object_keeper.h
@@ -51,6 +51,9 @@
     /// Reads the own object and writes it again if it is gone.
     void check_own();
 
+    /// Tells that this process runs; call it every second at least.
+    void awake();
+
     /// Removes the object and calls `done`, whether it worked or not.
     void remove(std::function<void()> done);
 
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -183,6 +183,9 @@
     if (m_hooks.own_revision) {
         send(set_revision(m_state, m_hooks.own_revision()));
     }
+    if (m_object != nullptr) {
+        m_object->awake();
+    }
     check_backend();
     send(tick(m_state, m_clock.now()));
     check_join();
--- a/src/membership/tests/member_object_tests.cpp
+++ b/src/membership/tests/member_object_tests.cpp
@@ -57,6 +57,9 @@
         constexpr int turns = 40;
         for (int turn = 0; turn < turns; ++turn) {
             scheduler.run_for(100ms);
+            if (is_ticking) {
+                keeper->awake();
+            }
             io.restart();
             io.poll();
         }
@@ -86,6 +89,7 @@
     std::map<std::string, member_belief> beliefs;
     std::vector<std::string> last_peers;
     std::shared_ptr<member_object_keeper> keeper;
+    bool is_ticking = false; ///< The owner tells that it runs.
 };
 
 } // namespace
@@ -113,6 +117,27 @@
     CHECK(fleet.has("10.0.0.3:7000"));
 }
 
+TEST_CASE("a pause of this daemon is no time that others have been gone", "[member_object]") {
+    keeper_fixture fleet;
+    fleet.is_ticking = true;
+    fleet.add("10.0.0.2:7000", 2, member_status::dead);
+    static_cast<void>(fleet.store.update_if("members/10.0.0.3:7000", 0, value_of("10.0.0.3:7000", 3)));
+    fleet.list();
+    fleet.clock.advance(patience);
+    fleet.list();
+    fleet.list();
+    CHECK(fleet.has("10.0.0.2:7000"));
+    CHECK(fleet.has("10.0.0.3:7000"));
+    for (auto waited = 0s; waited <= patience; waited += 1s) {
+        fleet.clock.advance(1s);
+        fleet.keeper->awake();
+    }
+    fleet.list();
+    fleet.list();
+    CHECK_FALSE(fleet.has("10.0.0.2:7000"));
+    CHECK_FALSE(fleet.has("10.0.0.3:7000"));
+}
+
 TEST_CASE("the object of a later life than the dead one stays", "[member_object]") {
     keeper_fixture fleet;
     fleet.add("10.0.0.2:7000", 3, member_status::dead);
--- a/src/membership/tests/membership_process_tests.py
+++ b/src/membership/tests/membership_process_tests.py
@@ -14,7 +14,7 @@
 
 from harness import http  # noqa: E402
 from harness.platform import Platform  # noqa: E402
-from harness.process import Process  # noqa: E402
+from harness.process import Process, print_log_of_failure  # noqa: E402
 
 BINARIES = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path("build/bin")
 LONGEST_WAIT_S = 180
@@ -45,6 +45,7 @@
         path.write_text(SETTINGS.format(fleet=self.folder.name.lower(), name=name, platform=self.platform.address, patience=patience))
         daemon = Process(name, [str(BINARIES / "monsoonliftd"), "--settings", str(path)], self.folder / f"{name}.log")
         self.addCleanup(daemon.kill)
+        self.addCleanup(print_log_of_failure, self, daemon)
         daemon.addresses()
         return daemon
 
