--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -50,7 +50,8 @@
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
 
-    /// Adds a route; call it before start(). Handlers may run on any thread.
+    /// Adds a route; one that ends with a slash is taken for all paths below it. Call it before start().
+    /// Handlers may run on any thread.
     void route(const std::string& method, const std::string& path, access needed, admin_handler handler);
 
     /// Begins to accept connections.
--- a/src/admin/internal/admin_server.cpp
+++ b/src/admin/internal/admin_server.cpp
@@ -80,6 +80,8 @@
     [[nodiscard]] std::string address() const { return network::to_text(m_acceptor.address); }
 
 private:
+    using route_map = std::map<std::string, std::map<std::string, route_entry>>;
+
     void not_accepted(const std::string& why, std::uint64_t left_out) {
         m_log.write(logging::event_id::admin_not_accepted,
                     {{"why", why}, {"left_out", std::to_string(left_out)}});
@@ -129,8 +131,17 @@
         return response;
     }
 
+    [[nodiscard]] route_map::const_iterator find_route(const std::string& path) const {
+        const auto found = m_routes.find(path);
+        const auto last_slash = path.rfind('/');
+        if (found != m_routes.end() || last_slash == std::string::npos) {
+            return found;
+        }
+        return m_routes.find(path.substr(0, last_slash + 1));
+    }
+
     admin_response handle(const admin_request& request, std::string_view authorization) const {
-        const auto found = m_routes.find(request.path);
+        const auto found = find_route(request.path);
         if (found == m_routes.end()) {
             return refusal(404, "No such path");
         }
@@ -149,7 +160,7 @@
     logging::event_log& m_log;
     network::listening_acceptor m_acceptor;
     std::string m_token;
-    std::map<std::string, std::map<std::string, route_entry>> m_routes;
+    route_map m_routes;
 };
 
 } // namespace internal
--- a/src/admin/tests/admin_server_tests.cpp
+++ b/src/admin/tests/admin_server_tests.cpp
@@ -2,7 +2,7 @@
 
 #include "network/tcp_source.h"
 #include "network/testing/failing_source.h"
-#include "platform/testing/manual_scheduler.h"
+#include "store/testing/manual_scheduler.h"
 #include "testing/manual_clock.h"
 #include "testing/recording_log.h"
 
@@ -41,8 +41,8 @@
         io, io.get_executor(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     std::shared_ptr<network::testing::failing_source> source =
         std::make_shared<network::testing::failing_source>(io, real, failures);
-    std::shared_ptr<platform::testing::manual_scheduler> timer =
-        std::make_shared<platform::testing::manual_scheduler>(clock);
+    std::shared_ptr<store::testing::manual_scheduler> timer =
+        std::make_shared<store::testing::manual_scheduler>(clock);
     std::shared_ptr<network::acceptor> acceptor = std::make_shared<network::acceptor>(source, timer, clock);
     admin::admin_server server{connections(), "secret", log};
 };
--- a/src/app/monsoonctl/control_session.h
+++ b/src/app/monsoonctl/control_session.h
@@ -7,10 +7,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/system_clock.h"
-#include "platform/asio_scheduler.h"
-#include "platform/http_client.h"
-#include "platform/http_object_api.h"
-#include "platform/settled.h"
+#include "store/asio_scheduler.h"
+#include "store/http_client.h"
+#include "store/http_object_api.h"
+#include "store/settled.h"
 
 namespace monsoonlift::monsoonctl {
 
@@ -22,9 +22,9 @@
 
     /// Begins a call and waits for its end.
     template <class T>
-    platform::settled<T> wait(const std::function<void(std::function<void(core::result<T>)>)>& begin) {
-        platform::settled<T> answer;
-        begin([&answer](core::result<T> outcome) { answer = platform::settle_result(std::move(outcome)); });
+    store::settled<T> wait(const std::function<void(std::function<void(core::result<T>)>)>& begin) {
+        store::settled<T> answer;
+        begin([&answer](core::result<T> outcome) { answer = store::settle_result(std::move(outcome)); });
         run();
         return answer;
     }
@@ -33,13 +33,13 @@
     void run();
 
     /// The platform.
-    [[nodiscard]] platform::object_api& api() { return m_api; }
+    [[nodiscard]] store::object_api& api() { return m_api; }
 
     /// For calls of daemons.
-    [[nodiscard]] platform::http_client& http() { return m_http; }
+    [[nodiscard]] store::http_client& http() { return m_http; }
 
     /// Runs tasks during wait() and run().
-    [[nodiscard]] platform::scheduler& timer() { return m_timer; }
+    [[nodiscard]] store::scheduler& timer() { return m_timer; }
 
     /// The clock of this process.
     [[nodiscard]] const core::clock& clock() const { return m_clock; }
@@ -47,9 +47,9 @@
 private:
     boost::asio::io_context m_context;
     core::system_clock m_clock;
-    platform::asio_scheduler m_timer;
-    platform::http_client m_http;
-    platform::http_object_api m_api;
+    store::asio_scheduler m_timer;
+    store::http_client m_http;
+    store::http_object_api m_api;
 };
 
 } // namespace monsoonlift::monsoonctl
--- a/src/app/monsoonctl/internal/command_line_parser.cpp
+++ b/src/app/monsoonctl/internal/command_line_parser.cpp
@@ -8,7 +8,7 @@
 #include <docopt/docopt.h>
 
 #include "core/types/call_ids.h"
-#include "platform/http_target.h"
+#include "store/http_target.h"
 
 namespace monsoonlift::monsoonctl {
 
@@ -74,7 +74,7 @@
 }
 
 std::uint64_t number_of(const arguments_map& arguments, const std::string& key) {
-    const auto parsed = platform::parse_whole_number(text_of(arguments, key));
+    const auto parsed = store::parse_whole_number(text_of(arguments, key));
     if (!parsed) {
         throw std::invalid_argument(key + " takes a whole number");
     }
--- a/src/app/monsoonctl/internal/configuration_commands.cpp
+++ b/src/app/monsoonctl/internal/configuration_commands.cpp
@@ -31,9 +31,8 @@
     return id;
 }
 
-platform::settled<model::stored_configuration> read_current(const command_line& line,
-                                                            control_session& session) {
-    const auto answer = session.wait<platform::object>(
+store::settled<model::stored_configuration> read_current(const command_line& line, control_session& session) {
+    const auto answer = session.wait<store::object>(
         [&](auto done) { session.api().get(model::current_object, line.patience, std::move(done)); });
     if (!answer.value) {
         auto failure = answer.failure;
--- a/src/app/monsoonctl/internal/daemon_commands.cpp
+++ b/src/app/monsoonctl/internal/daemon_commands.cpp
@@ -14,11 +14,11 @@
 
 constexpr unsigned first_error_status = 400;
 
-platform::http_header authorization(const std::string& token) {
+store::http_header authorization(const std::string& token) {
     return {"Authorization", "Bearer " + token};
 }
 
-exit_code print_daemon_answer(const platform::settled<platform::http_reply>& answer, console& out) {
+exit_code print_daemon_answer(const store::settled<store::http_reply>& answer, console& out) {
     if (!answer.value) {
         return out.failure(exit_code_of(answer.failure), answer.failure.message);
     }
@@ -34,9 +34,9 @@
     return out.answer(exit_code::ok, answer.value->body.empty() ? "done" : answer.value->body, fields);
 }
 
-exit_code ask_daemon(const command_line& line, platform::http_request request, control_session& session,
+exit_code ask_daemon(const command_line& line, store::http_request request, control_session& session,
                      console& out) {
-    const auto answer = session.wait<platform::http_reply>([&](auto done) {
+    const auto answer = session.wait<store::http_reply>([&](auto done) {
         session.http().send(line.daemon, std::move(request), line.patience, std::move(done));
     });
     return print_daemon_answer(answer, out);
--- a/src/app/monsoonctl/internal/fence_command.cpp
+++ b/src/app/monsoonctl/internal/fence_command.cpp
@@ -20,8 +20,8 @@
     return "homes/" + line.service;
 }
 
-platform::settled<execution::home_table> read_table(const command_line& line, control_session& session) {
-    const auto answer = session.wait<platform::object>(
+store::settled<execution::home_table> read_table(const command_line& line, control_session& session) {
+    const auto answer = session.wait<store::object>(
         [&](auto done) { session.api().get(homes_object(line), line.patience, std::move(done)); });
     if (!answer.value) {
         return {std::nullopt, answer.failure};
@@ -49,8 +49,8 @@
     return answer.value ? core::error{} : answer.failure;
 }
 
-platform::settled<std::uint64_t> write_table(const command_line& line, const execution::home_table& table,
-                                             control_session& session) {
+store::settled<std::uint64_t> write_table(const command_line& line, const execution::home_table& table,
+                                          control_session& session) {
     const auto fenced = execution::fence_holder(table, line.address, session.clock().wall_now());
     return session.wait<std::uint64_t>([&](auto done) {
         session.api().update_if(homes_object(line), table.version, execution::write_homes(fenced),
--- a/src/app/monsoonctl/tests/fence_tests.cpp
+++ b/src/app/monsoonctl/tests/fence_tests.cpp
@@ -23,7 +23,7 @@
     }
 
     execution::home_table stored() {
-        const auto read = session.wait<platform::object>(
+        const auto read = session.wait<store::object>(
             [&](auto done) { session.api().get("homes/squadre", 5s, std::move(done)); });
         REQUIRE(read.value);
         return execution::read_homes(read.value->value, read.value->version).value();
@@ -58,7 +58,7 @@
     CHECK(table.slots[0].holder.address.empty());
     CHECK(table.slots[0].seen_until > core::wall_time{});
     CHECK(table.slots[1].holder.address == "10.0.0.2:7000");
-    const auto records = operators.session.wait<platform::object_list>(
+    const auto records = operators.session.wait<store::object_list>(
         [&](auto done) { operators.session.api().list("fences/squadre/", 5s, std::move(done)); });
     REQUIRE(records.value);
     REQUIRE(records.value->objects.size() == 1);
--- a/src/app/monsoonctl/tests/operator_desk.h
+++ b/src/app/monsoonctl/tests/operator_desk.h
@@ -20,7 +20,7 @@
 
     /// Switches faults of the platform on or off.
     void set_faults(const std::string& faults) {
-        const auto answer = session.wait<platform::http_reply>([&](auto done) {
+        const auto answer = session.wait<store::http_reply>([&](auto done) {
             session.http().send(platform.address(), {"POST", "/faults", faults, {}}, std::chrono::seconds(5),
                                 std::move(done));
         });
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -9,6 +9,7 @@
 #include "execution/crash_guard.h"
 #include "execution/execution_ledger.h"
 #include "execution/home_keeper.h"
+#include "gate/announcement_order.h"
 #include "gate/gate_service.h"
 #include "lifecycle/daemon_lifecycle.h"
 #include "lifecycle/drain_watch.h"
@@ -16,10 +17,10 @@
 #include "membership/member_directory.h"
 #include "membership/membership_service.h"
 #include "metrics/metrics_registry.h"
-#include "platform/asio_scheduler.h"
-#include "platform/budgeted_object_api.h"
-#include "platform/http_object_api.h"
+#include "platform/local_server.h"
 #include "settings/daemon_settings.h"
+#include "store/asio_scheduler.h"
+#include "store/budgeted_object_api.h"
 #include "transport/tcp_transport.h"
 
 #include <boost/asio/io_context.hpp>
@@ -28,7 +29,9 @@
 #include <boost/asio/strand.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,11 +45,14 @@
     std::string membership;
 };
 
+/// Reads the settings file once more.
+using settings_source = std::function<settings::settings_outcome()>;
+
 /// All parts of one daemon process, wired together.
 class daemon {
 public:
     /// Builds all parts and binds the TCP addresses; throws if one can't be bound. `log` outlives the daemon.
-    daemon(settings::daemon_settings chosen, logging::event_log& log);
+    daemon(settings::daemon_settings chosen, settings_source read_again, logging::event_log& log);
     ~daemon();
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
@@ -79,11 +85,20 @@
     void add_routes();
     void add_metrics();
     void await_signals();
+    void await_hangup();
+    void read_settings_again();
     void take_frame(transport::frame message);
     void take_unsent(const transport::unsent_frame& unsent);
     void member_changed(const membership::member& changed);
     [[nodiscard]] admin::admin_response announce(const admin::admin_request& request);
     [[nodiscard]] admin::admin_response withdraw();
+    void begin_withdrawal();
+
+    /// What the platform's calls to this daemon lead to; used on the control strand.
+    [[nodiscard]] platform::local_server_hooks local_hooks();
+    void take_heartbeat(const platform::heartbeat& told);
+    void take_deregistration(const std::string& id, std::uint64_t started_ms);
+    void leave_backend(const std::string& id);
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
     void stop_gracefully();
@@ -103,13 +118,15 @@
     control_strand m_control;
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
+    boost::asio::signal_set m_hangup;
+    settings_source m_read_settings;
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
     lifecycle::daemon_lifecycle m_lifecycle;
     metrics::metrics_registry m_metrics;
     membership::member_directory m_directory;
-    platform::asio_scheduler m_scheduler;
-    platform::http_object_api m_platform_client;
-    platform::budgeted_object_api m_platform;
+    store::asio_scheduler m_scheduler;
+    std::unique_ptr<store::object_api> m_platform_client;
+    store::budgeted_object_api m_platform;
     configuration::configuration_holder m_configuration;
     configuration::http_peer_source m_peers;
     transport::tcp_transport m_transport;
@@ -123,6 +140,11 @@
     std::unique_ptr<membership::membership_service> m_membership;
     std::unique_ptr<execution::home_keeper> m_homes;
     lifecycle::drain_watch m_drain_watch{m_clock};
+    std::optional<platform::local_server> m_local; ///< Only on the users' platform.
+    std::optional<gate::announcement_mark> m_newest_heartbeat;
+    std::string m_leaving_backend; ///< Id of the backend server that said that it leaves.
+    core::steady_time m_callers_until;
+    core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
     core::steady_time m_hand_over_until;
 };
--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -3,6 +3,7 @@
 
 #include <docopt/docopt.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -17,11 +18,12 @@
 constexpr auto usage = R"(The daemon beside a backend server: entry and gate of the overload control layer.
 
 Usage:
-  monsoonliftd --settings=FILE
+  monsoonliftd [--settings=FILE]
   monsoonliftd --help
 
 Options:
-  --settings=FILE  YAML file with the settings of this process.
+  --settings=FILE  YAML file with the settings of this process; without it, the file that the environment
+                   variable MONSOONLIFT_SETTINGS names.
   -h --help        Show this text.
 
 The log goes to standard output, a JSON object a line; the first says where the process listens.
@@ -38,6 +40,14 @@
     return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
+std::string settings_path(const docopt::value& option) {
+    if (option.isString()) {
+        return option.asString();
+    }
+    const char* named = std::getenv("MONSOONLIFT_SETTINGS");
+    return named != nullptr ? named : "";
+}
+
 logging::log_options log_options_of(const settings::daemon_settings& chosen) {
     logging::log_options options;
     options.process = chosen.name;
@@ -47,11 +57,21 @@
     return options;
 }
 
-int serve(const settings::daemon_settings& chosen) {
+settings::settings_outcome read_settings(const std::string& path) {
+    const auto text = read_file(path);
+    if (!text) {
+        return std::vector<settings::settings_error>{
+            {path, 0, "a file that can't be read", "a settings file"}};
+    }
+    return settings::parse_daemon_settings(*text);
+}
+
+int serve(const settings::daemon_settings& chosen, const std::string& path) {
     core::system_clock clock;
     logging::log4cplus_event_log log(log_options_of(chosen), clock);
     try {
-        app::daemon process(chosen, log);
+        app::daemon process(
+            chosen, [path] { return read_settings(path); }, log);
         process.start();
         const auto bound = process.addresses();
         log.write(logging::event_id::process_started, {{"fleet", chosen.fleet},
@@ -72,18 +92,17 @@
 
 int main(int argc, char** argv) {
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
-    const auto path = arguments.at("--settings").asString();
-    const auto text = read_file(path);
-    if (!text) {
-        std::cerr << "monsoonliftd: can't read " << path << '\n';
+    const auto path = settings_path(arguments.at("--settings"));
+    if (path.empty()) {
+        std::cerr << "monsoonliftd: neither --settings nor MONSOONLIFT_SETTINGS names a settings file\n";
         return exit_bad_settings;
     }
-    const auto parsed = settings::parse_daemon_settings(*text);
+    const auto parsed = read_settings(path);
     if (const auto* errors = std::get_if<std::vector<settings::settings_error>>(&parsed)) {
         for (const auto& error : *errors) {
             std::cerr << path << ": " << settings::to_string(error) << '\n';
         }
         return exit_bad_settings;
     }
-    return serve(std::get<settings::daemon_settings>(parsed));
+    return serve(std::get<settings::daemon_settings>(parsed), path);
 }
--- a/src/app/platform_standin/internal/request_handler.cpp
+++ b/src/app/platform_standin/internal/request_handler.cpp
@@ -6,8 +6,8 @@
 
 #include <boost/json.hpp>
 
-#include "platform/limits.h"
-#include "platform/object_wire.h"
+#include "store/limits.h"
+#include "store/object_wire.h"
 
 namespace monsoonlift::platform_standin {
 
@@ -22,12 +22,12 @@
     return {status, json::serialize(json::object{{"error", text}})};
 }
 
-std::optional<std::uint64_t> number_in(const platform::http_target& target, const std::string& name) {
+std::optional<std::uint64_t> number_in(const store::http_target& target, const std::string& name) {
     const auto found = target.query.find(name);
-    return found == target.query.end() ? std::nullopt : platform::parse_whole_number(found->second);
+    return found == target.query.end() ? std::nullopt : store::parse_whole_number(found->second);
 }
 
-std::string text_in(const platform::http_target& target, const std::string& name) {
+std::string text_in(const store::http_target& target, const std::string& name) {
     const auto found = target.query.find(name);
     return found == target.query.end() ? std::string{} : found->second;
 }
@@ -38,30 +38,29 @@
         return problem(409, "the object has another version");
     }
     notify_waiting(state);
-    return {200, platform::version_json(*version)};
+    return {200, store::version_json(*version)};
 }
 
 standin_reply get_object(standin_state& state, const std::string& name) {
     ++state.counts.get;
     const auto found = state.store.get(name);
-    return found ? standin_reply{200, platform::to_json(*found)} : problem(404, "no such object");
+    return found ? standin_reply{200, store::to_json(*found)} : problem(404, "no such object");
 }
 
-standin_reply put_object(standin_state& state, const std::string& name, const platform::http_target& target,
+standin_reply put_object(standin_state& state, const std::string& name, const store::http_target& target,
                          const std::string& value) {
     ++state.counts.update;
     const auto expected = number_in(target, "expected_version");
     if (!expected || name.empty()) {
         return problem(400, "a name and ?expected_version=N are needed");
     }
-    if (value.size() > platform::max_value_bytes) {
+    if (value.size() > store::max_value_bytes) {
         return problem(413, "a value holds at most one megabyte");
     }
     return written(state, state.store.update_if(name, *expected, value));
 }
 
-standin_reply delete_object(standin_state& state, const std::string& name,
-                            const platform::http_target& target) {
+standin_reply delete_object(standin_state& state, const std::string& name, const store::http_target& target) {
     ++state.counts.remove;
     const auto expected = number_in(target, "expected_version");
     if (!expected) {
@@ -74,7 +73,7 @@
 }
 
 standin_reply handle_object(standin_state& state, const standin_request& request,
-                            const platform::http_target& target) {
+                            const store::http_target& target) {
     const auto name = target.path.substr(objects_path.size());
     if (request.method == "GET") {
         return get_object(state, name);
@@ -88,7 +87,7 @@
     return problem(405, "GET, PUT or DELETE");
 }
 
-handling begin_watch(standin_state& state, const platform::http_target& target) {
+handling begin_watch(standin_state& state, const store::http_target& target) {
     ++state.counts.watch;
     const auto revision = number_in(target, "revision");
     const auto patience = number_in(target, "patience_ms");
@@ -181,7 +180,7 @@
 }
 
 handling handle(standin_state& state, const standin_request& request) {
-    const auto target = platform::parse_target(request.target);
+    const auto target = store::parse_target(request.target);
     if (!target) {
         return problem(400, "malformed target");
     }
@@ -201,7 +200,7 @@
     }
     if (target->path == "/list") {
         ++state.counts.list;
-        return spoil(state, {200, platform::to_json(state.store.list(text_in(*target, "prefix")))});
+        return spoil(state, {200, store::to_json(state.store.list(text_in(*target, "prefix")))});
     }
     if (target->path == "/watch") {
         return begin_watch(state, *target);
@@ -218,7 +217,7 @@
     if (empty && !expired) {
         return watch;
     }
-    return standin_reply{200, platform::to_json(changes), state.faults.slow};
+    return standin_reply{200, store::to_json(changes), state.faults.slow};
 }
 
 } // namespace monsoonlift::platform_standin
--- a/src/app/platform_standin/internal/standin_session.cpp
+++ b/src/app/platform_standin/internal/standin_session.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "platform/limits.h"
+#include "store/limits.h"
 
 namespace monsoonlift::platform_standin {
 
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::uint64_t max_body_bytes = 2 * platform::max_value_bytes;
+constexpr std::uint64_t max_body_bytes = 2 * store::max_value_bytes;
 
 } // namespace
 
--- a/src/app/platform_standin/main.cpp
+++ b/src/app/platform_standin/main.cpp
@@ -14,7 +14,7 @@
 #include <docopt/docopt.h>
 
 #include "core/network_address.h"
-#include "platform/http_target.h"
+#include "store/http_target.h"
 
 namespace {
 
@@ -65,7 +65,7 @@
             std::cout << usage;
             return 0;
         }
-        const auto seed = monsoonlift::platform::parse_whole_number(arguments.at("--seed").asString());
+        const auto seed = monsoonlift::store::parse_whole_number(arguments.at("--seed").asString());
         return serve(arguments.at("--listen").asString(), seed.value_or(1));
     } catch (const docopt::DocoptExitHelp&) {
         std::cout << usage;
--- a/src/app/platform_standin/request_handler.h
+++ b/src/app/platform_standin/request_handler.h
@@ -8,7 +8,7 @@
 #include <variant>
 
 #include "app/platform_standin/standin_state.h"
-#include "platform/http_target.h"
+#include "store/http_target.h"
 
 namespace monsoonlift::platform_standin {
 
--- a/src/app/platform_standin/standin_state.h
+++ b/src/app/platform_standin/standin_state.h
@@ -7,13 +7,13 @@
 
 #include "app/platform_standin/types/call_counts.h"
 #include "app/platform_standin/types/fault_plan.h"
-#include "platform/testing/memory_store.h"
+#include "store/testing/memory_store.h"
 
 namespace monsoonlift::platform_standin {
 
 /// All that the stand-in keeps. Used on one thread.
 struct standin_state {
-    platform::testing::memory_store store;
+    store::testing::memory_store store;
     fault_plan faults;
     call_counts counts;
     std::mt19937_64 random{1};
--- a/src/configuration/audit_trail.h
+++ b/src/configuration/audit_trail.h
@@ -11,7 +11,7 @@
 
 #include "configuration/types/stored_configuration.h"
 #include "core/error.h"
-#include "platform/object_api.h"
+#include "store/object_api.h"
 
 namespace monsoonlift::configuration {
 
@@ -35,11 +35,11 @@
 };
 
 /// Reads entries, newest first, from `configuration/current` and as many archives as it takes.
-void read_history(platform::object_api& api, const history_query& query, std::chrono::milliseconds patience,
+void read_history(store::object_api& api, const history_query& query, std::chrono::milliseconds patience,
                   std::function<void(core::result<std::vector<audit_entry>>)> done);
 
 /// As above, from a configuration that has been read.
-void read_history(platform::object_api& api, const stored_configuration& stored, const history_query& query,
+void read_history(store::object_api& api, const stored_configuration& stored, const history_query& query,
                   std::chrono::milliseconds patience,
                   std::function<void(core::result<std::vector<audit_entry>>)> done);
 
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -13,17 +13,17 @@
 #include "core/clock.h"
 #include "logging/event_log.h"
 #include "membership/member_directory.h"
-#include "platform/object_api.h"
-#include "platform/scheduler.h"
+#include "store/object_api.h"
+#include "store/scheduler.h"
 
 namespace monsoonlift::configuration {
 
 /// All that a follower needs; everything outlives it. The scheduler, the API and the peers run their
 /// handlers one at a time (on one strand).
 struct follower_parts {
-    platform::object_api& api;
+    store::object_api& api;
     peer_source& peers;
-    platform::scheduler& timer;
+    store::scheduler& timer;
     const core::clock& clock;
     const membership::member_directory& directory;
     configuration_holder& holder;
@@ -69,18 +69,18 @@
     void list();
     void watch();
     void pull(const peer_offer& offer);
-    void on_listed(core::result<platform::object_list> answered);
-    void on_changed(core::result<platform::watch_result> answered);
+    void on_listed(core::result<store::object_list> answered);
+    void on_changed(core::result<store::watch_result> answered);
     void on_pulled(const peer_offer& offer, core::result<std::string> answered);
     /// The store's answer; none, with the failure recorded, if it failed.
     template <class T> std::optional<T> take_answer(core::result<T> answered);
     bool adopt(const std::string& text, const std::string& source);
-    void adopt_current(const std::vector<platform::object>& objects);
+    void adopt_current(const std::vector<store::object>& objects);
 
     follower_parts m_parts;
     follower_identity m_self;
     follower_rule m_rule;
-    platform::random_engine m_random;
+    store::random_engine m_random;
     follower_state m_state;
     core::steady_time m_settling_since;
     std::atomic<bool> m_stopped{false};
--- a/src/configuration/follower_rules.h
+++ b/src/configuration/follower_rules.h
@@ -19,7 +19,7 @@
 
 /// Notes that a peer has a revision; nothing happens unless it is higher than the one in force.
 void note_offer(follower_state& state, const peer_offer& offer, std::uint64_t in_force,
-                const follower_rule& rule, platform::random_engine& random, core::steady_time now);
+                const follower_rule& rule, store::random_engine& random, core::steady_time now);
 
 /// The peer to pull from now; taken from the offers.
 [[nodiscard]] std::optional<peer_offer> next_pull(follower_state& state, std::uint64_t in_force,
@@ -31,17 +31,17 @@
 
 /// A list answered at the platform's revision `cursor`.
 void record_list(follower_state& state, std::uint64_t cursor, std::uint64_t in_force,
-                 const follower_rule& rule, platform::random_engine& random, core::steady_time now);
+                 const follower_rule& rule, store::random_engine& random, core::steady_time now);
 
 /// A watch answered at the platform's revision `cursor`.
 void record_watch(follower_state& state, std::uint64_t cursor);
 
 /// A pull from a peer failed; the next one waits a little.
-void record_pull_failure(follower_state& state, const follower_rule& rule, platform::random_engine& random,
+void record_pull_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                          core::steady_time now);
 
 /// A call to the platform failed.
-void record_store_failure(follower_state& state, const follower_rule& rule, platform::random_engine& random,
+void record_store_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                           core::steady_time now);
 
 } // namespace monsoonlift::configuration
--- a/src/configuration/http_peer_source.h
+++ b/src/configuration/http_peer_source.h
@@ -3,7 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "configuration/peer_source.h"
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 namespace monsoonlift::configuration {
 
@@ -16,7 +16,7 @@
     void fetch(const std::string& admin_address, std::chrono::milliseconds patience, handler done) override;
 
 private:
-    platform::http_client m_client;
+    store::http_client m_client;
 };
 
 } // namespace monsoonlift::configuration
--- a/src/configuration/internal/audit_trail.cpp
+++ b/src/configuration/internal/audit_trail.cpp
@@ -51,12 +51,12 @@
     return stored;
 }
 
-void read_history(platform::object_api& api, const history_query& query, std::chrono::milliseconds patience,
+void read_history(store::object_api& api, const history_query& query, std::chrono::milliseconds patience,
                   std::function<void(core::result<std::vector<audit_entry>>)> done) {
     std::make_shared<internal::history_reader>(api, query, patience, std::move(done))->start();
 }
 
-void read_history(platform::object_api& api, const stored_configuration& stored, const history_query& query,
+void read_history(store::object_api& api, const stored_configuration& stored, const history_query& query,
                   std::chrono::milliseconds patience,
                   std::function<void(core::result<std::vector<audit_entry>>)> done) {
     std::make_shared<internal::history_reader>(api, query, patience, std::move(done))->start(stored);
--- a/src/configuration/internal/configuration_follower.cpp
+++ b/src/configuration/internal/configuration_follower.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "configuration/stored_configuration_json.h"
-#include "platform/settled.h"
+#include "store/settled.h"
 
 namespace monsoonlift::configuration {
 
@@ -121,12 +121,12 @@
 void configuration_follower::list() {
     m_state.store_busy = true;
     m_parts.api.list(watched_prefix, m_rule.call_patience,
-                     [self = shared_from_this()](core::result<platform::object_list> answered) {
+                     [self = shared_from_this()](core::result<store::object_list> answered) {
                          self->on_listed(std::move(answered));
                      });
 }
 
-void configuration_follower::on_listed(core::result<platform::object_list> answered) {
+void configuration_follower::on_listed(core::result<store::object_list> answered) {
     const auto answer = take_answer(std::move(answered));
     if (!answer) {
         return;
@@ -139,12 +139,12 @@
 void configuration_follower::watch() {
     m_state.store_busy = true;
     m_parts.api.watch(watched_prefix, m_state.cursor, m_rule.watch_patience,
-                      [self = shared_from_this()](core::result<platform::watch_result> answered) {
+                      [self = shared_from_this()](core::result<store::watch_result> answered) {
                           self->on_changed(std::move(answered));
                       });
 }
 
-void configuration_follower::on_changed(core::result<platform::watch_result> answered) {
+void configuration_follower::on_changed(core::result<store::watch_result> answered) {
     const auto answer = take_answer(std::move(answered));
     if (!answer) {
         return;
@@ -156,7 +156,7 @@
 
 template <class T> std::optional<T> configuration_follower::take_answer(core::result<T> answered) {
     m_state.store_busy = false;
-    auto answer = platform::settle_result(std::move(answered));
+    auto answer = store::settle_result(std::move(answered));
     if (!answer.value) {
         record_store_failure(m_state, m_rule, m_random, m_parts.clock.now());
     }
@@ -173,7 +173,7 @@
 
 void configuration_follower::on_pulled(const peer_offer& offer, core::result<std::string> answered) {
     m_state.pull_busy = false;
-    const auto answer = platform::settle_result(std::move(answered));
+    const auto answer = store::settle_result(std::move(answered));
     if (answer.value && adopt(*answer.value, offer.admin_address)) {
         step();
         return;
@@ -195,7 +195,7 @@
     return m_parts.holder.adopt(*offered) == adoption::adopted;
 }
 
-void configuration_follower::adopt_current(const std::vector<platform::object>& objects) {
+void configuration_follower::adopt_current(const std::vector<store::object>& objects) {
     for (const auto& each : objects) {
         if (each.name == current_object) {
             adopt(each.value, "platform");
--- a/src/configuration/internal/document_reader.cpp
+++ b/src/configuration/internal/document_reader.cpp
@@ -6,6 +6,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include "configuration/internal/route_reader.h"
 #include "configuration/internal/service_reader.h"
 #include "configuration/limits.h"
 #include "settings/yaml_reader.h"
@@ -22,8 +23,8 @@
 constexpr std::uint64_t max_attempts_per_root = 16;
 constexpr std::size_t max_data_centres = 64;
 
-const std::vector<std::string> document_keys{"format",  "data_centres", "classes", "callers",
-                                             "retries", "execution",    "services"};
+const std::vector<std::string> document_keys{"format",  "data_centres", "classes",  "callers",
+                                             "retries", "execution",    "services", "routes"};
 
 std::vector<std::string> read_names(yaml_reader& root, std::string_view key, std::size_t most) {
     auto names = root.string_list(key);
@@ -86,7 +87,9 @@
     read.callers = read_callers(root);
     read.retries = read_retries(root);
     read.execution = read_execution(root);
-    read.services = internal::read_services(root, read.classes);
+    read.routes = internal::read_routes(root, read.classes);
+    read.services = internal::read_services(root, read.classes, !read.routes.empty());
+    internal::check_destinations(root, read.routes, read.services);
     return read;
 }
 
--- a/src/configuration/internal/follower_rules.cpp
+++ b/src/configuration/internal/follower_rules.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t max_offers = 8;
 
 /// Between half and one and a half times `typical`, so that a fleet's checks spread out.
-std::chrono::milliseconds spread(std::chrono::milliseconds typical, platform::random_engine& random) {
+std::chrono::milliseconds spread(std::chrono::milliseconds typical, store::random_engine& random) {
     const auto half = typical.count() / 2;
     return std::chrono::milliseconds(
         std::uniform_int_distribution<std::int64_t>(half, half + typical.count())(random));
@@ -32,7 +32,7 @@
     return state.heard > in_force && now - state.behind_since >= rule.stuck_after;
 }
 
-core::steady_time soon(const follower_rule& rule, platform::random_engine& random, core::steady_time now) {
+core::steady_time soon(const follower_rule& rule, store::random_engine& random, core::steady_time now) {
     return now + std::chrono::milliseconds(
                      std::uniform_int_distribution<std::int64_t>(0, rule.pull_jitter.count())(random));
 }
@@ -53,7 +53,7 @@
 }
 
 void note_offer(follower_state& state, const peer_offer& offer, std::uint64_t in_force,
-                const follower_rule& rule, platform::random_engine& random, core::steady_time now) {
+                const follower_rule& rule, store::random_engine& random, core::steady_time now) {
     drop_old_offers(state, in_force);
     if (offer.revision <= in_force) {
         return;
@@ -101,7 +101,7 @@
 }
 
 void record_list(follower_state& state, std::uint64_t cursor, std::uint64_t in_force,
-                 const follower_rule& rule, platform::random_engine& random, core::steady_time now) {
+                 const follower_rule& rule, store::random_engine& random, core::steady_time now) {
     state.store_failures = 0;
     state.has_cursor = true;
     state.cursor = cursor;
@@ -114,14 +114,16 @@
     state.cursor = std::max(state.cursor, cursor);
 }
 
-void record_pull_failure(follower_state& state, const follower_rule& rule, platform::random_engine& random,
+void record_pull_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                          core::steady_time now) {
     state.next_pull = soon(rule, random, now);
 }
 
-void record_store_failure(follower_state& state, const follower_rule& rule, platform::random_engine& random,
+void record_store_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                           core::steady_time now) {
-    state.retry_at = now + platform::next_delay(rule.store_backoff, state.store_failures++, random);
+    state.retry_at = now + store::next_delay(rule.store_backoff, state.store_failures++, random);
+    // NOTE: the platform may have dropped the history after the cursor, so the next call reads the whole.
+    state.has_cursor = false;
 }
 
 } // namespace monsoonlift::configuration
--- a/src/configuration/internal/history_reader.cpp
+++ b/src/configuration/internal/history_reader.cpp
@@ -3,29 +3,28 @@
 #include <utility>
 
 #include "configuration/stored_configuration_json.h"
-#include "platform/settled.h"
+#include "store/settled.h"
 
 namespace monsoonlift::configuration::internal {
 
-history_reader::history_reader(platform::object_api& api, const history_query& query,
+history_reader::history_reader(store::object_api& api, const history_query& query,
                                std::chrono::milliseconds patience, handler done)
     : m_api(api), m_query(query), m_patience(patience), m_done(std::move(done)) {}
 
 void history_reader::start() {
-    m_api.get(current_object, m_patience,
-              [self = shared_from_this()](core::result<platform::object> answered) {
-                  const auto answer = platform::settle_result(std::move(answered));
-                  if (!answer.value) {
-                      self->fail(answer.failure);
-                      return;
-                  }
-                  const auto stored = parse_stored_configuration(answer.value->value);
-                  if (!stored) {
-                      self->fail({core::error_code::internal, "configuration/current can't be read"});
-                      return;
-                  }
-                  self->start(*stored);
-              });
+    m_api.get(current_object, m_patience, [self = shared_from_this()](core::result<store::object> answered) {
+        const auto answer = store::settle_result(std::move(answered));
+        if (!answer.value) {
+            self->fail(answer.failure);
+            return;
+        }
+        const auto stored = parse_stored_configuration(answer.value->value);
+        if (!stored) {
+            self->fail({core::error_code::internal, "configuration/current can't be read"});
+            return;
+        }
+        self->start(*stored);
+    });
 }
 
 void history_reader::start(const stored_configuration& stored) {
@@ -54,13 +53,13 @@
         m_done(std::move(m_entries));
         return;
     }
-    m_api.get(archive_name, m_patience, [self = shared_from_this()](core::result<platform::object> answered) {
+    m_api.get(archive_name, m_patience, [self = shared_from_this()](core::result<store::object> answered) {
         self->on_archive(std::move(answered));
     });
 }
 
-void history_reader::on_archive(core::result<platform::object> answered) {
-    const auto answer = platform::settle_result(std::move(answered));
+void history_reader::on_archive(core::result<store::object> answered) {
+    const auto answer = store::settle_result(std::move(answered));
     if (!answer.value) {
         fail(answer.failure);
         return;
--- a/src/configuration/internal/history_reader.h
+++ b/src/configuration/internal/history_reader.h
@@ -15,7 +15,7 @@
 public:
     using handler = std::function<void(core::result<std::vector<audit_entry>>)>;
 
-    history_reader(platform::object_api& api, const history_query& query, std::chrono::milliseconds patience,
+    history_reader(store::object_api& api, const history_query& query, std::chrono::milliseconds patience,
                    handler done);
 
     /// Reads `configuration/current` first.
@@ -28,10 +28,10 @@
     void add(const std::vector<audit_entry>& entries);
     [[nodiscard]] bool satisfied() const;
     void follow(const std::string& archive_name);
-    void on_archive(core::result<platform::object> answered);
+    void on_archive(core::result<store::object> answered);
     void fail(core::error failure);
 
-    platform::object_api& m_api;
+    store::object_api& m_api;
     history_query m_query;
     std::chrono::milliseconds m_patience;
     handler m_done;
--- a/src/configuration/internal/http_peer_source.cpp
+++ b/src/configuration/internal/http_peer_source.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "platform/settled.h"
+#include "store/settled.h"
 
 namespace monsoonlift::configuration {
 
@@ -10,8 +10,8 @@
 
 constexpr unsigned status_ok = 200;
 
-core::result<std::string> body_of(core::result<platform::http_reply> answered) {
-    auto answer = platform::settle_result(std::move(answered));
+core::result<std::string> body_of(core::result<store::http_reply> answered) {
+    auto answer = store::settle_result(std::move(answered));
     if (!answer.value) {
         return core::captured_failure<std::string>(answer.failure);
     }
@@ -29,7 +29,7 @@
 void http_peer_source::fetch(const std::string& admin_address, std::chrono::milliseconds patience,
                              handler done) {
     m_client.send(admin_address, {"GET", "/configuration", {}, {}}, patience,
-                  [done = std::move(done)](core::result<platform::http_reply> answered) {
+                  [done = std::move(done)](core::result<store::http_reply> answered) {
                       done(body_of(std::move(answered)));
                   });
 }
--- /dev/null
+++ b/src/configuration/internal/route_reader.cpp
@@ -0,0 +1,96 @@
+#include "configuration/internal/route_reader.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "configuration/internal/service_reader.h"
+
+namespace monsoonlift::configuration::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+using settings::yaml_reader;
+
+constexpr std::size_t max_routes = 5'000;
+constexpr std::uint64_t max_weight = 1'000'000;
+constexpr std::uint64_t max_attempts = 16;
+
+const std::vector<std::string> route_keys{
+    "name",     "host",        "path", "class", "idempotent", "timeout", "latency_objective",
+    "attempts", "destinations"};
+
+std::vector<route_destination> read_destinations(yaml_reader& route) {
+    std::vector<route_destination> destinations;
+    std::uint64_t total = 0;
+    for (auto& reader : route.map_list("destinations")) {
+        reader.refuse_unknown_keys({"service", "weight"});
+        route_destination destination;
+        destination.service = read_name(reader, "service");
+        destination.weight = static_cast<std::uint32_t>(reader.whole_number("weight", 0, max_weight, 1));
+        total += destination.weight;
+        destinations.push_back(std::move(destination));
+    }
+    if (total == 0) {
+        route.report("destinations", std::to_string(destinations.size()) + " destinations of weight 0",
+                     "at least one destination with a weight above 0");
+    }
+    return destinations;
+}
+
+route_rule read_route(yaml_reader& reader, const std::vector<std::string>& classes) {
+    reader.refuse_unknown_keys(route_keys);
+    route_rule route;
+    route.name = read_name(reader, "name");
+    route.host = reader.required_string("host");
+    route.path_prefix = read_path(reader);
+    route.class_name = read_listed(reader, "class", classes);
+    route.rank = rank_of(classes, route.class_name);
+    route.idempotent = reader.boolean("idempotent", std::nullopt);
+    route.timeout = reader.duration("timeout", 1ms, 1h, route.timeout);
+    route.latency_objective = reader.duration("latency_objective", 1ms, 1h, route.latency_objective);
+    route.attempts =
+        static_cast<std::uint32_t>(reader.whole_number("attempts", 1, max_attempts, route.attempts));
+    route.destinations = read_destinations(reader);
+    return route;
+}
+
+} // namespace
+
+std::vector<route_rule> read_routes(yaml_reader& root, const std::vector<std::string>& classes) {
+    std::vector<route_rule> routes;
+    std::set<std::pair<std::string, std::string>> targets;
+    for (auto& reader : root.map_list("routes")) {
+        auto route = read_route(reader, classes);
+        if (!targets.emplace(route.host, route.path_prefix).second) {
+            reader.report("path", "\"" + route.host + route.path_prefix + "\"",
+                          "a host and path that no other route has");
+        }
+        routes.push_back(std::move(route));
+    }
+    if (routes.size() > max_routes) {
+        root.report("routes", std::to_string(routes.size()) + " routes",
+                    "at most " + std::to_string(max_routes) + " routes");
+    }
+    return routes;
+}
+
+void check_destinations(yaml_reader& root, const std::vector<route_rule>& routes,
+                        const std::vector<service_rule>& services) {
+    std::set<std::string> known;
+    for (const auto& service : services) {
+        known.insert(service.name);
+    }
+    for (const auto& route : routes) {
+        for (const auto& destination : route.destinations) {
+            if (!destination.service.empty() && !known.contains(destination.service)) {
+                root.report("routes", "\"" + route.name + "\" leads to \"" + destination.service + "\"",
+                            "services of this document");
+            }
+        }
+    }
+}
+
+} // namespace monsoonlift::configuration::internal
--- /dev/null
+++ b/src/configuration/internal/route_reader.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "configuration/types/document.h"
+#include "settings/yaml_reader.h"
+
+namespace monsoonlift::configuration::internal {
+
+/// Reads the list of routes; faults go to the reader's error list.
+[[nodiscard]] std::vector<route_rule> read_routes(settings::yaml_reader& root,
+                                                  const std::vector<std::string>& classes);
+
+/// Reports every route that leads to a service which the document doesn't name.
+void check_destinations(settings::yaml_reader& root, const std::vector<route_rule>& routes,
+                        const std::vector<service_rule>& services);
+
+} // namespace monsoonlift::configuration::internal
--- a/src/configuration/internal/service_reader.cpp
+++ b/src/configuration/internal/service_reader.cpp
@@ -36,6 +36,8 @@
     return text;
 }
 
+} // namespace
+
 std::string read_listed(yaml_reader& reader, std::string_view key, const std::vector<std::string>& allowed) {
     auto text = reader.required_string(key);
     if (!text.empty() && std::find(allowed.begin(), allowed.end(), text) == allowed.end()) {
@@ -44,6 +46,8 @@
     return text;
 }
 
+namespace {
+
 bool is_path(const std::string& path) {
     const auto plain = [](char byte) {
         return byte > ' ' && byte < '\x7f' && byte != '?' && byte != '#';
@@ -51,6 +55,8 @@
     return path.starts_with('/') && std::all_of(path.begin(), path.end(), plain);
 }
 
+} // namespace
+
 std::string read_path(yaml_reader& reader) {
     auto path = reader.required_string("path");
     if (!path.empty() && !is_path(path)) {
@@ -65,6 +71,8 @@
                                   : static_cast<core::class_rank>(found - classes.begin());
 }
 
+namespace {
+
 call_rule read_call(yaml_reader& reader, const std::vector<std::string>& classes) {
     reader.refuse_unknown_keys(call_keys);
     call_rule call;
@@ -78,7 +86,8 @@
     return call;
 }
 
-std::vector<call_rule> read_calls(yaml_reader& service, const std::vector<std::string>& classes) {
+std::vector<call_rule> read_calls(yaml_reader& service, const std::vector<std::string>& classes,
+                                  bool has_routes) {
     std::vector<call_rule> calls;
     std::set<std::string> names;
     std::set<std::pair<std::string, std::string>> targets;
@@ -93,14 +102,14 @@
         }
         calls.push_back(std::move(call));
     }
-    if (calls.empty() || calls.size() > max_calls) {
+    if ((calls.empty() && !has_routes) || calls.size() > max_calls) {
         service.report("calls", std::to_string(calls.size()) + " calls",
                        "1 to " + std::to_string(max_calls) + " calls");
     }
     return calls;
 }
 
-service_rule read_service(yaml_reader& reader, const std::vector<std::string>& classes) {
+service_rule read_service(yaml_reader& reader, const std::vector<std::string>& classes, bool has_routes) {
     reader.refuse_unknown_keys(service_keys);
     service_rule service;
     service.name = read_name(reader, "name");
@@ -114,7 +123,7 @@
                       "at least the " + std::to_string(service.slots) + " slots");
     }
     service.drain_time = reader.duration("drain_time", 1s, 1h, service.drain_time);
-    service.calls = read_calls(reader, classes);
+    service.calls = read_calls(reader, classes, has_routes);
     return service;
 }
 
@@ -137,11 +146,12 @@
     return name;
 }
 
-std::vector<service_rule> read_services(yaml_reader& root, const std::vector<std::string>& classes) {
+std::vector<service_rule> read_services(yaml_reader& root, const std::vector<std::string>& classes,
+                                        bool has_routes) {
     std::vector<service_rule> services;
     std::set<std::string> names;
     for (auto& reader : root.map_list("services")) {
-        auto service = read_service(reader, classes);
+        auto service = read_service(reader, classes, has_routes);
         if (!names.insert(service.name).second) {
             reader.report("name", quoted(service.name), "a name that no other service has");
         }
--- a/src/configuration/internal/submission_session.cpp
+++ b/src/configuration/internal/submission_session.cpp
@@ -6,8 +6,8 @@
 #include "configuration/document_reader.h"
 #include "configuration/next_revision.h"
 #include "configuration/stored_configuration_json.h"
-#include "platform/limits.h"
-#include "platform/settled.h"
+#include "store/limits.h"
+#include "store/settled.h"
 
 namespace monsoonlift::configuration::internal {
 
@@ -28,7 +28,7 @@
 
 } // namespace
 
-submission_session::submission_session(platform::object_api& api, platform::scheduler& timer,
+submission_session::submission_session(store::object_api& api, store::scheduler& timer,
                                        const core::clock& clock, std::uint64_t seed,
                                        submission_request request, core::steady_time deadline,
                                        submitter::handler done)
@@ -51,13 +51,13 @@
 
 void submission_session::read() {
     m_api.get(current_object, call_patience(),
-              [self = shared_from_this()](core::result<platform::object> answered) {
+              [self = shared_from_this()](core::result<store::object> answered) {
                   self->on_read(std::move(answered));
               });
 }
 
-void submission_session::on_read(core::result<platform::object> answered) {
-    const auto answer = platform::settle_result(std::move(answered));
+void submission_session::on_read(core::result<store::object> answered) {
+    const auto answer = store::settle_result(std::move(answered));
     if (answer.value) {
         look_at(*answer.value);
         return;
@@ -70,7 +70,7 @@
     decide(0);
 }
 
-void submission_session::look_at(const platform::object& current) {
+void submission_session::look_at(const store::object& current) {
     auto stored = parse_stored_configuration(current.value);
     if (!stored) {
         finish({submission_status::invalid, 0, "configuration/current holds something else", {}, {}, {}});
@@ -123,11 +123,11 @@
     const auto base = m_plan ? without_archived(*m_accepted, *m_plan) : m_accepted;
     const auto next = next_revision(base, m_request, changes, m_clock.wall_now());
     m_write = prepared_write{version, next.revision, to_json(next), std::move(changes)};
-    if (m_write->value.size() > platform::max_value_bytes) {
+    if (m_write->value.size() > store::max_value_bytes) {
         finish({submission_status::invalid,
                 accepted_revision(),
                 "the stored form has " + std::to_string(m_write->value.size()) + " bytes, at most " +
-                    std::to_string(platform::max_value_bytes) + " are allowed",
+                    std::to_string(store::max_value_bytes) + " are allowed",
                 {},
                 {},
                 {}});
@@ -148,7 +148,7 @@
 }
 
 void submission_session::on_archived(core::result<std::uint64_t> answered) {
-    const auto answer = platform::settle_result(std::move(answered));
+    const auto answer = store::settle_result(std::move(answered));
     // NOTE: an archive's content follows from its name, so one that exists already is this one.
     if (answer.value || answer.failure.code == core::error_code::conflict) {
         write();
@@ -160,8 +160,8 @@
 /// The archive's answer was lost: it is written again only if it is not there.
 void submission_session::look_for_archive() {
     m_api.get(m_plan->name, call_patience(),
-              [self = shared_from_this()](core::result<platform::object> answered) {
-                  const auto answer = platform::settle_result(std::move(answered));
+              [self = shared_from_this()](core::result<store::object> answered) {
+                  const auto answer = store::settle_result(std::move(answered));
                   if (answer.value) {
                       self->write();
                       return;
@@ -183,7 +183,7 @@
 }
 
 void submission_session::on_written(core::result<std::uint64_t> answered) {
-    const auto answer = platform::settle_result(std::move(answered));
+    const auto answer = store::settle_result(std::move(answered));
     if (answer.value) {
         finish({submission_status::accepted, m_write->revision, "accepted", m_write->changes, {}, {}});
         return;
@@ -209,7 +209,7 @@
     const history_query query{0, after_revision};
     read_history(m_api, *m_accepted, query, call_patience(),
                  [self = shared_from_this()](core::result<std::vector<audit_entry>> answered) {
-                     const auto answer = platform::settle_result(std::move(answered));
+                     const auto answer = store::settle_result(std::move(answered));
                      if (!answer.value) {
                          self->repeat(&submission_session::read, answer.failure);
                          return;
@@ -238,7 +238,7 @@
 }
 
 void submission_session::repeat(void (submission_session::*step)(), const core::error& failure) {
-    const auto delay = platform::next_delay({}, m_attempt++, m_random);
+    const auto delay = store::next_delay({}, m_attempt++, m_random);
     if (m_clock.now() + delay >= m_deadline) {
         const auto status = m_unsure ? submission_status::unknown : submission_status::unavailable;
         finish({status, accepted_revision(), failure.message, {}, {}, {}});
--- a/src/configuration/internal/submission_session.h
+++ b/src/configuration/internal/submission_session.h
@@ -10,14 +10,14 @@
 #include "configuration/audit_trail.h"
 #include "configuration/submitter.h"
 #include "configuration/types/document.h"
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
 namespace monsoonlift::configuration::internal {
 
 /// One submission under way. Lives until its handler has been called.
 class submission_session : public std::enable_shared_from_this<submission_session> {
 public:
-    submission_session(platform::object_api& api, platform::scheduler& timer, const core::clock& clock,
+    submission_session(store::object_api& api, store::scheduler& timer, const core::clock& clock,
                        std::uint64_t seed, submission_request request, core::steady_time deadline,
                        submitter::handler done);
 
@@ -34,8 +34,8 @@
     };
 
     void read();
-    void on_read(core::result<platform::object> answered);
-    void look_at(const platform::object& current);
+    void on_read(core::result<store::object> answered);
+    void look_at(const store::object& current);
     void resolve(std::uint64_t version);
     void decide(std::uint64_t version);
     void prepare(std::uint64_t version);
@@ -52,10 +52,10 @@
     [[nodiscard]] std::uint64_t accepted_revision() const;
     [[nodiscard]] std::chrono::milliseconds call_patience() const;
 
-    platform::object_api& m_api;
-    platform::scheduler& m_timer;
+    store::object_api& m_api;
+    store::scheduler& m_timer;
     const core::clock& m_clock;
-    platform::random_engine m_random;
+    store::random_engine m_random;
     submission_request m_request;
     core::steady_time m_deadline;
     submitter::handler m_done;
--- a/src/configuration/internal/submitter.cpp
+++ b/src/configuration/internal/submitter.cpp
@@ -7,7 +7,7 @@
 
 namespace monsoonlift::configuration {
 
-submitter::submitter(platform::object_api& api, platform::scheduler& timer, const core::clock& clock,
+submitter::submitter(store::object_api& api, store::scheduler& timer, const core::clock& clock,
                      std::uint64_t seed)
     : m_api(api), m_timer(timer), m_clock(clock), m_seed(seed) {}
 
--- a/src/configuration/submitter.h
+++ b/src/configuration/submitter.h
@@ -6,8 +6,8 @@
 
 #include "configuration/types/submission.h"
 #include "core/clock.h"
-#include "platform/object_api.h"
-#include "platform/scheduler.h"
+#include "store/object_api.h"
+#include "store/scheduler.h"
 
 namespace monsoonlift::configuration {
 
@@ -18,15 +18,14 @@
     using handler = std::function<void(const submission_outcome&)>;
 
     /// All three must outlive the submissions under way; handlers run on the API's executor.
-    submitter(platform::object_api& api, platform::scheduler& timer, const core::clock& clock,
-              std::uint64_t seed);
+    submitter(store::object_api& api, store::scheduler& timer, const core::clock& clock, std::uint64_t seed);
 
     /// Submits; `patience` bounds the whole.
     void submit(const submission_request& request, std::chrono::milliseconds patience, handler done);
 
 private:
-    platform::object_api& m_api;
-    platform::scheduler& m_timer;
+    store::object_api& m_api;
+    store::scheduler& m_timer;
     const core::clock& m_clock;
     std::uint64_t m_seed;
 };
--- a/src/configuration/tests/small_fleet.h
+++ b/src/configuration/tests/small_fleet.h
@@ -14,8 +14,8 @@
 #include "configuration/configuration_follower.h"
 #include "configuration/tests/recording_log.h"
 #include "configuration/tests/stored_samples.h"
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
 
 namespace monsoonlift::configuration::tests {
 
@@ -24,7 +24,7 @@
 /// Peers in memory; what a peer answers can be set, or comes from its holder.
 class fake_peers final : public peer_source {
 public:
-    explicit fake_peers(platform::scheduler& timer) : m_timer(timer) {}
+    explicit fake_peers(store::scheduler& timer) : m_timer(timer) {}
 
     void fetch(const std::string& admin_address, std::chrono::milliseconds patience, handler done) override {
         ++pulls;
@@ -44,12 +44,12 @@
     std::size_t pulls = 0;
 
 private:
-    platform::scheduler& m_timer;
+    store::scheduler& m_timer;
 };
 
 /// One follower with its own connection to the platform.
 struct daemon_under_test {
-    daemon_under_test(platform::testing::memory_store& store, platform::testing::manual_scheduler& timer,
+    daemon_under_test(store::testing::memory_store& store, store::testing::manual_scheduler& timer,
                       const core::clock& clock, fake_peers& peers,
                       const membership::member_directory& directory, const std::string& name,
                       const std::string& data_centre, std::uint64_t seed)
@@ -59,7 +59,7 @@
               follower_identity{name, data_centre, seed}, follower_rule{})) {}
 
     std::string address;
-    platform::testing::fake_object_api api;
+    store::testing::fake_object_api api;
     tests::recording_log log;
     configuration_holder holder;
     std::shared_ptr<configuration_follower> follower;
@@ -161,8 +161,8 @@
     static constexpr std::chrono::milliseconds probe_round{200};
     static constexpr std::size_t rounds_per_second = 5;
     monsoonlift::testing::manual_clock clock;
-    platform::testing::manual_scheduler timer{clock};
-    platform::testing::memory_store store;
+    store::testing::manual_scheduler timer{clock};
+    store::testing::memory_store store;
     fake_peers peers{timer};
     std::function<bool(std::size_t from, std::size_t to)> can_probe; ///< Empty if all can.
     std::mt19937 random{17};
--- a/src/configuration/tests/submitter_tests.cpp
+++ b/src/configuration/tests/submitter_tests.cpp
@@ -10,15 +10,15 @@
 #include "configuration/stored_configuration_json.h"
 #include "configuration/submitter.h"
 #include "configuration/tests/sample_document.h"
-#include "platform/limits.h"
-#include "platform/settled.h"
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
+#include "store/limits.h"
+#include "store/settled.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
 
 using namespace std::chrono_literals;
 using namespace monsoonlift;
 using namespace monsoonlift::configuration;
-using platform::testing::write_fate;
+using store::testing::write_fate;
 using tests::sample_document;
 
 namespace {
@@ -27,10 +27,10 @@
 
 struct operators_room {
     monsoonlift::testing::manual_clock clock;
-    platform::testing::manual_scheduler timer{clock};
-    platform::testing::memory_store store;
-    platform::testing::fake_object_api api{store, timer};
-    platform::testing::fake_object_api other_api{store, timer};
+    store::testing::manual_scheduler timer{clock};
+    store::testing::memory_store store;
+    store::testing::fake_object_api api{store, timer};
+    store::testing::fake_object_api other_api{store, timer};
     submitter operators{api, timer, clock, 11};
     submitter others{other_api, timer, clock, 12};
 
@@ -52,9 +52,9 @@
     }
 
     std::vector<audit_entry> history(const history_query& query = {}) {
-        platform::settled<std::vector<audit_entry>> answer;
+        store::settled<std::vector<audit_entry>> answer;
         read_history(api, query, 1s, [&](core::result<std::vector<audit_entry>> outcome) {
-            answer = platform::settle_result(std::move(outcome));
+            answer = store::settle_result(std::move(outcome));
         });
         timer.run_for(10min);
         REQUIRE(answer.value);
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -32,6 +32,26 @@
     std::vector<call_rule> calls;
 };
 
+/// One destination of a route and its share of the route's calls.
+struct route_destination {
+    std::string service;
+    std::uint32_t weight = 1; ///< Relative to the other destinations of the route.
+};
+
+/// What operators say of calls that name a host and a path instead of a service.
+struct route_rule {
+    std::string name;
+    std::string host;
+    std::string path_prefix; ///< Among the routes of a host the longest matching prefix decides.
+    std::string class_name;
+    core::class_rank rank = 0; ///< Position of class_name in document::classes.
+    bool idempotent = false;
+    std::chrono::milliseconds timeout{0};           ///< The longest a caller is kept waiting; 0 for no bound.
+    std::chrono::milliseconds latency_objective{0}; ///< 0 if the operators state none.
+    std::uint32_t attempts = 2;                     ///< Backend servers that one call may be sent to.
+    std::vector<route_destination> destinations;
+};
+
 /// What operators say of one kind of caller.
 struct caller_rule {
     std::string name;
@@ -57,6 +77,7 @@
     std::vector<std::string> classes; ///< The first is shed last.
     std::vector<caller_rule> callers;
     std::vector<service_rule> services;
+    std::vector<route_rule> routes;
     retry_rule retries;
     execution_rule execution;
 };
@@ -64,6 +85,14 @@
 /// The service of that name, or nullptr.
 [[nodiscard]] const service_rule* find_service(const document& configuration, std::string_view name);
 
+/// The route of that host with the longest prefix that begins the path, or nullptr.
+[[nodiscard]] const route_rule* find_route(const document& configuration, std::string_view host,
+                                           std::string_view path);
+
+/// The destination at `point` of the route's weights laid end to end, from 0 up to but not including 1;
+/// nullptr if no destination has a weight.
+[[nodiscard]] const route_destination* pick_destination(const route_rule& route, double point);
+
 /// The rule with the longest matching prefix for that method, or nullptr.
 [[nodiscard]] const call_rule* find_call(const service_rule& service, std::string_view method,
                                          std::string_view path);
--- a/src/configuration/types/follower_state.h
+++ b/src/configuration/types/follower_state.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
 namespace monsoonlift::configuration {
 
@@ -21,7 +21,7 @@
     std::chrono::milliseconds pull_jitter{300};
     std::chrono::milliseconds settle_time{3000}; ///< After a start without the platform.
     std::chrono::milliseconds stuck_after{5000}; ///< Then the platform is asked instead of peers.
-    platform::backoff_rule store_backoff{std::chrono::milliseconds(500), std::chrono::milliseconds(8000)};
+    store::backoff_rule store_backoff{std::chrono::milliseconds(500), std::chrono::milliseconds(8000)};
 };
 
 /// A peer that has a higher revision.
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -3,6 +3,7 @@
 
 #include "configuration/types/document.h"
 #include "core/clock.h"
+#include "entry/caller_protocol.h"
 #include "gate/nested_budgets.h"
 #include "logging/event_log.h"
 #include "membership/member_directory.h"
@@ -39,6 +40,8 @@
     std::chrono::milliseconds stall_patience{30'000}; ///< A body that moves no further is given up.
     std::chrono::milliseconds route_patience{300};    ///< Waited for while no backend server can be reached.
     std::uint64_t random_seed = 1;
+    std::size_t retry_burst = 10; ///< Retries at once beyond the ratio of first attempts.
+    caller_protocol protocol;
 };
 
 /// Totals since the start.
--- a/src/entry/internal/attempt_problem.cpp
+++ b/src/entry/internal/attempt_problem.cpp
@@ -38,10 +38,6 @@
 constexpr reason_entry otherwise{end_reason::backend_failed, 502, "backend-failed",
                                  "The answer of the backend server is broken"};
 
-std::chrono::seconds whole_seconds(std::chrono::milliseconds time) {
-    return std::max(std::chrono::ceil<std::chrono::seconds>(time), std::chrono::seconds(1));
-}
-
 /// 503 promises that nothing ran; a body damaged while it went on to the backend server is a broken attempt.
 unsigned status_of(const reason_entry& known, const transport::attempt_end& end) {
     return end.reason == end_reason::body_damaged && end.run != verdict::not_run ? otherwise.status
@@ -57,7 +53,7 @@
     problem trouble{status_of(known, end),    end.run,    std::string(known.type),
                     std::string(known.title), end.detail, {}};
     if (end.retry_after) {
-        trouble.retry_after = whole_seconds(*end.retry_after);
+        trouble.retry_after = *end.retry_after;
     } else if (known.status == 429 || (known.status == 503 && end.run == verdict::not_run)) {
         trouble.retry_after = std::chrono::seconds(1);
     }
--- a/src/entry/internal/call_decisions.cpp
+++ b/src/entry/internal/call_decisions.cpp
@@ -157,7 +157,7 @@
                                          {"took_ms", milliseconds_text(end.took)},
                                          {"usable", std::to_string(evidence.usable)},
                                          {"level", admission::to_string(evidence.level)},
-                                         {"retry_after_s", retry_after}});
+                                         {"retry_after_ms", retry_after}});
 }
 
 void call_decisions::abandoned(const decided_call& call, const ended_call& end, core::verdict run) {
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -81,7 +81,7 @@
         return no_configuration();
     }
     const parsing_rules rules{*configuration, m_shared.options.default_patience, m_shared.sender.self().life};
-    auto parsed = parse_call(m_connection->request(), rules, m_shared.clock.now());
+    auto parsed = m_shared.options.protocol.parse(m_connection->request(), rules, m_shared.clock.now());
     if (auto* trouble = std::get_if<problem>(&parsed)) {
         return std::move(*trouble);
     }
@@ -89,7 +89,7 @@
     m_call = std::move(std::get<parsed_call>(parsed));
     m_class = &m_shared.classes.of(m_call.context.rank);
     if (!m_call.parent) {
-        m_call.context.root = drawn;
+        m_call.context.root = m_call.request.value_or(drawn);
     }
     m_connection->name_request(core::to_string(m_call.context.root));
     begin_context(*configuration);
@@ -99,7 +99,8 @@
 
 void call_exchange::begin_context(const configuration::document& configuration) {
     if (!m_call.parent) {
-        m_call.context.attempts_left = configuration.retries.attempts_per_root;
+        m_call.context.attempts_left =
+            m_call.attempts ? *m_call.attempts - 1 : configuration.retries.attempts_per_root;
         m_shared.routes.set_retry_ratio(configuration.retries.ratio);
         m_shared.routes.grant(m_call.context);
         return;
@@ -210,7 +211,7 @@
 void call_exchange::send_request() {
     transport::request_head head;
     head.reply_address = m_shared.sender.self().address;
-    m_lent = retry::lend(m_call.context);
+    m_lent = m_shared.options.protocol.nests_budgets ? retry::lend(m_call.context) : 0;
     head.context = m_call.context;
     head.context.attempts_left = m_lent;
     head.service = m_call.service;
@@ -270,9 +271,9 @@
     m_nested_attempts += end.nested_attempts.value_or(m_lent);
     retry::settle(m_call.context, m_lent, end.nested_attempts);
     const auto now = m_shared.clock.now();
-    m_shared.routes.record_result(m_channel->endpoint(),
-                                  judge_attempt(end, m_answer_status, m_caller_gone, now - m_attempt_began),
-                                  now);
+    auto result = judge_attempt(end, m_answer_status, m_caller_gone, now - m_attempt_began);
+    result.kind = m_call.kind;
+    m_shared.routes.record_result(m_channel->endpoint(), result, now);
     m_tried.push_back(m_channel->endpoint());
     if (outcome.settled) {
         note_settled(outcome);
--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-caller_connection::caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit)
-    : m_socket(std::move(socket)), m_head_limit(head_limit) {
+caller_connection::caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit,
+                                     const caller_protocol& protocol)
+    : m_socket(std::move(socket)), m_head_limit(head_limit), m_protocol(protocol) {
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
 }
@@ -99,6 +100,15 @@
     co_return !failure || failure == http::error::need_buffer;
 }
 
+template <class Body>
+void caller_connection::label(http::response<Body>& response, answer_notes notes) const {
+    response.set("Monsoonlift-Verdict", core::to_string(notes.run));
+    response.set("Monsoonlift-Attempts", std::to_string(notes.attempts));
+    if (!m_request_id.empty()) {
+        response.set("Monsoonlift-Request-Id", m_request_id);
+    }
+}
+
 template <class Body>
 void caller_connection::fill_response(http::response<Body>& response, const transport::response_head& head,
                                       answer_notes notes) {
@@ -108,10 +118,8 @@
     for (const auto& field : head.headers) {
         response.insert(field.name, field.value);
     }
-    response.set("Monsoonlift-Verdict", core::to_string(notes.run));
-    response.set("Monsoonlift-Attempts", std::to_string(notes.attempts));
-    if (!m_request_id.empty()) {
-        response.set("Monsoonlift-Request-Id", m_request_id);
+    if (m_protocol.labels_answers) {
+        label(response, notes);
     }
     m_can_go_on = m_can_go_on && !m_last && m_parser->is_done();
     response.keep_alive(m_can_go_on);
@@ -150,7 +158,8 @@
 
 boost::asio::awaitable<bool> caller_connection::write_piece(std::string_view bytes) {
     auto& body = m_response->body();
-    body.data = const_cast<char*>(bytes.data());
+    // NOTE: bytes that are there but empty would be written as the last chunk.
+    body.data = bytes.empty() ? nullptr : const_cast<char*>(bytes.data());
     body.size = bytes.size();
     body.more = true;
     const auto [failure, written] = co_await http::async_write(m_socket, *m_serializer, to_tuple);
@@ -169,14 +178,8 @@
 
 boost::asio::awaitable<bool> caller_connection::write_problem(const problem& trouble,
                                                               std::uint32_t attempts) {
-    transport::response_head head;
-    head.status = trouble.status;
-    head.reason = http::obsolete_reason(static_cast<http::status>(trouble.status));
-    head.headers.push_back({"Content-Type", "application/problem+json"});
-    if (trouble.retry_after) {
-        head.headers.push_back({"Retry-After", std::to_string(trouble.retry_after->count())});
-    }
-    head.body = to_json(trouble);
+    auto head = m_protocol.tell(trouble);
+    head.reason = http::obsolete_reason(static_cast<http::status>(head.status));
     co_return co_await write_answer(std::move(head), {trouble.run, attempts});
 }
 
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/caller_protocol.h"
 #include "entry/request_parsing.h"
 #include "entry/types/problem.h"
 #include "transport/types/frame.h"
@@ -36,7 +37,9 @@
     /// Outcome of waiting for a request head.
     enum class head_outcome { arrived, closed, malformed, too_large };
 
-    caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit);
+    /// `protocol` outlives the connection.
+    caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit,
+                      const caller_protocol& protocol);
 
     [[nodiscard]] boost::asio::any_io_executor strand() { return m_socket.get_executor(); }
 
@@ -86,6 +89,7 @@
     using parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
     using buffer_response = boost::beast::http::response<boost::beast::http::buffer_body>;
 
+    template <class Body> void label(boost::beast::http::response<Body>& response, answer_notes notes) const;
     template <class Body>
     void fill_response(boost::beast::http::response<Body>& response, const transport::response_head& head,
                        answer_notes notes);
@@ -96,6 +100,7 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     std::uint32_t m_head_limit;
+    const caller_protocol& m_protocol;
     std::optional<parser> m_parser;
     request_fields m_request;
     std::string m_request_id; ///< Empty for a head that is no request.
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -19,7 +19,8 @@
 caller_session::caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
                                boost::asio::ip::tcp::socket socket)
     : m_shared(shared), m_keep_alive(std::move(keep_alive)),
-      m_connection(std::make_shared<caller_connection>(std::move(socket), shared.options.head_limit_bytes)),
+      m_connection(std::make_shared<caller_connection>(std::move(socket), shared.options.head_limit_bytes,
+                                                       shared.options.protocol)),
       m_watchdog(std::make_shared<transfer::watchdog>(m_connection->strand())) {}
 
 void caller_session::start() {
--- a/src/entry/internal/problem.cpp
+++ b/src/entry/internal/problem.cpp
@@ -3,6 +3,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+
 namespace monsoonlift::entry {
 
 std::string to_json(const problem& trouble) {
@@ -14,4 +16,16 @@
     return boost::json::serialize(document);
 }
 
+transport::response_head tell_problem(const problem& trouble) {
+    transport::response_head head;
+    head.status = trouble.status;
+    head.headers.push_back({"Content-Type", "application/problem+json"});
+    if (trouble.retry_after) {
+        const auto whole = std::chrono::ceil<std::chrono::seconds>(*trouble.retry_after);
+        head.headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(whole.count(), 1))});
+    }
+    head.body = to_json(trouble);
+    return head;
+}
+
 } // namespace monsoonlift::entry
--- a/src/entry/internal/request_parsing.cpp
+++ b/src/entry/internal/request_parsing.cpp
@@ -28,10 +28,6 @@
     std::string_view context;
 };
 
-problem bad_request(std::string type, std::string detail) {
-    return {400, core::verdict::not_run, std::move(type), "The request is malformed", std::move(detail), {}};
-}
-
 bool is_visible(std::string_view text) {
     return std::all_of(text.begin(), text.end(), [](char letter) { return letter > ' ' && letter < 127; });
 }
@@ -54,22 +50,22 @@
 
 std::optional<problem> check_names(const request_fields& request, const own_fields& fields) {
     if (request.target.empty() || request.target.front() != '/') {
-        return bad_request("bad-target", "the request target must be a path that begins with /");
+        return malformed("bad-target", "the request target must be a path that begins with /");
     }
     if (fields.service.empty()) {
-        return bad_request("missing-service", "the header Monsoonlift-Service is missing or empty");
+        return malformed("missing-service", "the header Monsoonlift-Service is missing or empty");
     }
     if (fields.service.size() > max_name_length || !is_visible(fields.service)) {
-        return bad_request("bad-service", "Monsoonlift-Service must be 1 to 128 visible ASCII characters");
+        return malformed("bad-service", "Monsoonlift-Service must be 1 to 128 visible ASCII characters");
     }
     if (fields.caller.size() > max_name_length || !is_visible(fields.caller)) {
-        return bad_request("bad-caller", "Monsoonlift-Caller must be at most 128 visible ASCII characters");
+        return malformed("bad-caller", "Monsoonlift-Caller must be at most 128 visible ASCII characters");
     }
     if (fields.key.size() > max_key_length || !is_visible(fields.key)) {
-        return bad_request("bad-key", "Idempotency-Key must be 1 to 128 visible ASCII characters");
+        return malformed("bad-key", "Idempotency-Key must be 1 to 128 visible ASCII characters");
     }
     if (!execution::parse_key(fields.key)) {
-        return bad_request("bad-key", "Idempotency-Key begins like a permit and is not a whole one");
+        return malformed("bad-key", "Idempotency-Key begins like a permit and is not a whole one");
     }
     return std::nullopt;
 }
@@ -124,6 +120,10 @@
 
 } // namespace
 
+problem malformed(std::string type, std::string detail) {
+    return {400, core::verdict::not_run, std::move(type), "The request is malformed", std::move(detail), {}};
+}
+
 std::variant<std::string_view, problem> single_header(const request_fields& request, std::string_view name) {
     std::string_view value;
     bool seen = false;
@@ -132,13 +132,13 @@
             continue;
         }
         if (seen) {
-            return bad_request("repeated-header", "the header " + std::string(name) + " is given twice");
+            return malformed("repeated-header", "the header " + std::string(name) + " is given twice");
         }
         seen = true;
         value = field.value;
     }
     if (seen && value.empty()) {
-        return bad_request("empty-header", "the header " + std::string(name) + " is empty");
+        return malformed("empty-header", "the header " + std::string(name) + " is empty");
     }
     return value;
 }
@@ -154,11 +154,11 @@
     }
     const auto timeout = parse_timeout(fields.timeout);
     if (!fields.timeout.empty() && !timeout) {
-        return bad_request("bad-timeout", "Monsoonlift-Timeout-Ms must be a whole number from 1 to 600000");
+        return malformed("bad-timeout", "Monsoonlift-Timeout-Ms must be a whole number from 1 to 600000");
     }
     const auto parent = gate::parse_context_token(fields.context);
     if (!fields.context.empty() && !parent) {
-        return bad_request("bad-context", "Monsoonlift-Context must be passed on unchanged");
+        return malformed("bad-context", "Monsoonlift-Context must be passed on unchanged");
     }
     const auto* service = configuration::find_service(rules.configuration, fields.service);
     if (service == nullptr) {
@@ -173,6 +173,7 @@
     const auto patience = patience_of(rules.configuration, *rule, fields.caller, rules.default_patience);
     parsed_call call;
     call.service = service->name;
+    call.kind = rule->name;
     call.context.rank = rule->rank;
     call.context.idempotent = rule->idempotent;
     call.context.caller = fields.caller;
--- a/src/entry/internal/route_book.cpp
+++ b/src/entry/internal/route_book.cpp
@@ -14,8 +14,13 @@
 
 } // namespace
 
-route_book::route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed)
+route_book::route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
+                       std::size_t retry_burst)
     : m_decisions_on(decisions_on), m_random(random_seed) {
+    for (auto* bucket : {&m_ratio, &m_grants}) {
+        bucket->max_tokens = static_cast<double>(retry_burst);
+        bucket->tokens = bucket->max_tokens;
+    }
     m_table.data_centre = std::move(data_centre);
 }
 
--- a/src/entry/internal/route_book.h
+++ b/src/entry/internal/route_book.h
@@ -16,7 +16,9 @@
 class route_book {
 public:
     /// With `decisions_on` false endpoints are chosen at random and retries have no budget.
-    route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed);
+    /// `retry_burst` bounds the retries that are sent at once, beyond their ratio to first attempts.
+    route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
+               std::size_t retry_burst);
 
     [[nodiscard]] core::root_id draw_root();
 
--- /dev/null
+++ b/src/entry/internal/route_call.cpp
@@ -0,0 +1,82 @@
+#include "entry/route_call.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+
+namespace monsoonlift::entry {
+
+namespace {
+
+constexpr std::size_t longest_request_id = 128;
+
+/// The identity that the caller's own name for the request gives: its digits if it is short enough and
+/// hexadecimal, so that logs show it, else a hash of it.
+core::root_id root_of(std::string_view id) {
+    core::root_id root;
+    constexpr std::size_t digits = 2 * sizeof(root.bytes);
+    if (id.size() <= digits) {
+        const auto padded = std::string(id) + std::string(digits - id.size(), '0');
+        if (const auto read = core::parse_root_id(padded)) {
+            return *read;
+        }
+    }
+    const auto hash = XXH3_128bits(id.data(), id.size());
+    for (std::size_t index = 0; index < sizeof(hash.low64); ++index) {
+        root.bytes[index] = static_cast<std::uint8_t>(hash.low64 >> (8 * index));
+        root.bytes[index + sizeof(hash.low64)] = static_cast<std::uint8_t>(hash.high64 >> (8 * index));
+    }
+    return root;
+}
+
+/// A point in [0, 1) that depends on the request and the route alone, and not on what is shed by root id.
+double point_of(std::string_view id, const std::string& route) {
+    const auto seed = XXH3_64bits(route.data(), route.size());
+    constexpr double values = 18446744073709551616.0; // 2^64
+    return static_cast<double>(XXH3_64bits_withSeed(id.data(), id.size(), seed)) / values;
+}
+
+problem unknown_route(std::string detail) {
+    return {404, core::verdict::not_run, "unknown-route", "Not known to the configuration", std::move(detail),
+            {}};
+}
+
+std::chrono::milliseconds patience_of(const configuration::route_rule& route, const routed_request& request,
+                                      const parsing_rules& rules) {
+    const auto asked = request.time_left.value_or(rules.default_patience);
+    return route.timeout > std::chrono::milliseconds::zero() ? std::min(asked, route.timeout) : asked;
+}
+
+} // namespace
+
+std::variant<parsed_call, problem> route_call(const routed_request& request, const parsing_rules& rules,
+                                              core::steady_time now) {
+    if (request.target.empty() || request.target.front() != '/') {
+        return malformed("bad-target", "the request target must be a path that begins with /");
+    }
+    if (request.id.size() > longest_request_id) {
+        return malformed("bad-request-id", "the request's id must be at most 128 characters");
+    }
+    const auto path = request.target.substr(0, request.target.find('?'));
+    const auto* route = configuration::find_route(rules.configuration, request.host, path);
+    const auto* destination = route != nullptr
+                                  ? configuration::pick_destination(*route, point_of(request.id, route->name))
+                                  : nullptr;
+    if (destination == nullptr) {
+        return unknown_route("no route leads from " + std::string(request.host) + std::string(path));
+    }
+    parsed_call call;
+    call.service = destination->service;
+    if (!request.id.empty()) {
+        call.request = root_of(request.id);
+    }
+    call.kind = route->name;
+    call.attempts = route->attempts;
+    call.context.rank = route->rank;
+    call.context.idempotent = route->idempotent;
+    call.context.deadline = now + patience_of(*route, request, rules);
+    return call;
+}
+
+} // namespace monsoonlift::entry
--- a/src/entry/request_parsing.h
+++ b/src/entry/request_parsing.h
@@ -30,6 +30,10 @@
     core::call_context context;
     std::vector<transport::header> headers;    ///< Those to pass on.
     std::optional<gate::context_token> parent; ///< Of a nested call.
+    std::optional<core::root_id> request;      ///< Identity that the caller gave; drawn here if it gave none.
+    std::optional<std::uint32_t>
+        attempts;     ///< Backend servers that the call may be sent to, if its route says.
+    std::string kind; ///< Name of the route or the call; calls of one kind take about the same time.
 };
 
 /// What the checks depend on.
@@ -43,6 +47,9 @@
 [[nodiscard]] std::variant<parsed_call, problem>
 parse_call(const request_fields& request, const parsing_rules& rules, core::steady_time now);
 
+/// What a caller is told whose request can't be understood.
+[[nodiscard]] problem malformed(std::string type, std::string detail);
+
 /// The value of a header field that may be given once at most; two different ones are an error.
 [[nodiscard]] std::variant<std::string_view, problem> single_header(const request_fields& request,
                                                                     std::string_view name);
--- a/src/entry/tests/accepting_tests.cpp
+++ b/src/entry/tests/accepting_tests.cpp
@@ -3,7 +3,7 @@
 
 #include "network/tcp_source.h"
 #include "network/testing/failing_source.h"
-#include "platform/testing/manual_scheduler.h"
+#include "store/testing/manual_scheduler.h"
 #include "testing/manual_clock.h"
 
 #include <boost/asio/strand.hpp>
@@ -21,7 +21,7 @@
 struct exhausted_entries {
     struct entry_parts {
         std::shared_ptr<network::testing::failing_source> source;
-        std::shared_ptr<platform::testing::manual_scheduler> timer;
+        std::shared_ptr<store::testing::manual_scheduler> timer;
     };
 
     exhausted_entries() {
@@ -40,7 +40,7 @@
             io, io.get_executor(),
             boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
         const auto source = std::make_shared<network::testing::failing_source>(io, real, failures);
-        const auto timer = std::make_shared<platform::testing::manual_scheduler>(clock);
+        const auto timer = std::make_shared<store::testing::manual_scheduler>(clock);
         parts.push_back({source, timer});
         return {std::make_shared<network::acceptor>(source, timer, clock), real->address()};
     }
--- a/src/entry/tests/call_decisions_tests.cpp
+++ b/src/entry/tests/call_decisions_tests.cpp
@@ -108,7 +108,7 @@
     CHECK(test.field("attempts") == "3");
     CHECK(test.field("took_ms") == "40.000");
     CHECK(test.field("level") == "1/128");
-    CHECK(test.field("retry_after_s") == "2");
+    CHECK(test.field("retry_after_ms") == "2000");
     CHECK(test.field("detail").size() == 200);
 }
 
--- a/src/entry/types/problem.h
+++ b/src/entry/types/problem.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types/verdict.h"
+#include "transport/types/frame.h"
 
 #include <chrono>
 #include <cstdint>
@@ -16,9 +17,12 @@
     std::string type; ///< Last part of the problem's URN, such as "unknown-service".
     std::string title;
     std::string detail;
-    std::optional<std::chrono::seconds> retry_after;
+    std::optional<std::chrono::milliseconds> retry_after;
 };
 
+/// The answer that says so to callers of this project's own protocol, without its reason phrase.
+[[nodiscard]] transport::response_head tell_problem(const problem& trouble);
+
 /// The JSON document of a problem.
 [[nodiscard]] std::string to_json(const problem& trouble);
 
--- a/src/execution/home_keeper.h
+++ b/src/execution/home_keeper.h
@@ -6,8 +6,8 @@
 
 #include "execution/execution_ledger.h"
 #include "logging/event_log.h"
-#include "platform/object_api.h"
-#include "platform/scheduler.h"
+#include "store/object_api.h"
+#include "store/scheduler.h"
 
 #include <chrono>
 #include <cstdint>
@@ -44,7 +44,7 @@
     using other_gates = std::function<std::vector<core::endpoint_id>(const std::string& service)>;
 
     /// `scheduler` runs one task at a time and may be called from any thread.
-    home_keeper(platform::scheduler& scheduler, execution_ledger& ledger, platform::object_api& platform,
+    home_keeper(store::scheduler& scheduler, execution_ledger& ledger, store::object_api& platform,
                 logging::event_log& log, other_gates others, home_keeper_options options);
     ~home_keeper();
     home_keeper(const home_keeper&) = delete;
--- a/src/execution/internal/home_keeper.cpp
+++ b/src/execution/internal/home_keeper.cpp
@@ -6,9 +6,8 @@
 
 using internal::home_writer;
 
-home_keeper::home_keeper(platform::scheduler& scheduler, execution_ledger& ledger,
-                         platform::object_api& platform, logging::event_log& log, other_gates others,
-                         home_keeper_options options)
+home_keeper::home_keeper(store::scheduler& scheduler, execution_ledger& ledger, store::object_api& platform,
+                         logging::event_log& log, other_gates others, home_keeper_options options)
     : m_writer(std::make_shared<home_writer>(scheduler, ledger, platform, log, std::move(others), options)) {
     ledger.on_behind([weak = std::weak_ptr(m_writer)] {
         if (const auto writer = weak.lock()) {
--- a/src/execution/internal/home_writer.cpp
+++ b/src/execution/internal/home_writer.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-home_writer::home_writer(platform::scheduler& scheduler, execution_ledger& ledger,
-                         platform::object_api& platform, logging::event_log& log,
-                         home_keeper::other_gates others, const home_keeper_options& options)
+home_writer::home_writer(store::scheduler& scheduler, execution_ledger& ledger, store::object_api& platform,
+                         logging::event_log& log, home_keeper::other_gates others,
+                         const home_keeper_options& options)
     : m_scheduler(scheduler), m_ledger(ledger), m_platform(platform), m_log(log), m_others(std::move(others)),
       m_options(options), m_random(options.random_seed) {}
 
@@ -30,7 +30,7 @@
 }
 
 template <class T>
-platform::object_api::handler<T>
+store::object_api::handler<T>
 home_writer::on_scheduler(std::function<void(home_writer&, const T&)> on_value,
                           std::function<void(home_writer&, const core::error&)> on_error) {
     return [weak = weak_from_this(), on_value = std::move(on_value),
@@ -119,10 +119,10 @@
 
 void home_writer::read() {
     m_platform.get(object_name(), m_options.call_patience,
-                   on_scheduler<platform::object>(&home_writer::take_read, &home_writer::read_failed));
+                   on_scheduler<store::object>(&home_writer::take_read, &home_writer::read_failed));
 }
 
-void home_writer::take_read(const platform::object& found) {
+void home_writer::take_read(const store::object& found) {
     const auto table = read_homes(found.value, found.version);
     if (!table) {
         m_log.write(logging::event_id::homes_malformed, {{"object", object_name()}});
--- a/src/execution/internal/home_writer.h
+++ b/src/execution/internal/home_writer.h
@@ -11,7 +11,7 @@
 /// The running half of home_keeper: one read or write at a time, on the scheduler.
 class home_writer : public std::enable_shared_from_this<home_writer> {
 public:
-    home_writer(platform::scheduler& scheduler, execution_ledger& ledger, platform::object_api& platform,
+    home_writer(store::scheduler& scheduler, execution_ledger& ledger, store::object_api& platform,
                 logging::event_log& log, home_keeper::other_gates others, const home_keeper_options& options);
 
     /// Runs `step` on the scheduler unless stopped.
@@ -27,12 +27,12 @@
 
 private:
     template <class T>
-    platform::object_api::handler<T>
+    store::object_api::handler<T>
     on_scheduler(std::function<void(home_writer&, const T&)> on_value,
                  std::function<void(home_writer&, const core::error&)> on_error);
     void begin_round();
     void read();
-    void take_read(const platform::object& found);
+    void take_read(const store::object& found);
     void read_failed(const core::error& failure);
     void plan();
     void write(std::uint64_t expected_version, const home_table& table, bool is_plan);
@@ -44,9 +44,9 @@
     [[nodiscard]] std::chrono::milliseconds jittered(std::chrono::milliseconds pause);
     [[nodiscard]] std::string object_name() const;
 
-    platform::scheduler& m_scheduler;
+    store::scheduler& m_scheduler;
     execution_ledger& m_ledger;
-    platform::object_api& m_platform;
+    store::object_api& m_platform;
     logging::event_log& m_log;
     home_keeper::other_gates m_others;
     home_keeper_options m_options;
--- a/src/execution/tests/home_keeper_tests.cpp
+++ b/src/execution/tests/home_keeper_tests.cpp
@@ -1,9 +1,9 @@
 #include "execution/home_keeper.h"
 #include "testing/silent_log.h"
 
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
-#include "platform/testing/memory_store.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
+#include "store/testing/memory_store.h"
 #include "testing/manual_clock.h"
 
 #include <catch2/catch.hpp>
@@ -12,10 +12,10 @@
 
 using namespace monsoonlift::execution;
 using monsoonlift::core::endpoint_id;
-using monsoonlift::platform::testing::fake_object_api;
-using monsoonlift::platform::testing::manual_scheduler;
-using monsoonlift::platform::testing::memory_store;
-using monsoonlift::platform::testing::write_fate;
+using monsoonlift::store::testing::fake_object_api;
+using monsoonlift::store::testing::manual_scheduler;
+using monsoonlift::store::testing::memory_store;
+using monsoonlift::store::testing::write_fate;
 using monsoonlift::testing::manual_clock;
 using namespace std::chrono_literals;
 
--- /dev/null
+++ b/src/gate/announcement_order.h
@@ -0,0 +1,22 @@
+/// Which announcements of a backend server are overtaken by later ones.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace monsoonlift::gate {
+
+/// One announcement among those of all lives of the backend server at one address.
+struct announcement_mark {
+    std::string id;               ///< Name of the life; may be used by the next life again.
+    std::uint64_t started_ms = 0; ///< Unix time of the life's start; 0 if it isn't told.
+    std::uint64_t sequence = 0;   ///< Rises within one life.
+};
+
+/// Whether `offered` was sent before `newest`: by an earlier life, or earlier in the same life. Answers
+/// heartbeats that a cut delayed and that arrive after their sender's successor has announced itself.
+[[nodiscard]] bool is_overtaken(const std::optional<announcement_mark>& newest,
+                                const announcement_mark& offered);
+
+} // namespace monsoonlift::gate
--- a/src/gate/gate_service.h
+++ b/src/gate/gate_service.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "execution/crash_guard.h"
 #include "execution/execution_ledger.h"
+#include "gate/backend_protocol.h"
 #include "gate/gate_table.h"
 #include "gate/nested_budgets.h"
 #include "logging/event_log.h"
@@ -29,6 +30,7 @@
     std::chrono::milliseconds stall_patience{30'000}; ///< A body that moves no further is given up.
     std::chrono::milliseconds backend_silence{
         3'000}; ///< Without an announcement, the backend server is gone.
+    backend_protocol protocol;
 };
 
 /// Totals since the start.
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -134,6 +134,7 @@
         fail(verdict::not_run, end_reason::no_backend, describe(end_reason::no_backend));
         co_return false;
     }
+    m_backend = *backend;
     m_connection = m_env.pool.take_idle(backend->address);
     if (m_connection) {
         co_return may_still_begin();
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -106,6 +106,12 @@
     awaitable<void> stream_answer();
     awaitable<bool> read_body(std::string& into, std::size_t limit, bool fill);
     [[nodiscard]] bool has_known_end() const;
+
+    /// Whether the answer whose head was read is that of this request, and not a late one of another.
+    [[nodiscard]] bool answers_this_request() const;
+
+    /// Reads an answer of another request to its end; false if that can't be found.
+    awaitable<bool> pass_over_answer();
     [[nodiscard]] bool was_refused_by_backend() const;
     [[nodiscard]] transport::response_head make_response_head() const;
     template <class Body> void fill_request(boost::beast::http::request<Body>& request) const;
@@ -133,6 +139,7 @@
     std::shared_ptr<transfer::watchdog> m_watchdog;
     transfer::async_queue<body_item> m_inbox;
     transfer::credit_gate m_credit;
+    backend_server m_backend; ///< As it was when the run began.
     backend_pool::connection m_connection;
     std::optional<parser> m_parser;
     transfer::body_digest m_answer_digest;
--- a/src/gate/internal/gate_events.cpp
+++ b/src/gate/internal/gate_events.cpp
@@ -17,7 +17,7 @@
     : m_log(log), m_copies_refused(registry.add_counter("monsoonlift_gate_copies_refused_total",
                                                         "Late or second copies of an attempt refused.")),
       m_cancelled(clock), m_copy_refused(clock), m_connection_refused(clock), m_broke_off(clock),
-      m_unknown_frame(clock) {}
+      m_unknown_frame(clock), m_crossed_answer(clock) {}
 
 void gate_events::load_changed(const load_news& news, const gate_classes& classes) {
     if (news.overload_started) {
@@ -62,6 +62,10 @@
     write(event_id::frame_of_unknown_attempt, m_unknown_frame, attempt, {}, "not under way here");
 }
 
+void gate_events::crossed_answer(const core::attempt_id& attempt) {
+    write(event_id::answer_crossed, m_crossed_answer, attempt, {}, "it names another request");
+}
+
 void gate_events::write(event_id id, logging::event_throttle& throttle, const core::attempt_id& attempt,
                         std::string_view class_name, std::string_view why) {
     if (const auto left_out = throttle.take()) {
--- a/src/gate/internal/gate_events.h
+++ b/src/gate/internal/gate_events.h
@@ -36,6 +36,9 @@
     /// A frame of an attempt that is not here was dropped.
     void unknown_frame(const core::attempt_id& attempt);
 
+    /// The backend server sent an answer of another request.
+    void crossed_answer(const core::attempt_id& attempt);
+
 private:
     void write(logging::event_id id, logging::event_throttle& throttle, const core::attempt_id& attempt,
                std::string_view class_name, std::string_view why);
@@ -47,6 +50,7 @@
     logging::event_throttle m_connection_refused;
     logging::event_throttle m_broke_off;
     logging::event_throttle m_unknown_frame;
+    logging::event_throttle m_crossed_answer;
 };
 
 } // namespace monsoonlift::gate::internal
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -5,10 +5,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoonlift::gate::internal {
@@ -74,11 +76,7 @@
     token.issuer = m_env.sender.self().life;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         core::time_left(m_head.context, m_env.clock.now()));
-    request.set("Monsoonlift-Context", to_string(token));
-    request.set("Monsoonlift-Timeout-Ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
-    if (!m_head.context.key.empty()) {
-        request.set("Idempotency-Key", m_head.context.key);
-    }
+    m_env.options.protocol.label_request(request, {m_head, m_backend, token, left});
 }
 
 boost::asio::awaitable<void> gate_call::write_whole_request() {
@@ -164,7 +162,7 @@
 }
 
 boost::asio::awaitable<bool> gate_call::read_head() {
-    do {
+    while (true) {
         m_parser.emplace();
         m_parser->header_limit(answer_header_limit);
         m_parser->body_limit(boost::none);
@@ -174,19 +172,56 @@
         if (failure) {
             co_return false;
         }
-    } while (m_parser->get().result_int() < first_final_status);
+        if (m_parser->get().result_int() < first_final_status) {
+            continue;
+        }
+        if (answers_this_request()) {
+            co_return true;
+        }
+        const bool passed_over = co_await pass_over_answer();
+        if (!passed_over) {
+            co_return false;
+        }
+    }
+}
+
+bool gate_call::answers_this_request() const {
+    const auto name = m_env.options.protocol.echoed_id_header;
+    const auto& answer = m_parser->get();
+    const auto echoed = name.empty() ? answer.end() : answer.find({name.data(), name.size()});
+    if (echoed == answer.end()) {
+        return true;
+    }
+    const auto asked = std::find_if(m_head.headers.begin(), m_head.headers.end(), [name](const auto& field) {
+        return boost::beast::iequals(field.name, {name.data(), name.size()});
+    });
+    return asked == m_head.headers.end() || view(echoed->value()) == asked->value;
+}
+
+boost::asio::awaitable<bool> gate_call::pass_over_answer() {
+    m_env.events.crossed_answer(m_attempt);
+    // NOTE: without a stated end the connection's end is that of the answer, and nothing follows it.
+    if (!m_parser->is_done() && !m_parser->chunked() && !m_parser->content_length()) {
+        co_return false;
+    }
+    std::string discarded;
+    while (!m_parser->is_done()) {
+        const bool read = co_await read_body(discarded, inline_body_bytes, false);
+        if (!read) {
+            co_return false;
+        }
+    }
     co_return true;
 }
 
 bool gate_call::has_known_end() const {
-    return m_parser->is_done() || m_parser->chunked() || m_parser->content_length();
+    return m_parser->is_done() || m_parser->chunked() || m_parser->content_length() ||
+           m_env.options.protocol.answers_may_end_with_connection;
 }
 
 bool gate_call::was_refused_by_backend() const {
-    const auto status = m_parser->get().result();
-    const bool busy =
-        status == http::status::service_unavailable || status == http::status::too_many_requests;
-    return busy && view(m_parser->get()["Monsoonlift-Verdict"]) == core::to_string(verdict::not_run);
+    const auto& answer = m_parser->get();
+    return m_env.options.protocol.is_refusal(answer.result_int(), answer);
 }
 
 transport::response_head gate_call::make_response_head() const {
--- /dev/null
+++ b/src/gate/tests/announcement_order_tests.cpp
@@ -0,0 +1,31 @@
+#include "gate/announcement_order.h"
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift::gate;
+
+TEST_CASE("an announcement is overtaken by a later one of its life and by any of a later life",
+          "[announcement_order]") {
+    struct order_case {
+        const char* what;
+        announcement_mark newest;
+        announcement_mark offered;
+        bool overtaken;
+    };
+    const order_case cases[] = {
+        {"the next one", {"a", 100, 4}, {"a", 100, 5}, false},
+        {"a copy", {"a", 100, 4}, {"a", 100, 4}, true},
+        {"a delayed one", {"a", 100, 4}, {"a", 100, 3}, true},
+        {"the first of the next life", {"a", 100, 4}, {"b", 200, 1}, false},
+        {"the next life under the same name", {"a", 100, 4}, {"a", 200, 1}, false},
+        {"a delayed one of an earlier life", {"b", 200, 1}, {"a", 100, 9}, true},
+        {"of an earlier life under the same name", {"a", 200, 1}, {"a", 100, 9}, true},
+        {"another name at the same start", {"a", 100, 4}, {"b", 100, 1}, false},
+        {"no start is told", {"a", 0, 4}, {"a", 0, 5}, false},
+    };
+    for (const auto& wanted : cases) {
+        INFO(wanted.what);
+        CHECK(is_overtaken(wanted.newest, wanted.offered) == wanted.overtaken);
+    }
+    CHECK_FALSE(is_overtaken(std::nullopt, {"a", 100, 1}));
+}
--- /dev/null
+++ b/src/gate/tests/backend_answer_tests.cpp
@@ -0,0 +1,238 @@
+// What a gate makes of answers that are late, of another request, cut short, or end with their connection.
+#include "core/system_clock.h"
+#include "gate/gate_service.h"
+#include "metrics/metrics_registry.h"
+#include "testing/silent_log.h"
+#include "transfer/body_digest.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace monsoonlift;
+using namespace monsoonlift::gate;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+class keeping_sender final : public transport::frame_sender {
+public:
+    void send(const core::endpoint_id&, transport::frame message) override {
+        sent.push_back(std::move(message));
+    }
+    [[nodiscard]] core::endpoint_id self() const override { return {"127.0.0.1:7000", {1}}; }
+
+    std::vector<transport::frame> sent;
+};
+
+backend_protocol echoing_protocol() {
+    backend_protocol protocol;
+    protocol.echoed_id_header = "Request-Name";
+    protocol.answers_may_end_with_connection = true;
+    protocol.is_refusal = [](unsigned status, const boost::beast::http::fields&) {
+        return status == 421;
+    };
+    return protocol;
+}
+
+/// How the scripted backend server ends its connection.
+enum class ending { stays_open, closed, reset };
+
+/// What a gate told the entry.
+struct told {
+    std::optional<unsigned> status;
+    std::string body;
+    bool whole = false;
+    std::optional<transport::attempt_end> failure;
+};
+
+/// One request at a gate whose backend server answers with prescribed bytes.
+class scripted_gate {
+public:
+    scripted_gate() {
+        m_service.emplace(m_io, options(), m_sender, m_ledger, m_crashes, m_budgets, m_clock, m_log,
+                          m_registry);
+        const auto port = std::to_string(m_backend.local_endpoint().port());
+        m_service->announce({"mappa", "127.0.0.1:" + port, 4, 8, "first"});
+    }
+
+    told answer_with(const std::vector<std::string>& pieces, ending last) {
+        begin_request();
+        tcp::socket connection(m_io);
+        bool accepted = false;
+        m_backend.async_accept(connection, [&](const boost::system::error_code&) { accepted = true; });
+        REQUIRE(run_until([&] { return accepted; }));
+        read_request(connection);
+        for (const auto& piece : pieces) {
+            boost::asio::write(connection, boost::asio::buffer(piece));
+            m_io.run_for(pause_between_pieces);
+        }
+        end(connection, last);
+        REQUIRE(run_until([&] { return m_service->counters().in_flight == 0; }));
+        return collect();
+    }
+
+private:
+    static constexpr auto pause_between_pieces = 20ms;
+
+    static gate_options options() {
+        gate_options chosen;
+        chosen.protocol = echoing_protocol();
+        return chosen;
+    }
+
+    void begin_request() {
+        transport::request_head head;
+        head.reply_address = "127.0.0.1:7000";
+        head.context.deadline = m_clock.now() + 60s;
+        head.context.idempotent = true;
+        head.service = "mappa";
+        head.method = "GET";
+        head.target = "/map";
+        head.headers = {{"Request-Name", "mine"}};
+        head.total = transfer::total_of(head.body);
+        transport::frame message;
+        message.sender = {1};
+        message.attempt = {{1}, 1, 0};
+        message.payload = head;
+        m_service->received(message);
+        // NOTE: a streamed answer needs credit, which an entry grants with the answer's head.
+        message.payload = transport::credit{16};
+        m_service->received(message);
+    }
+
+    void read_request(tcp::socket& connection) {
+        boost::asio::streambuf request;
+        bool read = false;
+        boost::asio::async_read_until(connection, request, "\r\n\r\n",
+                                      [&](const boost::system::error_code&, std::size_t) { read = true; });
+        REQUIRE(run_until([&] { return read; }));
+    }
+
+    static void end(tcp::socket& connection, ending last) {
+        if (last == ending::reset) {
+            connection.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        if (last != ending::stays_open) {
+            connection.close();
+        }
+    }
+
+    bool run_until(const std::function<bool()>& reached) {
+        constexpr auto longest_wait = 20s;
+        const auto until = std::chrono::steady_clock::now() + longest_wait;
+        while (!reached() && std::chrono::steady_clock::now() < until) {
+            m_io.run_one_for(20ms);
+        }
+        return reached();
+    }
+
+    told collect() const {
+        told result;
+        for (const auto& message : m_sender.sent) {
+            if (const auto* head = std::get_if<transport::response_head>(&message.payload)) {
+                result.status = head->status;
+                result.body = head->body;
+                result.whole = head->total.has_value();
+            } else if (const auto* chunk = std::get_if<transport::body_chunk>(&message.payload)) {
+                result.body += chunk->data;
+            } else if (std::holds_alternative<transport::body_end>(message.payload)) {
+                result.whole = true;
+            } else if (const auto* failed = std::get_if<transport::attempt_end>(&message.payload)) {
+                result.failure = *failed;
+            }
+        }
+        return result;
+    }
+
+    boost::asio::io_context m_io;
+    tcp::acceptor m_backend{m_io, {boost::asio::ip::address_v4::loopback(), 0}};
+    core::system_clock m_clock;
+    testing::silent_log m_log;
+    keeping_sender m_sender;
+    execution::execution_ledger m_ledger{m_clock, m_sender.self(), {}};
+    execution::crash_guard m_crashes{m_clock, m_sender.self(), {}, m_log, [](std::uint32_t, std::string) {
+                                     }};
+    nested_budgets m_budgets;
+    metrics::metrics_registry m_registry;
+    std::optional<gate_service> m_service;
+};
+
+const std::string own_head = "HTTP/1.1 200 OK\r\nRequest-Name: mine\r\n";
+
+} // namespace
+
+TEST_CASE("an answer of another request is dropped and the own one is passed on", "[backend_answer]") {
+    const std::string other_whole =
+        "HTTP/1.1 200 OK\r\nRequest-Name: other\r\nContent-Length: 5\r\n\r\nwrong";
+    const std::string other_in_chunks =
+        "HTTP/1.1 200 OK\r\nRequest-Name: other\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n";
+    for (const auto& other : {other_whole, other_in_chunks}) {
+        scripted_gate gate;
+        const auto got =
+            gate.answer_with({other, own_head + "Content-Length: 5\r\n\r\nright"}, ending::stays_open);
+        CHECK(got.status == 200);
+        CHECK(got.body == "right");
+        CHECK(got.whole);
+    }
+}
+
+TEST_CASE("an answer of another request that has no end is no answer", "[backend_answer]") {
+    scripted_gate gate;
+    const auto got =
+        gate.answer_with({"HTTP/1.1 200 OK\r\nRequest-Name: other\r\n\r\nwrong"}, ending::closed);
+    CHECK_FALSE(got.status);
+    REQUIRE(got.failure);
+    CHECK(got.failure->run == core::verdict::may_have_run);
+}
+
+TEST_CASE("an answer that ends with its connection is whole only if that closes in order",
+          "[backend_answer]") {
+    struct ending_case {
+        ending last;
+        bool whole;
+    };
+    for (const auto& wanted : {ending_case{ending::closed, true}, ending_case{ending::reset, false}}) {
+        scripted_gate gate;
+        const auto got = gate.answer_with({own_head + "\r\nfirst ", "second"}, wanted.last);
+        CHECK(got.whole == wanted.whole);
+        if (wanted.whole) {
+            CHECK(got.body == "first second");
+        }
+    }
+}
+
+TEST_CASE("an answer cut short of its length is not whole", "[backend_answer]") {
+    scripted_gate gate;
+    const auto got = gate.answer_with({own_head + "Content-Length: 50\r\n\r\nshort"}, ending::closed);
+    CHECK_FALSE(got.whole);
+    REQUIRE(got.failure);
+    CHECK(got.failure->reason == transport::end_reason::backend_failed);
+}
+
+TEST_CASE("a refusal of the backend server's protocol says that nothing ran", "[backend_answer]") {
+    scripted_gate gate;
+    const auto got = gate.answer_with({"HTTP/1.1 421 Misdirected Request\r\nRequest-Name: mine\r\n"
+                                       "Content-Length: 0\r\n\r\n"},
+                                      ending::stays_open);
+    CHECK_FALSE(got.status);
+    REQUIRE(got.failure);
+    CHECK(got.failure->run == core::verdict::not_run);
+}
+
+TEST_CASE("bytes that are no answer are passed on to nobody", "[backend_answer]") {
+    scripted_gate gate;
+    const auto got = gate.answer_with({"SMTP ready, go on\r\n\r\n"}, ending::stays_open);
+    CHECK_FALSE(got.status);
+    REQUIRE(got.failure);
+    CHECK(got.failure->run == core::verdict::may_have_run);
+}
--- a/src/gate/types/backend_server.h
+++ b/src/gate/types/backend_server.h
@@ -13,6 +13,8 @@
     std::uint32_t connections = 1;
     std::string instance = {}; ///< Differs for each start of the backend server; empty if it doesn't say.
 
+    std::string id = {}; ///< Name that requests must carry to be run by it; empty if it checks none.
+
     bool operator==(const backend_server&) const = default;
 };
 
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -27,6 +27,9 @@
     admin_not_accepted = 1006,
     drain_overdue = 1007,
     lines_left_out = 1008,
+    heartbeat_refused = 1009,
+    heartbeat_late = 1010,
+    settings_read_again = 1011,
 
     // 2000: entry
     callers_not_accepted = 2000,
@@ -97,6 +100,7 @@
     frame_unsent = 6003,
     body_broken = 6004,
     peers_not_accepted = 6005,
+    answer_crossed = 6006,
 };
 
 /// What the catalogue says of one event.
@@ -123,6 +127,12 @@
      "Work is still in flight after the service's drain_time; the drain goes on."},
     {event_id::lines_left_out, severity::notice, "lines_left_out",
      "Lines of these events were not written in the last second or so, to bound the log; a count for each."},
+    {event_id::heartbeat_refused, severity::warning, "heartbeat_refused",
+     "A heartbeat on the platform can't be read and was not used."},
+    {event_id::heartbeat_late, severity::info, "heartbeat_late",
+     "A heartbeat on the platform was overtaken by a later one and was not used."},
+    {event_id::settings_read_again, severity::notice, "settings_read_again",
+     "SIGHUP: the settings file was read; what changed in it is in force from the next start."},
 
     // 2000: entry
     {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
@@ -246,6 +256,8 @@
      "A body was cut short, out of order or of another digest."},
     {event_id::peers_not_accepted, severity::error, "peers_not_accepted",
      "Connections of other daemons can't be accepted, as when no file descriptor is left."},
+    {event_id::answer_crossed, severity::warning, "answer_crossed",
+     "The backend server sent an answer of another request; it was dropped."},
 });
 
 } // namespace monsoonlift::logging
--- a/src/membership/internal/member_object_cleaner.cpp
+++ b/src/membership/internal/member_object_cleaner.cpp
@@ -10,6 +10,9 @@
 /// A gap between two signs of life of this process that is no mere delay.
 constexpr std::chrono::seconds pause_gap{2};
 
+/// Tables of members that have met differ no longer than this, so a daemon that lives is known after it.
+constexpr std::chrono::seconds shortest_unknown{30};
+
 bool is_over(const member_belief& belief) {
     return belief.status == member_status::dead || belief.status == member_status::left;
 }
@@ -65,7 +68,7 @@
     if (noted.version != object.version) {
         noted = {object.version, now};
     }
-    return is_for_long(noted.first_seen, now);
+    return is_for_long(noted.first_seen, now) && now - noted.first_seen >= shortest_unknown;
 }
 
 bool member_object_cleaner::is_for_long(core::steady_time since, core::steady_time now) const {
--- a/src/membership/internal/member_object_keeper.cpp
+++ b/src/membership/internal/member_object_keeper.cpp
@@ -58,16 +58,15 @@
 
 } // namespace
 
-member_object_keeper::member_object_keeper(boost::asio::any_io_executor strand,
-                                           platform::object_api& platform, member self,
-                                           std::uint64_t random_seed, const core::clock& clock,
+member_object_keeper::member_object_keeper(boost::asio::any_io_executor strand, store::object_api& platform,
+                                           member self, std::uint64_t random_seed, const core::clock& clock,
                                            logging::event_log& log, hooks owner)
     : m_strand(strand), m_platform(platform), m_self(std::move(self)), m_random(random_seed), m_clock(clock),
       m_log(log), m_on_peers(std::move(owner.on_peers)),
       m_cleaner(std::move(owner.belief), owner.gone_patience), m_timer(strand) {}
 
 template <class T, class OnValue, class OnError>
-platform::object_api::handler<T> member_object_keeper::on_strand(OnValue on_value, OnError on_error) {
+store::object_api::handler<T> member_object_keeper::on_strand(OnValue on_value, OnError on_error) {
     return [weak = weak_from_this(), strand = m_strand, on_value, on_error](core::result<T> answer) {
         auto run = core::settle([&] { return std::move(answer); },
                                 [&](T value) -> std::function<void()> {
@@ -117,8 +116,8 @@
 
 void member_object_keeper::read_version() {
     m_platform.get(object_name(m_self), call_patience,
-                   on_strand<platform::object>(
-                       [this](const platform::object& found) {
+                   on_strand<store::object>(
+                       [this](const store::object& found) {
                            if (found.value == object_value(m_self)) {
                                written(found.version);
                                return;
@@ -137,16 +136,16 @@
 void member_object_keeper::list() {
     m_platform.list(
         members_prefix, call_patience,
-        on_strand<platform::object_list>([this](const platform::object_list& found) { take_list(found); },
-                                         [this](const core::error&) { list_again(); }));
+        on_strand<store::object_list>([this](const store::object_list& found) { take_list(found); },
+                                      [this](const core::error&) { list_again(); }));
 }
 
-void member_object_keeper::take_list(const platform::object_list& found) {
+void member_object_keeper::take_list(const store::object_list& found) {
     constexpr auto prefix_length = sizeof(members_prefix) - 1;
     std::vector<std::string> peers;
     std::vector<listed_member_object> others;
     bool is_own_listed = false;
-    for (const platform::object& one : found.objects) {
+    for (const store::object& one : found.objects) {
         if (one.name == object_name(m_self)) {
             is_own_listed = true;
             continue;
@@ -169,14 +168,13 @@
         return;
     }
     m_platform.get(object_name(m_self), call_patience,
-                   on_strand<platform::object>([](const platform::object&) {},
-                                               [this](const core::error& failure) {
-                                                   const bool gone =
-                                                       failure.code == core::error_code::not_found;
-                                                   if (gone && !m_leaving) {
-                                                       write(0);
-                                                   }
-                                               }));
+                   on_strand<store::object>([](const store::object&) {},
+                                            [this](const core::error& failure) {
+                                                const bool gone = failure.code == core::error_code::not_found;
+                                                if (gone && !m_leaving) {
+                                                    write(0);
+                                                }
+                                            }));
 }
 
 void member_object_keeper::remove_one(const std::vector<listed_member_object>& others) {
--- a/src/membership/internal/member_object_keeper.h
+++ b/src/membership/internal/member_object_keeper.h
@@ -4,7 +4,7 @@
 #include "logging/event_log.h"
 #include "membership/internal/member_object_cleaner.h"
 #include "membership/types/member.h"
-#include "platform/object_api.h"
+#include "store/object_api.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,7 +35,7 @@
         std::chrono::milliseconds gone_patience = member_object_cleaner::patience;
     };
 
-    member_object_keeper(boost::asio::any_io_executor strand, platform::object_api& platform, member self,
+    member_object_keeper(boost::asio::any_io_executor strand, store::object_api& platform, member self,
                          std::uint64_t random_seed, const core::clock& clock, logging::event_log& log,
                          hooks owner);
 
@@ -65,14 +65,14 @@
     void written(std::uint64_t version);
     void write_failed(const core::error& failure);
     void read_version();
-    void take_list(const platform::object_list& found);
+    void take_list(const store::object_list& found);
     void remove_one(const std::vector<listed_member_object>& others);
     void after_pause(std::function<void()> step);
     template <class T, class OnValue, class OnError>
-    platform::object_api::handler<T> on_strand(OnValue on_value, OnError on_error);
+    store::object_api::handler<T> on_strand(OnValue on_value, OnError on_error);
 
     boost::asio::any_io_executor m_strand;
-    platform::object_api& m_platform;
+    store::object_api& m_platform;
     member m_self;
     std::mt19937_64 m_random;
     const core::clock& m_clock;
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -42,7 +42,7 @@
 
 membership_runtime::membership_runtime(const boost::asio::any_io_executor& executor, const core::clock& clock,
                                        member_directory& directory, logging::event_log& log,
-                                       platform::object_api* platform, membership_options options,
+                                       store::object_api* platform, membership_options options,
                                        membership_hooks hooks)
     : m_strand(boost::asio::make_strand(executor)), m_clock(clock), m_directory(directory), m_log(log),
       m_platform(platform), m_options(std::move(options)), m_hooks(std::move(hooks)), m_socket(m_strand),
--- a/src/membership/internal/membership_runtime.h
+++ b/src/membership/internal/membership_runtime.h
@@ -24,7 +24,7 @@
 class membership_runtime : public std::enable_shared_from_this<membership_runtime> {
 public:
     membership_runtime(const boost::asio::any_io_executor& executor, const core::clock& clock,
-                       member_directory& directory, logging::event_log& log, platform::object_api* platform,
+                       member_directory& directory, logging::event_log& log, store::object_api* platform,
                        membership_options options, membership_hooks hooks);
 
     /// Binds the socket and begins to join.
@@ -75,7 +75,7 @@
     const core::clock& m_clock;
     member_directory& m_directory;
     logging::event_log& m_log;
-    platform::object_api* m_platform;
+    store::object_api* m_platform;
     membership_options m_options;
     membership_hooks m_hooks;
     boost::asio::ip::udp::socket m_socket;
--- a/src/membership/internal/membership_service.cpp
+++ b/src/membership/internal/membership_service.cpp
@@ -8,7 +8,7 @@
 
 membership_service::membership_service(boost::asio::any_io_executor executor, const core::clock& clock,
                                        member_directory& directory, logging::event_log& log,
-                                       platform::object_api* platform, membership_options options,
+                                       store::object_api* platform, membership_options options,
                                        membership_hooks hooks)
     : m_runtime(std::make_shared<membership_runtime>(executor, clock, directory, log, platform,
                                                      std::move(options), std::move(hooks))) {}
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -9,7 +9,7 @@
 #include "logging/event_log.h"
 #include "membership/member_directory.h"
 #include "membership/swim.h"
-#include "platform/object_api.h"
+#include "store/object_api.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -64,7 +64,7 @@
 public:
     /// `platform` may be null: then peers come from the settings alone.
     membership_service(boost::asio::any_io_executor executor, const core::clock& clock,
-                       member_directory& directory, logging::event_log& log, platform::object_api* platform,
+                       member_directory& directory, logging::event_log& log, store::object_api* platform,
                        membership_options options, membership_hooks hooks);
     ~membership_service();
     membership_service(const membership_service&) = delete;
--- a/src/membership/tests/member_object_tests.cpp
+++ b/src/membership/tests/member_object_tests.cpp
@@ -3,9 +3,9 @@
 
 #include "membership/membership_service.h"
 #include "membership/message_codec.h"
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
-#include "platform/testing/memory_store.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
+#include "store/testing/memory_store.h"
 #include "testing/manual_clock.h"
 
 #include <catch2/catch.hpp>
@@ -19,7 +19,7 @@
 using namespace monsoonlift;
 using namespace monsoonlift::membership;
 using namespace monsoonlift::membership::internal;
-using platform::testing::write_fate;
+using store::testing::write_fate;
 using namespace std::chrono_literals;
 
 namespace {
@@ -82,9 +82,9 @@
 
     boost::asio::io_context io;
     monsoonlift::testing::manual_clock clock;
-    platform::testing::manual_scheduler scheduler{clock};
-    platform::testing::memory_store store;
-    platform::testing::fake_object_api api{store, scheduler};
+    store::testing::manual_scheduler scheduler{clock};
+    store::testing::memory_store store;
+    store::testing::fake_object_api api{store, scheduler};
     testing::silent_log log;
     std::map<std::string, member_belief> beliefs;
     std::vector<std::string> last_peers;
@@ -269,9 +269,9 @@
 TEST_CASE("a daemon that hears of its own death looks at its object", "[member_object]") {
     boost::asio::io_context io;
     monsoonlift::testing::manual_clock clock;
-    platform::testing::manual_scheduler scheduler(clock);
-    platform::testing::memory_store store;
-    platform::testing::fake_object_api api(store, scheduler);
+    store::testing::manual_scheduler scheduler(clock);
+    store::testing::memory_store store;
+    store::testing::fake_object_api api(store, scheduler);
     testing::silent_log log;
     member_directory directory;
     membership_options options;
--- a/src/membership/tests/membership_service_tests.cpp
+++ b/src/membership/tests/membership_service_tests.cpp
@@ -1,9 +1,9 @@
 #include "membership/membership_service.h"
 
 #include "core/system_clock.h"
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
-#include "platform/testing/memory_store.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
+#include "store/testing/memory_store.h"
 #include "testing/manual_clock.h"
 
 #include <catch2/catch.hpp>
@@ -45,9 +45,9 @@
     boost::asio::io_context io;
     system_clock clock;
     monsoonlift::testing::manual_clock platform_clock;
-    monsoonlift::platform::testing::manual_scheduler scheduler{platform_clock};
-    monsoonlift::platform::testing::memory_store store;
-    std::vector<std::unique_ptr<monsoonlift::platform::testing::fake_object_api>> platforms;
+    monsoonlift::store::testing::manual_scheduler scheduler{platform_clock};
+    monsoonlift::store::testing::memory_store store;
+    std::vector<std::unique_ptr<monsoonlift::store::testing::fake_object_api>> platforms;
     std::vector<std::unique_ptr<daemon>> daemons;
 
     daemon& start(std::uint16_t number, const std::vector<std::string>& seeds, bool has_platform = false,
@@ -78,8 +78,7 @@
         hooks.on_rumor = [&one](const rumor& heard) {
             one.rumors.push_back(heard);
         };
-        platforms.push_back(
-            std::make_unique<monsoonlift::platform::testing::fake_object_api>(store, scheduler));
+        platforms.push_back(std::make_unique<monsoonlift::store::testing::fake_object_api>(store, scheduler));
         one.service = std::make_unique<membership_service>(io.get_executor(), clock, one.directory, one.log,
                                                            has_platform ? platforms.back().get() : nullptr,
                                                            options, hooks);
--- a/src/network/acceptor.h
+++ b/src/network/acceptor.h
@@ -4,7 +4,7 @@
 #include "core/clock.h"
 #include "logging/event_throttle.h"
 #include "network/connection_source.h"
-#include "platform/scheduler.h"
+#include "store/scheduler.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -34,7 +34,7 @@
     static constexpr std::chrono::milliseconds pause{100};
 
     /// `scheduler` and `source` run their tasks one at a time.
-    acceptor(std::shared_ptr<connection_source> source, std::shared_ptr<platform::scheduler> scheduler,
+    acceptor(std::shared_ptr<connection_source> source, std::shared_ptr<store::scheduler> scheduler,
              const core::clock& clock);
 
     /// Begins to accept; call it once. What the handlers use must live until no handler runs any more.
@@ -49,7 +49,7 @@
     void accept_later(const std::string& why);
 
     std::shared_ptr<connection_source> m_source;
-    std::shared_ptr<platform::scheduler> m_scheduler;
+    std::shared_ptr<store::scheduler> m_scheduler;
     acceptor_handlers m_handlers;
     logging::event_throttle m_failures;
     std::atomic<bool> m_stopped = false;
--- a/src/network/internal/acceptor.cpp
+++ b/src/network/internal/acceptor.cpp
@@ -1,7 +1,7 @@
 #include "network/acceptor.h"
 
 #include "network/tcp_source.h"
-#include "platform/asio_scheduler.h"
+#include "store/asio_scheduler.h"
 
 #include <boost/asio/strand.hpp>
 
@@ -11,7 +11,7 @@
 
 using boost::asio::ip::tcp;
 
-acceptor::acceptor(std::shared_ptr<connection_source> source, std::shared_ptr<platform::scheduler> scheduler,
+acceptor::acceptor(std::shared_ptr<connection_source> source, std::shared_ptr<store::scheduler> scheduler,
                    const core::clock& clock)
     : m_source(std::move(source)), m_scheduler(std::move(scheduler)), m_failures(clock) {}
 
@@ -62,7 +62,7 @@
     const boost::asio::any_io_executor strand = boost::asio::make_strand(io);
     auto source = std::make_shared<tcp_source>(io, strand, address);
     const auto bound = source->address();
-    auto scheduler = std::make_shared<platform::asio_scheduler>(strand);
+    auto scheduler = std::make_shared<store::asio_scheduler>(strand);
     return {std::make_shared<acceptor>(std::move(source), std::move(scheduler), clock), bound};
 }
 
--- a/src/network/tests/acceptor_tests.cpp
+++ b/src/network/tests/acceptor_tests.cpp
@@ -1,6 +1,6 @@
 #include "network/acceptor.h"
 
-#include "platform/testing/manual_scheduler.h"
+#include "store/testing/manual_scheduler.h"
 #include "testing/manual_clock.h"
 
 #include <boost/asio/error.hpp>
@@ -78,8 +78,8 @@
     boost::asio::io_context io;
     testing::manual_clock clock;
     std::shared_ptr<scripted_source> source = std::make_shared<scripted_source>(io);
-    std::shared_ptr<platform::testing::manual_scheduler> scheduler =
-        std::make_shared<platform::testing::manual_scheduler>(clock);
+    std::shared_ptr<store::testing::manual_scheduler> scheduler =
+        std::make_shared<store::testing::manual_scheduler>(clock);
     int accepted = 0;
     std::vector<told_failure> told;
     std::shared_ptr<acceptor> under_test = std::make_shared<acceptor>(source, scheduler, clock);
--- /dev/null
+++ b/src/platform/backend_protocol.h
@@ -0,0 +1,11 @@
+/// How a gate talks to a backend server of the users' platform.
+#pragma once
+
+#include "gate/backend_protocol.h"
+
+namespace monsoonlift::platform {
+
+/// Requests name the backend server that is meant and the time left; answers carry the request's id.
+[[nodiscard]] gate::backend_protocol make_backend_protocol();
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/caller_protocol.h
@@ -0,0 +1,14 @@
+/// How callers of the users' platform talk to an entry.
+#pragma once
+
+#include "entry/caller_protocol.h"
+
+#include <string>
+
+namespace monsoonlift::platform {
+
+/// Requests name a host and a path; `local_service` is the service of the VM, which calls that begin here
+/// are told to come from.
+[[nodiscard]] entry::caller_protocol make_caller_protocol(std::string local_service);
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/internal/caller_protocol.cpp
@@ -0,0 +1,156 @@
+#include "platform/caller_protocol.h"
+
+#include "entry/route_call.h"
+#include "platform/types/wire_names.h"
+#include "transfer/http_headers.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+namespace monsoonlift::platform {
+
+using core::verdict;
+using entry::problem;
+
+namespace {
+
+constexpr std::int64_t longest_time_left_ms = 600'000;
+
+/// Fields that this side sets itself, whatever the caller sent.
+constexpr std::array own_fields{wire::time_left_header, wire::expected_backend_header,
+                                wire::calling_service_header};
+
+bool same(std::string_view left, std::string_view right) {
+    return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+bool is_set_here(std::string_view name) {
+    return std::any_of(own_fields.begin(), own_fields.end(),
+                       [name](std::string_view own) { return same(name, own); });
+}
+
+/// Whether a Connection field lists the name, so that it concerns that connection only.
+bool is_listed(std::string_view connection, std::string_view name) {
+    boost::beast::http::token_list tokens({connection.data(), connection.size()});
+    return tokens.exists({name.data(), name.size()});
+}
+
+std::vector<transport::header> headers_to_pass(const entry::request_fields& request,
+                                               const std::string& local_service) {
+    std::string_view connection;
+    for (const auto& field : request.headers) {
+        connection = same(field.name, "Connection") ? std::string_view(field.value) : connection;
+    }
+    std::vector<transport::header> passed;
+    passed.reserve(request.headers.size() + 1);
+    for (const auto& field : request.headers) {
+        const bool stays = transfer::is_hop_by_hop(field.name) || transfer::is_own(field.name) ||
+                           is_set_here(field.name) || is_listed(connection, field.name);
+        if (!stays) {
+            passed.push_back(field);
+        }
+    }
+    passed.push_back({std::string(wire::calling_service_header), local_service});
+    return passed;
+}
+
+std::optional<std::chrono::milliseconds> time_left(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = failure == std::errc() && end == text.data() + text.size();
+    if (!whole || value < 0 || value > longest_time_left_ms) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+std::variant<entry::parsed_call, problem> parse(const entry::request_fields& request,
+                                                const entry::parsing_rules& rules,
+                                                const std::string& local_service, core::steady_time now) {
+    entry::routed_request asked;
+    const std::pair<std::string_view, std::string_view*> wanted[] = {{"Host", &asked.host},
+                                                                     {wire::request_id_header, &asked.id}};
+    for (const auto& [name, target] : wanted) {
+        const auto found = entry::single_header(request, name);
+        if (const auto* trouble = std::get_if<problem>(&found)) {
+            return *trouble;
+        }
+        *target = std::get<std::string_view>(found);
+    }
+    const auto patience = entry::single_header(request, wire::time_left_header);
+    if (const auto* trouble = std::get_if<problem>(&patience)) {
+        return *trouble;
+    }
+    const auto text = std::get<std::string_view>(patience);
+    asked.time_left = time_left(text);
+    if (!text.empty() && !asked.time_left) {
+        return entry::malformed("bad-timeout", "X-Deadline-Ms must be a whole number from 0 to 600000");
+    }
+    asked.target = request.target;
+    auto call = entry::route_call(asked, rules, now);
+    if (auto* parsed = std::get_if<entry::parsed_call>(&call)) {
+        parsed->headers = headers_to_pass(request, local_service);
+    }
+    return call;
+}
+
+/// The statuses that promise that nothing has run.
+bool is_promise(unsigned status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+unsigned status_of(const problem& trouble) {
+    if (trouble.run != verdict::not_run && is_promise(trouble.status)) {
+        return 502;
+    }
+    const bool is_ours = trouble.status >= 500 || trouble.status == 409;
+    if (trouble.run == verdict::not_run && is_ours) {
+        return 503;
+    }
+    return trouble.status;
+}
+
+/// Seconds with three digits after the point, as the platform's callers read them.
+std::string seconds_text(std::chrono::milliseconds time) {
+    std::array<char, 32> text{};
+    const auto length =
+        std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+transport::response_head tell(const problem& trouble) {
+    transport::response_head head;
+    head.status = status_of(trouble);
+    head.headers.push_back({"Content-Type", "application/problem+json"});
+    if (trouble.retry_after && is_promise(head.status)) {
+        head.headers.push_back({std::string(wire::retry_after_header), seconds_text(*trouble.retry_after)});
+    }
+    auto told = trouble;
+    told.status = head.status;
+    head.body = entry::to_json(told);
+    return head;
+}
+
+} // namespace
+
+entry::caller_protocol make_caller_protocol(std::string local_service) {
+    entry::caller_protocol protocol;
+    protocol.parse = [service = std::move(local_service)](const entry::request_fields& request,
+                                                          const entry::parsing_rules& rules,
+                                                          core::steady_time now) {
+        return parse(request, rules, service, now);
+    };
+    protocol.tell = tell;
+    protocol.labels_answers = false;
+    protocol.nests_budgets = false;
+    return protocol;
+}
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/internal/configuration_codec.cpp
@@ -0,0 +1,201 @@
+#include "platform/configuration_codec.h"
+
+#include "configuration/limits.h"
+#include "configuration/stored_configuration_json.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace monsoonlift::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t document_format = 1;
+constexpr int hexadecimal = 16;
+
+/// Retries that one daemon allows for each first attempt: half of what the platform allows the whole fleet,
+/// since the runs of a retry may make calls of their own.
+constexpr double retry_ratio = 0.1;
+
+/// Thrown inside this file only, when a field is missing or of another type.
+struct bad_field {
+    std::string reason;
+};
+
+const json::object& map_at(const json::value& value, const std::string& where) {
+    const auto* map = value.if_object();
+    if (map == nullptr) {
+        throw bad_field{where + " is no map"};
+    }
+    return *map;
+}
+
+const json::value& field(const json::object& map, const char* name, const std::string& where) {
+    const auto* value = map.if_contains(name);
+    if (value == nullptr) {
+        throw bad_field{where + " has no " + name};
+    }
+    return *value;
+}
+
+std::string text_field(const json::object& map, const char* name, const std::string& where) {
+    const auto& value = field(map, name, where);
+    if (!value.is_string()) {
+        throw bad_field{where + ": " + name + " is no text"};
+    }
+    return std::string(value.get_string());
+}
+
+std::int64_t number_field(const json::object& map, const char* name, const std::string& where) {
+    const auto& value = field(map, name, where);
+    boost::system::error_code fault;
+    const auto number = value.is_number() ? value.to_number<double>(fault) : -1.0;
+    if (fault || number < 0 || number > 1e12) {
+        throw bad_field{where + ": " + name + " is no number of 0 or more"};
+    }
+    return static_cast<std::int64_t>(number);
+}
+
+std::int64_t optional_number(const json::object& map, const char* name, const std::string& where) {
+    const auto* value = map.if_contains(name);
+    return value == nullptr || value->is_null() ? 0 : number_field(map, name, where);
+}
+
+const json::array& list_field(const json::object& map, const char* name, const std::string& where) {
+    const auto* list = field(map, name, where).if_array();
+    if (list == nullptr) {
+        throw bad_field{where + ": " + name + " is no list"};
+    }
+    return *list;
+}
+
+std::string milliseconds_text(std::int64_t count) {
+    return std::to_string(count) + "ms";
+}
+
+std::string class_of(std::int64_t priority) {
+    const auto most = static_cast<std::int64_t>(configuration::max_classes) - 1;
+    return "priority-" + std::to_string(std::min(priority, most));
+}
+
+json::array destinations_of(const json::object& action, const std::string& where) {
+    json::array destinations;
+    const auto* split = action.if_contains("TrafficSplit");
+    if (split == nullptr || !split->is_array() || split->get_array().empty()) {
+        destinations.push_back(json::object{{"service", text_field(action, "Service", where)}});
+        return destinations;
+    }
+    for (const auto& part : split->get_array()) {
+        const auto& share = map_at(part, where + ": TrafficSplit");
+        destinations.push_back(json::object{{"service", text_field(share, "Service", where)},
+                                            {"weight", number_field(share, "Weight", where)}});
+    }
+    return destinations;
+}
+
+json::object route_of(const json::object& rule, const std::string& host) {
+    const auto name = text_field(rule, "Name", "a rule of " + host);
+    const auto where = "route " + name;
+    const auto& match = map_at(field(rule, "Match", where), where + ": Match");
+    const auto& action = map_at(field(rule, "Action", where), where + ": Action");
+    json::object route{{"name", name},
+                       {"host", host},
+                       {"path", text_field(match, "PathPrefix", where)},
+                       {"class", class_of(optional_number(rule, "Priority", where))},
+                       {"idempotent", text_field(rule, "Kind", where) == "safe"},
+                       {"destinations", destinations_of(action, where)}};
+    const auto timeout = optional_number(action, "TimeoutMs", where);
+    if (timeout > 0) {
+        route["timeout"] = milliseconds_text(timeout);
+    }
+    const auto objective = optional_number(rule, "TargetLatencyMs", where);
+    if (objective > 0) {
+        route["latency_objective"] = milliseconds_text(objective);
+    }
+    const auto attempts = optional_number(action, "MaxAttempts", where);
+    if (attempts > 0) {
+        route["attempts"] = attempts;
+    }
+    return route;
+}
+
+json::array routes_of(const json::object& content) {
+    json::array routes;
+    for (const auto& each : list_field(content, "Listeners", "the configuration")) {
+        const auto& listener = map_at(each, "a listener");
+        const auto host = text_field(listener, "Host", "a listener");
+        for (const auto& rule : list_field(listener, "Rules", host)) {
+            routes.push_back(route_of(map_at(rule, "a rule of " + host), host));
+        }
+    }
+    return routes;
+}
+
+json::array services_of(const json::object& content) {
+    json::array services;
+    for (const auto& each : list_field(content, "Clusters", "the configuration")) {
+        const auto& cluster = map_at(each, "a cluster");
+        const auto name = text_field(cluster, "Name", "a cluster");
+        const auto connections = std::max<std::int64_t>(optional_number(cluster, "MaxConnections", name), 1);
+        // NOTE: how many backend servers and slots there are is told by the backend servers themselves.
+        services.push_back(
+            json::object{{"name", name}, {"endpoints", 1}, {"slots", 1}, {"connections", connections}});
+    }
+    return services;
+}
+
+std::uint64_t revision_of(const json::object& content) {
+    const auto text = text_field(content, "Version", "the configuration");
+    std::uint64_t revision = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), revision, hexadecimal);
+    if (fault != std::errc() || end != text.data() + text.size() || revision == 0) {
+        throw bad_field{"the version \"" + text + "\" is no hexadecimal number above 0"};
+    }
+    return revision;
+}
+
+json::array class_names() {
+    json::array names;
+    for (std::size_t priority = 0; priority < configuration::max_classes; ++priority) {
+        names.emplace_back(class_of(static_cast<std::int64_t>(priority)));
+    }
+    return names;
+}
+
+configuration::stored_configuration translate(const json::object& content) {
+    configuration::stored_configuration stored;
+    stored.revision = revision_of(content);
+    stored.submission = "operator";
+    const json::object document{{"format", document_format},
+                                {"data_centres", json::array{"any"}},
+                                {"classes", class_names()},
+                                {"retries", json::object{{"attempts_per_root", 1}, {"ratio", retry_ratio}}},
+                                {"services", services_of(content)},
+                                {"routes", routes_of(content)}};
+    // NOTE: JSON is YAML, so that the document reader takes it.
+    stored.document = json::serialize(document);
+    stored.digest = configuration::digest_of(stored);
+    return stored;
+}
+
+} // namespace
+
+std::variant<configuration::stored_configuration, configuration_fault>
+decode_configuration(const json::value& content) {
+    try {
+        return translate(map_at(content, "the configuration"));
+    } catch (const bad_field& fault) {
+        return configuration_fault{fault.reason};
+    }
+}
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/internal/platform_store.cpp
@@ -0,0 +1,267 @@
+#include "platform/platform_store.h"
+
+#include "configuration/stored_configuration_json.h"
+#include "platform/configuration_codec.h"
+#include "platform/store_codec.h"
+#include "platform/types/wire_names.h"
+#include "store/http_target.h"
+#include "store/settled.h"
+
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace monsoonlift::platform {
+
+namespace {
+
+using store::http_reply;
+
+/// Time that an answer to a watch may take beyond the time that the watch itself waits.
+constexpr std::chrono::milliseconds watch_grace{1000};
+
+/// Of what the store says of a refused call, for the log.
+constexpr std::size_t longest_reason = 200;
+
+constexpr std::string_view configuration_prefix = "configuration/";
+constexpr std::string_view members_prefix = "members/";
+
+enum http_status : unsigned {
+    status_ok = 200,
+    status_no_content = 204,
+    status_not_found = 404,
+    status_conflict = 409,
+    status_gone = 410,
+    status_too_many_requests = 429,
+    status_internal_error = 500,
+    status_unavailable = 503
+};
+
+core::error error_of(const http_reply& reply) {
+    const auto status = reply.status;
+    const auto code = std::to_string(status);
+    switch (status) {
+    case status_not_found:
+        return {core::error_code::not_found, "the store has no such object"};
+    case status_conflict:
+        return {core::error_code::conflict, "the object has another version"};
+    case status_gone:
+        return {core::error_code::unavailable, "the store has dropped the history after that revision (410)"};
+    case status_too_many_requests:
+    case status_unavailable:
+        return {core::error_code::unavailable, "the store did nothing (" + code + ")"};
+    default:
+        break;
+    }
+    if (status >= status_internal_error) {
+        return {core::error_code::timeout, "the store failed with status " + code,
+                core::verdict::may_have_run};
+    }
+    return {core::error_code::invalid_input,
+            "the store refused the call with status " + code + ": " + reply.body.substr(0, longest_reason)};
+}
+
+template <class T, class Parser> core::result<T> interpret(core::result<http_reply> answered, Parser parse) {
+    const auto answer = store::settle_result(std::move(answered));
+    if (!answer.value) {
+        return core::captured_failure<T>(answer.failure);
+    }
+    if (answer.value->status < status_ok || answer.value->status > status_no_content) {
+        return core::captured_failure<T>(error_of(*answer.value));
+    }
+    std::optional<T> parsed = parse(answer.value->body);
+    if (!parsed) {
+        return core::captured_failure<T>(
+            {core::error_code::timeout, "the store's answer can't be read", core::verdict::may_have_run});
+    }
+    return std::move(*parsed);
+}
+
+/// The kind of the objects under a prefix, or of one name.
+std::string_view kind_of(std::string_view name) {
+    return name.starts_with(configuration_prefix) ? wire::configuration_kind : wire::members_kind;
+}
+
+/// The name within its kind.
+std::string bare_name(std::string_view name) {
+    if (name.starts_with(configuration_prefix)) {
+        return std::string(wire::configuration_name);
+    }
+    return std::string(name.substr(name.starts_with(members_prefix) ? members_prefix.size() : 0));
+}
+
+std::string kind_target(std::string_view name) {
+    return std::string(wire::objects_path) + std::string(kind_of(name));
+}
+
+std::string object_target(std::string_view name) {
+    return kind_target(name) + "/" + store::percent_encode(bare_name(name));
+}
+
+/// The object in our terms; nothing if its content can't be used.
+std::optional<store::object> translate(std::string_view prefix, const stored_object& stored,
+                                       logging::event_log& log) {
+    if (kind_of(prefix) == wire::configuration_kind) {
+        const auto decoded = decode_configuration(stored.content);
+        if (const auto* fault = std::get_if<configuration_fault>(&decoded)) {
+            log.write(logging::event_id::configuration_refused,
+                      {{"source", "platform"}, {"reason", fault->reason}});
+            return std::nullopt;
+        }
+        const auto& read = std::get<configuration::stored_configuration>(decoded);
+        return store::object{std::string(configuration::current_object), stored.version,
+                             configuration::to_json(read)};
+    }
+    if (!stored.content.is_string()) {
+        return std::nullopt;
+    }
+    return store::object{std::string(members_prefix) + stored.name, stored.version,
+                         std::string(stored.content.get_string())};
+}
+
+bool is_wanted(std::string_view prefix, const stored_object& stored) {
+    return kind_of(prefix) != wire::configuration_kind || stored.name == wire::configuration_name;
+}
+
+store::watch_result translate(std::string_view prefix, const stored_changes& told, logging::event_log& log) {
+    store::watch_result result;
+    result.revision = told.revision;
+    for (const auto& change : told.changes) {
+        if (!is_wanted(prefix, change.object)) {
+            continue;
+        }
+        if (change.removed) {
+            result.removed.push_back(std::string(members_prefix) + change.object.name);
+        } else if (auto object = translate(prefix, change.object, log)) {
+            result.changed.push_back(*std::move(object));
+        }
+    }
+    return result;
+}
+
+/// The version of an object that was written; its whole text is the answer.
+std::optional<std::uint64_t> written_version(const std::string& text) {
+    const auto object = decode_object(text);
+    return object ? std::optional(object->version) : std::nullopt;
+}
+
+} // namespace
+
+/// Reads a list page by page.
+class platform_store::listing : public std::enable_shared_from_this<platform_store::listing> {
+public:
+    listing(platform_store& owner, std::string prefix, std::chrono::milliseconds patience,
+            handler<store::object_list> done)
+        : m_owner(owner), m_prefix(std::move(prefix)), m_patience(patience), m_done(std::move(done)) {}
+
+    void next_page() {
+        auto target = kind_target(m_prefix);
+        if (!m_last.empty()) {
+            target += "?after=" + store::percent_encode(m_last);
+        }
+        m_owner.call<stored_page>({"GET", std::move(target), {}, {}}, m_patience, decode_page,
+                                  [self = shared_from_this()](core::result<stored_page> answered) {
+                                      self->take(store::settle_result(std::move(answered)));
+                                  });
+    }
+
+private:
+    template <class Settled> void take(Settled answer) {
+        if (!answer.value) {
+            m_done(core::captured_failure<store::object_list>(answer.failure));
+            return;
+        }
+        const auto& page = *answer.value;
+        // NOTE: the first page's revision is told, so that a watch from it misses no change of later pages.
+        m_read.revision = m_last.empty() ? page.revision : m_read.revision;
+        for (const auto& stored : page.objects) {
+            keep(stored);
+        }
+        if (page.has_more && !page.objects.empty()) {
+            m_last = page.objects.back().name;
+            next_page();
+            return;
+        }
+        m_done(std::move(m_read));
+    }
+
+    void keep(const stored_object& stored) {
+        if (!is_wanted(m_prefix, stored)) {
+            return;
+        }
+        if (auto object = translate(m_prefix, stored, m_owner.m_log)) {
+            m_read.objects.push_back(*std::move(object));
+        }
+    }
+
+    platform_store& m_owner;
+    std::string m_prefix;
+    std::chrono::milliseconds m_patience;
+    handler<store::object_list> m_done;
+    store::object_list m_read;
+    std::string m_last;
+};
+
+platform_store::platform_store(const boost::asio::any_io_executor& executor, std::string address,
+                               logging::event_log& log)
+    : m_client(executor), m_address(std::move(address)), m_log(log) {}
+
+template <class T, class Parser>
+void platform_store::call(store::http_request&& request, std::chrono::milliseconds patience, Parser parse,
+                          handler<T> done) {
+    m_client.send(m_address, std::move(request), patience,
+                  [parse, done = std::move(done)](core::result<http_reply> answered) {
+                      done(interpret<T>(std::move(answered), parse));
+                  });
+}
+
+void platform_store::get(const std::string& name, std::chrono::milliseconds patience,
+                         handler<store::object> done) {
+    const auto parse = [this, name](const std::string& text) -> std::optional<store::object> {
+        const auto stored = decode_object(text);
+        return stored ? translate(name, *stored, m_log) : std::nullopt;
+    };
+    call<store::object>({"GET", object_target(name), {}, {}}, patience, parse, std::move(done));
+}
+
+void platform_store::list(const std::string& prefix, std::chrono::milliseconds patience,
+                          handler<store::object_list> done) {
+    std::make_shared<listing>(*this, prefix, patience, std::move(done))->next_page();
+}
+
+void platform_store::update_if(const std::string& name, std::uint64_t expected_version, std::string value,
+                               std::chrono::milliseconds patience, handler<std::uint64_t> done) {
+    const bool creates = expected_version == 0;
+    auto target = creates ? kind_target(name) : object_target(name);
+    auto body = encode_write(bare_name(name), expected_version, value);
+    call<std::uint64_t>({creates ? "POST" : "PUT",
+                         std::move(target),
+                         std::move(body),
+                         {{"Content-Type", "application/json"}}},
+                        patience, written_version, std::move(done));
+}
+
+void platform_store::remove_if(const std::string& name, std::uint64_t expected_version,
+                               std::chrono::milliseconds patience, handler<std::uint64_t> done) {
+    auto target = object_target(name) + "?Rev=" + std::to_string(expected_version);
+    // NOTE: the answer's body says nothing that is needed here.
+    const auto parse = [](const std::string&) {
+        return std::optional<std::uint64_t>(0);
+    };
+    call<std::uint64_t>({"DELETE", std::move(target), {}, {}}, patience, parse, std::move(done));
+}
+
+void platform_store::watch(const std::string& prefix, std::uint64_t revision,
+                           std::chrono::milliseconds patience, handler<store::watch_result> done) {
+    auto target = kind_target(prefix) + "?Watch=" + std::to_string(revision) +
+                  "&WaitMs=" + std::to_string(patience.count());
+    const auto parse = [this, prefix](const std::string& text) -> std::optional<store::watch_result> {
+        const auto told = decode_changes(text);
+        return told ? std::optional(translate(prefix, *told, m_log)) : std::nullopt;
+    };
+    call<store::watch_result>({"GET", std::move(target), {}, {}}, patience + watch_grace, parse,
+                              std::move(done));
+}
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/local_server.h
@@ -0,0 +1,45 @@
+/// The platform's calls to a daemon: heartbeats of the backend server beside it, and whether it is ready.
+#pragma once
+
+#include "admin/admin_server.h"
+#include "core/clock.h"
+#include "logging/event_log.h"
+#include "platform/heartbeat_codec.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+
+namespace monsoonlift::platform {
+
+/// What a local server asks and tells its owner; the handlers may be called on any thread.
+struct local_server_hooks {
+    std::function<bool()> is_ready;
+    std::function<void(const heartbeat&)> heard;
+    std::function<void(const std::string& id, std::uint64_t started_ms)> deregistered;
+};
+
+/// Serves both addresses that the platform's settings name.
+class local_server {
+public:
+    /// Binds both addresses; throws boost::system::system_error if one can't be bound.
+    local_server(boost::asio::io_context& io, const std::string& heartbeat_address,
+                 const std::string& ready_address, local_server_hooks hooks, const core::clock& clock,
+                 logging::event_log& log);
+
+    /// Begins to accept connections.
+    void start();
+
+private:
+    [[nodiscard]] admin::admin_response take_heartbeat(const admin::admin_request& request);
+    [[nodiscard]] admin::admin_response take_deregistration(const admin::admin_request& request);
+    [[nodiscard]] admin::admin_response ready() const;
+
+    local_server_hooks m_hooks;
+    logging::event_log& m_log;
+    admin::admin_server m_heartbeats;
+    admin::admin_server m_ready;
+};
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/platform_store.h
@@ -0,0 +1,46 @@
+/// The platform's metadata store as the object API of this project.
+#pragma once
+
+#include "logging/event_log.h"
+#include "store/http_client.h"
+#include "store/object_api.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <string>
+
+namespace monsoonlift::platform {
+
+/// Object API over the platform's store. "configuration/current" is the operator's configuration, translated
+/// and read-only; "members/NAME" are objects of a kind of our own. Errors are those of store::object_api.
+class platform_store final : public store::object_api {
+public:
+    /// `address` is "ip:port" of the store. A configuration that can't be read is told to `log`.
+    platform_store(const boost::asio::any_io_executor& executor, std::string address,
+                   logging::event_log& log);
+
+    void get(const std::string& name, std::chrono::milliseconds patience,
+             handler<store::object> done) override;
+    void list(const std::string& prefix, std::chrono::milliseconds patience,
+              handler<store::object_list> done) override;
+    void update_if(const std::string& name, std::uint64_t expected_version, std::string value,
+                   std::chrono::milliseconds patience, handler<std::uint64_t> done) override;
+    void remove_if(const std::string& name, std::uint64_t expected_version,
+                   std::chrono::milliseconds patience, handler<std::uint64_t> done) override;
+    void watch(const std::string& prefix, std::uint64_t revision, std::chrono::milliseconds patience,
+               handler<store::watch_result> done) override;
+
+private:
+    class listing;
+
+    template <class T, class Parser>
+    void call(store::http_request&& request, std::chrono::milliseconds patience, Parser parse,
+              handler<T> done);
+
+    store::http_client m_client;
+    std::string m_address;
+    logging::event_log& m_log;
+};
+
+} // namespace monsoonlift::platform
--- /dev/null
+++ b/src/platform/tests/caller_protocol_tests.cpp
@@ -0,0 +1,170 @@
+#include "platform/caller_protocol.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace monsoonlift;
+using namespace std::chrono_literals;
+
+namespace {
+
+configuration::document make_rules() {
+    configuration::document rules;
+    rules.revision = 3;
+    configuration::route_rule status;
+    status.name = "status";
+    status.host = "maps.example";
+    status.path_prefix = "/status/";
+    status.rank = 2;
+    status.idempotent = true;
+    status.timeout = 1000ms;
+    status.attempts = 2;
+    status.destinations = {{"mappa", 90}, {"spare", 10}};
+    configuration::route_rule dispatch = status;
+    dispatch.name = "dispatch";
+    dispatch.path_prefix = "/status/dispatch/";
+    dispatch.idempotent = false;
+    dispatch.timeout = 0ms;
+    dispatch.destinations = {{"squadre", 1}};
+    rules.routes = {status, dispatch};
+    return rules;
+}
+
+entry::request_fields request_of(const std::string& target, std::vector<transport::header> more = {}) {
+    entry::request_fields request;
+    request.method = "GET";
+    request.target = target;
+    request.headers = {{"Host", "maps.example"}, {"X-Request-Id", "9c41d07be2a35f68"}};
+    request.headers.insert(request.headers.end(), more.begin(), more.end());
+    return request;
+}
+
+class parsing {
+public:
+    std::variant<entry::parsed_call, entry::problem> operator()(const entry::request_fields& request) const {
+        return m_protocol.parse(request, {m_rules, 5000ms, {1}}, m_now);
+    }
+
+    [[nodiscard]] entry::parsed_call must(const entry::request_fields& request) const {
+        auto parsed = (*this)(request);
+        if (const auto* trouble = std::get_if<entry::problem>(&parsed)) {
+            FAIL(trouble->detail);
+        }
+        return std::get<entry::parsed_call>(parsed);
+    }
+
+    [[nodiscard]] unsigned status_of(const entry::request_fields& request) const {
+        const auto parsed = (*this)(request);
+        REQUIRE(std::holds_alternative<entry::problem>(parsed));
+        return std::get<entry::problem>(parsed).status;
+    }
+
+    [[nodiscard]] core::steady_time now() const { return m_now; }
+
+private:
+    configuration::document m_rules = make_rules();
+    entry::caller_protocol m_protocol = platform::make_caller_protocol("mappa");
+    core::steady_time m_now = core::steady_time(1h);
+};
+
+std::vector<std::string> values_of(const entry::parsed_call& call, const std::string& name) {
+    std::vector<std::string> values;
+    for (const auto& field : call.headers) {
+        if (field.name == name) {
+            values.push_back(field.value);
+        }
+    }
+    return values;
+}
+
+} // namespace
+
+TEST_CASE("host and path choose the route, which decides on time and attempts", "[platform]") {
+    const parsing parse;
+    const auto call = parse.must(request_of("/status/7?x=1", {{"X-Deadline-Ms", "5000"}}));
+    CHECK(call.context.rank == 2);
+    CHECK(call.context.idempotent);
+    CHECK(call.attempts == 2);
+    CHECK(call.context.deadline == parse.now() + 1000ms);
+    REQUIRE(call.request);
+    CHECK(core::to_string(*call.request) == "9c41d07be2a35f680000000000000000");
+    const auto shorter = parse.must(request_of("/status/7", {{"X-Deadline-Ms", "300"}}));
+    CHECK(shorter.context.deadline == parse.now() + 300ms);
+    const auto unbound = parse.must(request_of("/status/dispatch/1"));
+    CHECK(unbound.service == "squadre");
+    CHECK_FALSE(unbound.context.idempotent);
+    CHECK(unbound.context.deadline == parse.now() + 5000ms);
+}
+
+TEST_CASE("a split follows its weights, request by request", "[platform]") {
+    const parsing parse;
+    int spare = 0;
+    constexpr int requests = 2000;
+    for (int index = 0; index < requests; ++index) {
+        auto request = request_of("/status/7");
+        request.headers[1].value = "id" + std::to_string(index);
+        const auto call = parse.must(request);
+        spare += call.service == "spare" ? 1 : 0;
+        CHECK(parse.must(request).service == call.service);
+    }
+    CHECK(spare == Approx(requests / 10).margin(requests / 40));
+}
+
+TEST_CASE("what only this side may say is not passed on", "[platform]") {
+    const parsing parse;
+    const auto call = parse.must(request_of("/status/7", {{"x-caller-service", "forged"},
+                                                          {"X-Expect-Instance", "i-1"},
+                                                          {"X-Deadline-Ms", "5000"},
+                                                          {"Connection", "keep-alive, X-Hop"},
+                                                          {"X-Hop", "1"},
+                                                          {"X-Other", "stays"}}));
+    CHECK(values_of(call, "X-Caller-Service") == std::vector<std::string>{"mappa"});
+    CHECK(values_of(call, "x-caller-service").empty());
+    CHECK(values_of(call, "X-Expect-Instance").empty());
+    CHECK(values_of(call, "X-Deadline-Ms").empty());
+    CHECK(values_of(call, "X-Hop").empty());
+    CHECK(values_of(call, "X-Other") == std::vector<std::string>{"stays"});
+    CHECK(values_of(call, "X-Request-Id") == std::vector<std::string>{"9c41d07be2a35f68"});
+    CHECK(values_of(call, "Host") == std::vector<std::string>{"maps.example"});
+}
+
+TEST_CASE("requests that no route takes or that can't be understood are told so", "[platform]") {
+    const parsing parse;
+    CHECK(parse.status_of(request_of("/other/")) == 404);
+    CHECK(parse.status_of(request_of("/status")) == 404);
+    CHECK(parse.status_of(request_of("status/7")) == 400);
+    CHECK(parse.status_of(request_of("/status/7", {{"X-Deadline-Ms", "soon"}})) == 400);
+    CHECK(parse.status_of(request_of("/status/7", {{"Host", "other.example"}})) == 400);
+}
+
+TEST_CASE("a status that promises that nothing ran is given only where nothing ran", "[platform]") {
+    const auto protocol = platform::make_caller_protocol("mappa");
+    struct status_case {
+        unsigned status;
+        core::verdict run;
+        unsigned told;
+    };
+    const status_case cases[] = {
+        {429, core::verdict::not_run, 429},      {503, core::verdict::not_run, 503},
+        {504, core::verdict::not_run, 503},      {502, core::verdict::not_run, 503},
+        {504, core::verdict::may_have_run, 504}, {503, core::verdict::may_have_run, 502},
+        {429, core::verdict::ran, 502},          {404, core::verdict::not_run, 404},
+    };
+    for (const auto& wanted : cases) {
+        entry::problem trouble;
+        trouble.status = wanted.status;
+        trouble.run = wanted.run;
+        trouble.retry_after = 1250ms;
+        const auto head = protocol.tell(trouble);
+        CHECK(head.status == wanted.told);
+        const auto said = std::find_if(head.headers.begin(), head.headers.end(),
+                                       [](const auto& field) { return field.name == "Retry-After"; });
+        const bool promises = head.status == 429 || head.status == 503;
+        REQUIRE((said != head.headers.end()) == promises);
+        if (promises) {
+            CHECK(said->value == "1.250");
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/tests/configuration_codec_tests.cpp
@@ -0,0 +1,107 @@
+#include "platform/configuration_codec.h"
+
+#include "configuration/configuration_holder.h"
+#include "testing/silent_log.h"
+
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace monsoonlift;
+using namespace monsoonlift::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string operators_text = R"({"Version":"0000000c","Limits":{"MaxHeaderBytes":16384},
+  "Listeners":[
+    {"Host":"maps.example","Rules":[
+      {"Name":"status","Kind":"safe","TargetLatencyMs":1500,"Priority":2,"Match":{"PathPrefix":"/status/"},
+       "Action":{"TrafficSplit":[{"Service":"mappa","Weight":90},{"Service":"spare","Weight":10}],
+                 "TimeoutMs":1000,"MaxAttempts":3}},
+      {"Name":"photo","Kind":"upload","Priority":1,"Match":{"PathPrefix":"/status/photo/"},
+       "Action":{"Service":"spare"}}]},
+    {"Host":"crews.example","Rules":[
+      {"Name":"dispatch","Kind":"unsafe","Priority":0,"Match":{"PathPrefix":"/d/"},
+       "Action":{"Service":"mappa","TimeoutMs":1200.0,"MaxAttempts":1}}]}],
+  "Clusters":[{"Name":"mappa","HealthPath":"/healthz","MaxConnections":406},{"Name":"spare"}]})";
+
+std::variant<configuration::stored_configuration, configuration_fault> decode(const std::string& text) {
+    return decode_configuration(boost::json::parse(text));
+}
+
+std::string replaced(const std::string& from, const std::string& to) {
+    auto text = operators_text;
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("an operator's configuration is adopted as routes", "[platform]") {
+    const auto decoded = decode(operators_text);
+    REQUIRE(std::holds_alternative<configuration::stored_configuration>(decoded));
+    testing::silent_log log;
+    configuration::configuration_holder holder(log);
+    REQUIRE(holder.adopt(std::get<configuration::stored_configuration>(decoded)) ==
+            configuration::adoption::adopted);
+    CHECK(holder.revision() == 12);
+    const auto rules = holder.current();
+    REQUIRE(rules->routes.size() == 3);
+    const auto* status = configuration::find_route(*rules, "maps.example", "/status/7");
+    REQUIRE(status != nullptr);
+    CHECK(status->name == "status");
+    CHECK(status->rank == 2);
+    CHECK(status->idempotent);
+    CHECK(status->timeout == 1000ms);
+    CHECK(status->latency_objective == 1500ms);
+    CHECK(status->attempts == 3);
+    REQUIRE(status->destinations.size() == 2);
+    CHECK(status->destinations[1].weight == 10);
+    const auto* photo = configuration::find_route(*rules, "maps.example", "/status/photo/1");
+    REQUIRE(photo != nullptr);
+    CHECK(photo->name == "photo");
+    CHECK_FALSE(photo->idempotent);
+    CHECK(photo->timeout == 0ms);
+    CHECK(configuration::find_route(*rules, "crews.example", "/d/1")->rank == 0);
+    CHECK(configuration::find_route(*rules, "crews.example", "/status/7") == nullptr);
+    CHECK(configuration::find_service(*rules, "mappa")->connections == 406);
+}
+
+TEST_CASE("a configuration that can't be read says why", "[platform]") {
+    const std::string texts[] = {
+        "7",
+        "{}",
+        replaced("\"0000000c\"", "\"xyz\""),
+        replaced("\"0000000c\"", "\"00000000\""),
+        replaced("\"0000000c\"", "12"),
+        replaced("\"Kind\":\"safe\",", ""),
+        replaced("\"Weight\":90", "\"Weight\":-1"),
+        replaced("{\"PathPrefix\":\"/status/\"}", "\"/status/\""),
+        replaced("\"Listeners\":[", "\"Listeners\":[7,"),
+    };
+    for (const auto& text : texts) {
+        INFO(text);
+        const auto decoded = decode(text);
+        REQUIRE(std::holds_alternative<configuration_fault>(decoded));
+        CHECK_FALSE(std::get<configuration_fault>(decoded).reason.empty());
+    }
+}
+
+TEST_CASE("a destination without weight gets nothing, and the others their share", "[platform]") {
+    configuration::route_rule route;
+    route.destinations = {{"none", 0}, {"most", 3}, {"few", 1}, {"never", 0}};
+    int few = 0;
+    constexpr int points = 1000;
+    for (int index = 0; index < points; ++index) {
+        const auto* picked = configuration::pick_destination(route, static_cast<double>(index) / points);
+        REQUIRE(picked != nullptr);
+        CHECK((picked->service == "most" || picked->service == "few"));
+        few += picked->service == "few" ? 1 : 0;
+    }
+    CHECK(few == Approx(points / 4).margin(1));
+    route.destinations = {{"none", 0}};
+    CHECK(configuration::pick_destination(route, 0.5) == nullptr);
+}
--- /dev/null
+++ b/src/platform/tests/heartbeat_codec_tests.cpp
@@ -0,0 +1,66 @@
+#include "platform/heartbeat_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace monsoonlift::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string body =
+    R"({"Service":"mappa","Address":"10.0.0.1:8080","Zone":"palermo","Version":"v1","Slots":51,)"
+    R"("State":"ready","ColdRemainingMs":1500,"Sequence":4,"born":1770000000123,"more":[1]})";
+
+std::string replaced(const std::string& from, const std::string& to) {
+    auto text = body;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat is read with its life and its place in it", "[platform]") {
+    const auto decoded = decode_heartbeat("i-7f3a91c2", body);
+    REQUIRE(std::holds_alternative<heartbeat>(decoded));
+    const auto& read = std::get<heartbeat>(decoded);
+    CHECK(read.id == "i-7f3a91c2");
+    CHECK(read.service == "mappa");
+    CHECK(read.slots == 51);
+    CHECK_FALSE(read.draining);
+    CHECK(read.cold_for == 1500ms);
+    CHECK(read.sequence == 4);
+    CHECK(read.started_ms == 1770000000123);
+    const auto leaving = decode_heartbeat("i", replaced("\"ready\"", "\"draining\""));
+    CHECK(std::get<heartbeat>(leaving).draining);
+}
+
+TEST_CASE("a heartbeat that can't be used says why", "[platform]") {
+    const std::string bodies[] = {
+        "",
+        "7",
+        "\xff\xfe",
+        body.substr(0, body.size() / 2),
+        replaced("\"mappa\"", "7"),
+        replaced("\"Slots\":51", "\"Slots\":0"),
+        replaced("\"Slots\":51", "\"Slots\":-3"),
+        replaced("\"Slots\":51", "\"Slots\":\"51\""),
+        replaced("\"ready\"", "\"sleeping\""),
+        replaced("\"Sequence\":4,", ""),
+        replaced("\"Sequence\":4", "\"Sequence\":1.5"),
+    };
+    for (const auto& text : bodies) {
+        INFO(text);
+        const auto decoded = decode_heartbeat("i-1", text);
+        REQUIRE(std::holds_alternative<heartbeat_fault>(decoded));
+        CHECK_FALSE(std::get<heartbeat_fault>(decoded).reason.empty());
+    }
+    CHECK(std::holds_alternative<heartbeat_fault>(decode_heartbeat("", body)));
+    CHECK(std::holds_alternative<heartbeat_fault>(decode_heartbeat(std::string(500, 'i'), body)));
+}
+
+TEST_CASE("a deregistration may name its life", "[platform]") {
+    CHECK(decode_deregistered_life(R"({"born":1770000000123})") == 1770000000123);
+    CHECK(decode_deregistered_life("") == 0);
+    CHECK(decode_deregistered_life("{\"born\":\"x\"}") == 0);
+}
--- /dev/null
+++ b/src/platform/types/wire_names.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string_view>
+
+/// Header fields, paths and object kinds of the users' platform.
+namespace monsoonlift::platform::wire {
+
+inline constexpr std::string_view request_id_header = "X-Request-Id";
+inline constexpr std::string_view time_left_header = "X-Deadline-Ms"; ///< Time left, not a point in time.
+inline constexpr std::string_view expected_backend_header = "X-Expect-Instance";
+inline constexpr std::string_view not_run_header = "X-Not-Executed";
+inline constexpr std::string_view calling_service_header = "X-Caller-Service";
+inline constexpr std::string_view retry_after_header = "Retry-After";
+
+inline constexpr std::string_view ready_path = "/api/ready";
+inline constexpr std::string_view heartbeat_path = "/api/Instances.Heartbeat/";   ///< The id follows.
+inline constexpr std::string_view deregister_path = "/api/Instances.Deregister/"; ///< The id follows.
+inline constexpr std::string_view objects_path = "/api/objects/";                 ///< Kind and name follow.
+
+inline constexpr std::string_view configuration_kind = "config";
+inline constexpr std::string_view configuration_name = "main";
+inline constexpr std::string_view members_kind = "monsoonlift-members";
+
+} // namespace monsoonlift::platform::wire
--- a/src/routing/internal/routing_table.cpp
+++ b/src/routing/internal/routing_table.cpp
@@ -17,7 +17,10 @@
 constexpr double remote_cost_s = 0.008;  ///< There and back between data centres.
 constexpr double load_exponent = 4;      ///< Waiting begins well before all slots are taken.
 constexpr std::size_t most_compared = 4; ///< Endpoints of the local data centre, and as many of others.
-constexpr double newest_weight = 0.2;
+constexpr double newest_weight = 0.1;
+constexpr double typical_weight =
+    0.02; ///< Of a latency in those that are typical of a service or a kind of call.
+constexpr double remote_margin = 1.25; ///< Latencies scatter; a smaller gain isn't worth the way.
 constexpr double newest_weight_if_stale = 0.5;
 constexpr milliseconds stale_after{500}; ///< Without a result for this time, an endpoint may be probed.
 constexpr double healthy_success = 0.5;  ///< Of a peer that shows that the service itself is well.
@@ -185,7 +188,7 @@
     const std::size_t remote = best_of_few(table, lists.remote, best, random, now);
     const double local_cost = expected_cost(table, table.endpoints[local], best, now);
     const double remote_cost = expected_cost(table, table.endpoints[remote], best, now);
-    return local_cost <= remote_cost ? local : remote;
+    return local_cost <= remote_cost * remote_margin ? local : remote;
 }
 
 endpoint_state* find(routing_table& table, const core::endpoint_id& id) {
@@ -224,8 +227,22 @@
     return best;
 }
 
-void learn_latency(endpoint_state& endpoint, std::chrono::nanoseconds latency, double weight) {
-    const double seconds = std::chrono::duration<double>(latency).count();
+double learn_typical(routing_table& table, const std::string& name, double seconds) {
+    auto& typical = table.typical_latency_s.try_emplace(name, seconds).first->second;
+    typical += typical_weight * (seconds - typical);
+    return typical;
+}
+
+/// The latency that a call of the service's typical kind would have had, so that an endpoint that happened to
+/// get long calls isn't taken for a slow one.
+double comparable_latency_s(routing_table& table, const std::string& service, const attempt_result& outcome) {
+    const double seconds = std::chrono::duration<double>(outcome.latency).count();
+    const double of_service = learn_typical(table, service, seconds);
+    const double of_kind = learn_typical(table, service + '/' + outcome.kind, seconds);
+    return of_kind > 0 ? seconds * of_service / of_kind : seconds;
+}
+
+void learn_latency(endpoint_state& endpoint, double seconds, double weight) {
     endpoint.latency_s =
         endpoint.latency_s == 0 ? seconds : endpoint.latency_s + weight * (seconds - endpoint.latency_s);
 }
@@ -315,7 +332,7 @@
     const double weight = stale ? newest_weight_if_stale : newest_weight;
     state->last_result = now;
     if (outcome.succeeded) {
-        learn_latency(*state, outcome.latency, weight);
+        learn_latency(*state, comparable_latency_s(table, state->service, outcome), weight);
     }
     learn_success(table, *state, outcome.succeeded, weight, now);
 }
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -40,7 +40,7 @@
     core::steady_time reported;  ///< When the report came; it ages.
     std::uint32_t in_flight = 0; ///< Calls of this entry.
     std::uint32_t sent_since_report = 0;
-    double latency_s = 0;          ///< Smoothed, of answered calls.
+    double latency_s = 0;          ///< Smoothed, of answered calls; those of slow kinds count for less.
     double success = 1;            ///< Smoothed share of attempts that ended well.
     core::steady_time last_result; ///< Of an attempt that ran or failed.
     core::steady_time avoided_until;
@@ -54,6 +54,8 @@
     std::vector<endpoint_state> endpoints;
     std::unordered_map<std::string, std::size_t> by_address;              ///< Positions in `endpoints`.
     std::unordered_map<std::string, std::vector<std::size_t>> by_service; ///< Positions in `endpoints`.
+    std::unordered_map<std::string, double>
+        typical_latency_s; ///< Of each service, and of each kind of call in it.
 };
 
 /// What a choice depends on.
@@ -90,6 +92,7 @@
     bool succeeded = true;
     bool shed = false; ///< Ended for a reason that is no fault of the server: overload, a caller that left.
     std::chrono::nanoseconds latency{0};
+    std::string kind; ///< Calls of one kind take about the same time; empty for all calls of the service.
     std::optional<load_report> report;
 };
 
--- a/src/routing/tests/routing_table_tests.cpp
+++ b/src/routing/tests/routing_table_tests.cpp
@@ -247,3 +247,39 @@
         CHECK_FALSE(has_untried(table, request));
     }
 }
+
+TEST_CASE("an endpoint that got the long calls is not taken for a slow one", "[routing]") {
+    auto table = four_endpoints();
+    auto now = start;
+    for (int round = 0; round < 200; ++round) {
+        now += 10ms;
+        for (int number = 0; number < 4; ++number) {
+            const bool is_long = number == 0 ? round % 5 != 0 : round % 5 == 0;
+            attempt_result result;
+            result.latency = is_long ? 300ms : 20ms;
+            result.kind = is_long ? "report" : "lookup";
+            result.report = load_report{{}, 1, 0, 20};
+            record_sent(table, id_of(number));
+            record_result(table, id_of(number), result, now);
+        }
+    }
+    const double gap = table.endpoints[0].latency_s / table.endpoints[1].latency_s;
+    CHECK(gap > 0.7);
+    CHECK(gap < 1.4);
+}
+
+TEST_CASE("a small gain does not send calls to another data centre", "[routing]") {
+    auto table = four_endpoints();
+    for (int number = 0; number < 4; ++number) {
+        answer(table, id_of(number), start, number < 2 ? 100ms : 90ms);
+    }
+    auto found = shares(table, start);
+    CHECK(found[id_of(0).address] + found[id_of(1).address] == Approx(1));
+    for (int number = 2; number < 4; ++number) {
+        for (int round = 0; round < 50; ++round) {
+            answer(table, id_of(number), start, 50ms);
+        }
+    }
+    found = shares(table, start);
+    CHECK(found[id_of(2).address] + found[id_of(3).address] == Approx(1));
+}
--- a/src/settings/internal/daemon_settings.cpp
+++ b/src/settings/internal/daemon_settings.cpp
@@ -30,7 +30,9 @@
                                           "body_chunk_bytes",
                                           "body_credit_chunks",
                                           "default_patience",
-                                          "gone_object_patience"};
+                                          "gone_object_patience",
+                                          "retry_burst",
+                                          "deployment"};
 
 constexpr auto address_rule = "an address such as 10.0.0.1:7000";
 constexpr auto reachable_rule = "an address with a port other than 0, such as 10.0.0.1:7000";
@@ -104,6 +106,7 @@
     constexpr std::uint64_t least_chunk_bytes = 1024;
     constexpr std::uint64_t most_chunk_bytes = 1024 * 1024;
     constexpr std::uint64_t most_credit_chunks = 64;
+    constexpr std::uint64_t most_retry_burst = 1000;
     settings.log_lines_per_second =
         reader.whole_number("log_lines_per_second", 1, most_log_lines, settings.log_lines_per_second);
     settings.workers = reader.whole_number("workers", 1, most_workers, settings.workers);
@@ -111,29 +114,51 @@
                                                     settings.body_chunk_bytes);
     settings.body_credit_chunks =
         reader.whole_number("body_credit_chunks", 1, most_credit_chunks, settings.body_credit_chunks);
+    settings.retry_burst = reader.whole_number("retry_burst", 0, most_retry_burst, settings.retry_burst);
     settings.default_patience = reader.duration("default_patience", 1ms, 10min, settings.default_patience);
     settings.gone_object_patience =
         reader.duration("gone_object_patience", 1s, 24h, settings.gone_object_patience);
 }
 
+std::optional<deployment_settings> read_deployment(yaml_reader& root) {
+    auto reader = root.map("deployment");
+    if (!reader) {
+        return std::nullopt;
+    }
+    reader->refuse_unknown_keys({"service", "backend_address", "heartbeat_address", "ready_address",
+                                 "configuration_bound", "drain_bound", "stop_bound"});
+    deployment_settings deployment;
+    deployment.service = reader->required_string("service");
+    deployment.backend_address = read_address(*reader, "backend_address");
+    deployment.heartbeat_address = read_address(*reader, "heartbeat_address");
+    deployment.ready_address = read_address(*reader, "ready_address");
+    deployment.configuration_bound =
+        reader->duration("configuration_bound", 100ms, 10min, deployment.configuration_bound);
+    deployment.drain_bound = reader->duration("drain_bound", 100ms, 10min, deployment.drain_bound);
+    deployment.stop_bound = reader->duration("stop_bound", 1s, 10min, deployment.stop_bound);
+    return deployment;
+}
+
 daemon_settings read_settings(yaml_reader& reader) {
     daemon_settings settings;
     reader.refuse_unknown_keys(known_keys);
     settings.fleet = read_fleet(reader);
     settings.name = reader.required_string("name");
     settings.data_centre = reader.required_string("data_centre");
-    settings.admin_token = reader.required_string("admin_token");
     settings.log_level = reader.one_of("log_level", {"info", "warning", "error"}, settings.log_level);
     settings.decisions = reader.one_of("decisions", {"on", "off"}, settings.decisions);
     read_addresses(reader, settings);
     read_limits(reader, settings);
+    settings.deployment = read_deployment(reader);
+    // NOTE: the users' platform has no administrators of a daemon, so there every such change is refused.
+    settings.admin_token = settings.deployment ? reader.optional_string("admin_token", "")
+                                               : reader.required_string("admin_token");
     return settings;
 }
 
 } // namespace
 
-std::variant<daemon_settings, std::vector<settings_error>>
-parse_daemon_settings(const std::string& yaml_text) {
+settings_outcome parse_daemon_settings(const std::string& yaml_text) {
     std::vector<settings_error> errors;
     const auto root = load_map(yaml_text, "(document)", errors);
     if (!root) {
--- a/src/platform/asio_scheduler.h
+++ b/src/store/asio_scheduler.h
@@ -2,9 +2,9 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include "platform/scheduler.h"
+#include "store/scheduler.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// Timers on an executor; give it a strand where the executor has several threads.
 class asio_scheduler final : public scheduler {
@@ -18,4 +18,4 @@
     boost::asio::any_io_executor m_executor;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/backoff.h
+++ b/src/store/backoff.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <random>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// Random numbers of the policies; seeded by the owner.
 using random_engine = std::mt19937_64;
@@ -21,4 +21,4 @@
 [[nodiscard]] std::chrono::milliseconds next_delay(const backoff_rule& rule, std::uint32_t attempt,
                                                    random_engine& random);
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/budgeted_object_api.h
+++ b/src/store/budgeted_object_api.h
@@ -7,12 +7,12 @@
 
 #include "core/clock.h"
 #include "logging/event_log.h"
-#include "platform/call_budget.h"
-#include "platform/circuit.h"
-#include "platform/object_api.h"
-#include "platform/scheduler.h"
+#include "store/call_budget.h"
+#include "store/circuit.h"
+#include "store/object_api.h"
+#include "store/scheduler.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// Bounds of the calls of one process.
 struct call_limits {
@@ -50,4 +50,4 @@
     std::shared_ptr<shared_state> m_state;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/call_budget.h
+++ b/src/store/call_budget.h
@@ -6,7 +6,7 @@
 
 #include "core/clock.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// The share of one daemon in what the platform takes from the whole fleet.
 struct call_budget_rule {
@@ -35,4 +35,4 @@
 /// Leaves at most one token, so that a fleet that finds the platform back begins slowly.
 void restart_slowly(call_budget& budget, core::steady_time now);
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/circuit.h
+++ b/src/store/circuit.h
@@ -4,9 +4,9 @@
 #include <cstdint>
 
 #include "core/clock.h"
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// Bounds of the circuit.
 struct circuit_rule {
@@ -42,4 +42,4 @@
 /// The platform did not answer or was out. True if this opened a closed circuit.
 bool record_failure(circuit& state, random_engine& random, core::steady_time now);
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/http_client.h
+++ b/src/store/http_client.h
@@ -9,9 +9,9 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "core/error.h"
-#include "platform/types/http_message.h"
+#include "store/types/http_message.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 namespace internal {
 class connection_pool;
@@ -37,4 +37,4 @@
     std::shared_ptr<internal::connection_pool> m_pool;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/http_object_api.h
+++ b/src/store/http_object_api.h
@@ -4,10 +4,10 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include "platform/http_client.h"
-#include "platform/object_api.h"
+#include "store/http_client.h"
+#include "store/object_api.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// The object API over HTTP and JSON.
 class http_object_api final : public object_api {
@@ -33,4 +33,4 @@
     std::string m_address;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/http_target.h
+++ b/src/store/http_target.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// A request target taken apart, percent-decoded.
 struct http_target {
@@ -24,4 +24,4 @@
 /// A whole decimal number, or nothing.
 [[nodiscard]] std::optional<std::uint64_t> parse_whole_number(std::string_view text);
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/asio_scheduler.cpp
+++ b/src/store/internal/asio_scheduler.cpp
@@ -1,11 +1,11 @@
-#include "platform/asio_scheduler.h"
+#include "store/asio_scheduler.h"
 
 #include <memory>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 asio_scheduler::asio_scheduler(const boost::asio::any_io_executor& executor) : m_executor(executor) {}
 
@@ -19,4 +19,4 @@
     });
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/backoff.cpp
+++ b/src/store/internal/backoff.cpp
@@ -1,8 +1,8 @@
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
 #include <algorithm>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 std::chrono::milliseconds next_delay(const backoff_rule& rule, std::uint32_t attempt, random_engine& random) {
     constexpr std::uint32_t max_doublings = 20;
@@ -11,4 +11,4 @@
     return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, bound)(random));
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
