--- a/src/platform/internal/budgeted_object_api.cpp
+++ b/src/store/internal/budgeted_object_api.cpp
@@ -1,13 +1,13 @@
-#include "platform/budgeted_object_api.h"
+#include "store/budgeted_object_api.h"
 
 #include <algorithm>
 #include <mutex>
 #include <optional>
 #include <utility>
 
-#include "platform/settled.h"
+#include "store/settled.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 namespace {
 
@@ -168,4 +168,4 @@
     call<watch_result>(m_state->budget.rule.read_cost, patience, send, std::move(done));
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/call_budget.cpp
+++ b/src/store/internal/call_budget.cpp
@@ -1,8 +1,8 @@
-#include "platform/call_budget.h"
+#include "store/call_budget.h"
 
 #include <algorithm>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 namespace {
 
@@ -40,4 +40,4 @@
     budget.tokens = std::min(budget.tokens, 1.0);
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/circuit.cpp
+++ b/src/store/internal/circuit.cpp
@@ -1,6 +1,6 @@
-#include "platform/circuit.h"
+#include "store/circuit.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 bool would_admit(const circuit& state, core::steady_time now) {
     return state.phase == circuit_phase::closed ||
@@ -38,4 +38,4 @@
     return was_closed;
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/connection_pool.cpp
+++ b/src/store/internal/connection_pool.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/connection_pool.h"
+#include "store/internal/connection_pool.h"
 
 #include <utility>
 
-namespace monsoonlift::platform::internal {
+namespace monsoonlift::store::internal {
 
 namespace {
 
@@ -48,4 +48,4 @@
     return std::make_unique<boost::beast::tcp_stream>(m_strand);
 }
 
-} // namespace monsoonlift::platform::internal
+} // namespace monsoonlift::store::internal
--- a/src/platform/internal/connection_pool.h
+++ b/src/store/internal/connection_pool.h
@@ -10,7 +10,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-namespace monsoonlift::platform::internal {
+namespace monsoonlift::store::internal {
 
 /// Idle connections by address. Used on its strand only.
 class connection_pool {
@@ -45,4 +45,4 @@
     std::map<std::string, std::vector<idle_connection>> m_idle;
 };
 
-} // namespace monsoonlift::platform::internal
+} // namespace monsoonlift::store::internal
--- a/src/platform/internal/http_client.cpp
+++ b/src/store/internal/http_client.cpp
@@ -1,13 +1,13 @@
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 #include <utility>
 
 #include <boost/asio/dispatch.hpp>
 
-#include "platform/internal/connection_pool.h"
-#include "platform/internal/http_exchange.h"
+#include "store/internal/connection_pool.h"
+#include "store/internal/http_exchange.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 http_client::http_client(const boost::asio::any_io_executor& executor)
     : m_pool(std::make_shared<internal::connection_pool>(executor)) {}
@@ -19,4 +19,4 @@
     boost::asio::dispatch(m_pool->strand(), [exchange] { exchange->start(); });
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/http_exchange.cpp
+++ b/src/store/internal/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/http_exchange.h"
+#include "store/internal/http_exchange.h"
 
 #include <utility>
 
@@ -8,7 +8,7 @@
 
 #include "core/network_address.h"
 
-namespace monsoonlift::platform::internal {
+namespace monsoonlift::store::internal {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -131,4 +131,4 @@
     asio::post(m_pool->executor(), [done = std::move(m_done), kept] { done(std::move(*kept)); });
 }
 
-} // namespace monsoonlift::platform::internal
+} // namespace monsoonlift::store::internal
--- a/src/platform/internal/http_exchange.h
+++ b/src/store/internal/http_exchange.h
@@ -12,10 +12,10 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/error.h"
-#include "platform/http_client.h"
-#include "platform/internal/connection_pool.h"
+#include "store/http_client.h"
+#include "store/internal/connection_pool.h"
 
-namespace monsoonlift::platform::internal {
+namespace monsoonlift::store::internal {
 
 /// One request and its answer. Lives until its handler has been called.
 class http_exchange : public std::enable_shared_from_this<http_exchange> {
@@ -49,4 +49,4 @@
 /// The endpoint of "ip:port", or nothing.
 [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
 
-} // namespace monsoonlift::platform::internal
+} // namespace monsoonlift::store::internal
--- a/src/platform/internal/http_object_api.cpp
+++ b/src/store/internal/http_object_api.cpp
@@ -1,12 +1,12 @@
-#include "platform/http_object_api.h"
+#include "store/http_object_api.h"
 
 #include <utility>
 
-#include "platform/http_target.h"
-#include "platform/object_wire.h"
-#include "platform/settled.h"
+#include "store/http_target.h"
+#include "store/object_wire.h"
+#include "store/settled.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 namespace {
 
@@ -104,4 +104,4 @@
     call({"GET", std::move(target), {}, {}}, patience + watch_grace, parse_watch_result, std::move(done));
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/http_target.cpp
+++ b/src/store/internal/http_target.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_target.h"
+#include "store/http_target.h"
 
 #include <array>
 #include <charconv>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 namespace {
 
@@ -92,4 +92,4 @@
     return value;
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/internal/object_wire.cpp
+++ b/src/store/internal/object_wire.cpp
@@ -1,8 +1,8 @@
-#include "platform/object_wire.h"
+#include "store/object_wire.h"
 
 #include <boost/json.hpp>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 namespace json = boost::json;
 
@@ -98,4 +98,4 @@
         text, [](const json::value& value) { return value.at("version").to_number<std::uint64_t>(); });
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/object_api.h
+++ b/src/store/object_api.h
@@ -11,7 +11,7 @@
 
 #include "core/error.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// One stored object. The version rises with every change of the object and is never reused.
 struct object {
@@ -68,4 +68,4 @@
                        handler<watch_result> done) = 0;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/object_wire.h
+++ b/src/store/object_wire.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <string_view>
 
-#include "platform/object_api.h"
+#include "store/object_api.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// {"name","version","value"}
 [[nodiscard]] std::string to_json(const object& stored);
@@ -33,4 +33,4 @@
 /// The version of that text, or nothing.
 [[nodiscard]] std::optional<std::uint64_t> parse_version(std::string_view text);
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/scheduler.h
+++ b/src/store/scheduler.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <functional>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// Runs tasks later, one at a time. An interface, so that tests decide when time passes.
 class scheduler {
@@ -17,4 +17,4 @@
     virtual void after(std::chrono::nanoseconds delay, std::function<void()> task) = 0;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/settled.h
+++ b/src/store/settled.h
@@ -5,7 +5,7 @@
 
 #include "core/error.h"
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// What became of an asynchronous operation: a value, or the failure in its place.
 template <class T> struct settled {
@@ -24,4 +24,4 @@
                         });
 }
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
--- a/src/platform/testing/fake_object_api.cpp
+++ b/src/store/testing/fake_object_api.cpp
@@ -1,9 +1,9 @@
-#include "platform/testing/fake_object_api.h"
+#include "store/testing/fake_object_api.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace monsoonlift::platform::testing {
+namespace monsoonlift::store::testing {
 
 namespace {
 
@@ -153,4 +153,4 @@
     });
 }
 
-} // namespace monsoonlift::platform::testing
+} // namespace monsoonlift::store::testing
--- a/src/platform/testing/fake_object_api.h
+++ b/src/store/testing/fake_object_api.h
@@ -7,11 +7,11 @@
 #include <memory>
 #include <string>
 
-#include "platform/object_api.h"
-#include "platform/scheduler.h"
-#include "platform/testing/memory_store.h"
+#include "store/object_api.h"
+#include "store/scheduler.h"
+#include "store/testing/memory_store.h"
 
-namespace monsoonlift::platform::testing {
+namespace monsoonlift::store::testing {
 
 /// What happens to one write.
 enum class write_fate {
@@ -72,4 +72,4 @@
     std::uint64_t m_calls = 0;
 };
 
-} // namespace monsoonlift::platform::testing
+} // namespace monsoonlift::store::testing
--- a/src/platform/testing/manual_scheduler.cpp
+++ b/src/store/testing/manual_scheduler.cpp
@@ -1,8 +1,8 @@
-#include "platform/testing/manual_scheduler.h"
+#include "store/testing/manual_scheduler.h"
 
 #include <algorithm>
 
-namespace monsoonlift::platform::testing {
+namespace monsoonlift::store::testing {
 
 manual_scheduler::manual_scheduler(monsoonlift::testing::manual_clock& clock) : m_clock(clock) {}
 
@@ -37,4 +37,4 @@
     return true;
 }
 
-} // namespace monsoonlift::platform::testing
+} // namespace monsoonlift::store::testing
--- a/src/platform/testing/manual_scheduler.h
+++ b/src/store/testing/manual_scheduler.h
@@ -7,10 +7,10 @@
 #include <utility>
 
 #include "core/clock.h"
-#include "platform/scheduler.h"
+#include "store/scheduler.h"
 #include "testing/manual_clock.h"
 
-namespace monsoonlift::platform::testing {
+namespace monsoonlift::store::testing {
 
 /// A scheduler whose time moves only when a test runs it; it moves the clock along.
 class manual_scheduler final : public scheduler {
@@ -35,4 +35,4 @@
     std::uint64_t m_added = 0;
 };
 
-} // namespace monsoonlift::platform::testing
+} // namespace monsoonlift::store::testing
--- a/src/platform/testing/memory_store.cpp
+++ b/src/store/testing/memory_store.cpp
@@ -1,8 +1,8 @@
-#include "platform/testing/memory_store.h"
+#include "store/testing/memory_store.h"
 
 #include <utility>
 
-namespace monsoonlift::platform::testing {
+namespace monsoonlift::store::testing {
 
 std::optional<object> memory_store::get(const std::string& name) const {
     const auto found = m_entries.find(name);
@@ -63,4 +63,4 @@
     return changes;
 }
 
-} // namespace monsoonlift::platform::testing
+} // namespace monsoonlift::store::testing
--- a/src/platform/testing/memory_store.h
+++ b/src/store/testing/memory_store.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "platform/object_api.h"
+#include "store/object_api.h"
 
-namespace monsoonlift::platform::testing {
+namespace monsoonlift::store::testing {
 
 /// Versioned objects in memory, with the rules of the platform's store. An object's version is the store's
 /// revision at its last change.
@@ -45,4 +45,4 @@
     std::map<std::string, entry> m_entries;
 };
 
-} // namespace monsoonlift::platform::testing
+} // namespace monsoonlift::store::testing
--- a/src/platform/tests/call_limits_tests.cpp
+++ b/src/store/tests/call_limits_tests.cpp
@@ -4,16 +4,16 @@
 
 #include <catch2/catch.hpp>
 
-#include "platform/backoff.h"
-#include "platform/budgeted_object_api.h"
-#include "platform/http_target.h"
-#include "platform/settled.h"
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
+#include "store/backoff.h"
+#include "store/budgeted_object_api.h"
+#include "store/http_target.h"
+#include "store/settled.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
 
 using namespace std::chrono_literals;
 using namespace monsoonlift;
-using namespace monsoonlift::platform;
+using namespace monsoonlift::store;
 
 namespace {
 
@@ -26,9 +26,9 @@
 
 struct limited_platform {
     monsoonlift::testing::manual_clock clock;
-    platform::testing::manual_scheduler timer{clock};
-    platform::testing::memory_store store;
-    platform::testing::fake_object_api inner{store, timer};
+    store::testing::manual_scheduler timer{clock};
+    store::testing::memory_store store;
+    store::testing::fake_object_api inner{store, timer};
     counting_log log;
     budgeted_object_api api{inner, timer, clock, log, {}, 7};
 
@@ -140,9 +140,9 @@
 TEST_CASE("a fleet that finds the platform back does not stampede", "[platform]") {
     constexpr std::size_t daemons = 100;
     monsoonlift::testing::manual_clock clock;
-    platform::testing::manual_scheduler timer{clock};
-    platform::testing::memory_store store;
-    platform::testing::fake_object_api inner{store, timer};
+    store::testing::manual_scheduler timer{clock};
+    store::testing::memory_store store;
+    store::testing::fake_object_api inner{store, timer};
     counting_log log;
     std::vector<std::unique_ptr<budgeted_object_api>> fleet;
     for (std::size_t seed = 0; seed < daemons; ++seed) {
--- a/src/platform/tests/contract_environment.h
+++ b/src/store/tests/contract_environment.h
@@ -3,10 +3,10 @@
 #include <functional>
 #include <string>
 
-#include "platform/object_api.h"
-#include "platform/settled.h"
+#include "store/object_api.h"
+#include "store/settled.h"
 
-namespace monsoonlift::platform::tests {
+namespace monsoonlift::store::tests {
 
 /// An implementation of the object API under test, with the faults that the contract speaks of.
 class contract_environment {
@@ -40,4 +40,4 @@
     }
 };
 
-} // namespace monsoonlift::platform::tests
+} // namespace monsoonlift::store::tests
--- a/src/platform/tests/fake_environment.h
+++ b/src/store/tests/fake_environment.h
@@ -3,11 +3,11 @@
 #include <chrono>
 #include <deque>
 
-#include "platform/testing/fake_object_api.h"
-#include "platform/testing/manual_scheduler.h"
-#include "platform/tests/contract_environment.h"
+#include "store/testing/fake_object_api.h"
+#include "store/testing/manual_scheduler.h"
+#include "store/tests/contract_environment.h"
 
-namespace monsoonlift::platform::tests {
+namespace monsoonlift::store::tests {
 
 /// The fake in memory, on manual time.
 class fake_environment final : public contract_environment {
@@ -32,4 +32,4 @@
     testing::fake_object_api m_api{m_store, m_timer};
 };
 
-} // namespace monsoonlift::platform::tests
+} // namespace monsoonlift::store::tests
--- a/src/platform/tests/http_environment.h
+++ b/src/store/tests/http_environment.h
@@ -6,11 +6,11 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "app/platform_standin/standin_server.h"
-#include "platform/http_client.h"
-#include "platform/http_object_api.h"
-#include "platform/tests/contract_environment.h"
+#include "store/http_client.h"
+#include "store/http_object_api.h"
+#include "store/tests/contract_environment.h"
 
-namespace monsoonlift::platform::tests {
+namespace monsoonlift::store::tests {
 
 /// The HTTP client against the stand-in, both on one thread.
 class http_environment final : public contract_environment {
@@ -48,4 +48,4 @@
     http_object_api m_api{m_context.get_executor(), m_server.address()};
 };
 
-} // namespace monsoonlift::platform::tests
+} // namespace monsoonlift::store::tests
--- a/src/platform/tests/object_api_contract_tests.cpp
+++ b/src/store/tests/object_api_contract_tests.cpp
@@ -3,44 +3,44 @@
 
 #include <catch2/catch.hpp>
 
-#include "platform/limits.h"
-#include "platform/tests/fake_environment.h"
-#include "platform/tests/http_environment.h"
+#include "store/limits.h"
+#include "store/tests/fake_environment.h"
+#include "store/tests/http_environment.h"
 
 using namespace std::chrono_literals;
 using namespace monsoonlift;
-using platform::tests::contract_environment;
+using store::tests::contract_environment;
 
 namespace {
 
 constexpr auto patience = 5000ms;
 
-platform::settled<std::uint64_t> put(contract_environment& environment, const std::string& name,
-                                     std::uint64_t expected, const std::string& value,
-                                     std::chrono::milliseconds longest = patience) {
+store::settled<std::uint64_t> put(contract_environment& environment, const std::string& name,
+                                  std::uint64_t expected, const std::string& value,
+                                  std::chrono::milliseconds longest = patience) {
     return environment.wait<std::uint64_t>(
         [&](auto done) { environment.api().update_if(name, expected, value, longest, done); });
 }
 
-platform::settled<platform::object> get(contract_environment& environment, const std::string& name,
-                                        std::chrono::milliseconds longest = patience) {
-    return environment.wait<platform::object>([&](auto done) { environment.api().get(name, longest, done); });
+store::settled<store::object> get(contract_environment& environment, const std::string& name,
+                                  std::chrono::milliseconds longest = patience) {
+    return environment.wait<store::object>([&](auto done) { environment.api().get(name, longest, done); });
 }
 
-platform::settled<platform::object_list> list(contract_environment& environment, const std::string& prefix) {
-    return environment.wait<platform::object_list>(
+store::settled<store::object_list> list(contract_environment& environment, const std::string& prefix) {
+    return environment.wait<store::object_list>(
         [&](auto done) { environment.api().list(prefix, patience, done); });
 }
 
-platform::settled<std::uint64_t> remove(contract_environment& environment, const std::string& name,
-                                        std::uint64_t expected) {
+store::settled<std::uint64_t> remove(contract_environment& environment, const std::string& name,
+                                     std::uint64_t expected) {
     return environment.wait<std::uint64_t>(
         [&](auto done) { environment.api().remove_if(name, expected, patience, done); });
 }
 
-platform::settled<platform::watch_result> watch(contract_environment& environment, std::uint64_t revision,
-                                                std::chrono::milliseconds longest) {
-    return environment.wait<platform::watch_result>(
+store::settled<store::watch_result> watch(contract_environment& environment, std::uint64_t revision,
+                                          std::chrono::milliseconds longest) {
+    return environment.wait<store::watch_result>(
         [&](auto done) { environment.api().watch("a/", revision, longest, done); });
 }
 
@@ -100,10 +100,10 @@
 
 void watch_waits_for_a_change(contract_environment& environment) {
     const auto start = list(environment, "a/").value->revision;
-    platform::settled<platform::watch_result> changes;
+    store::settled<store::watch_result> changes;
     bool ended = false;
-    environment.api().watch("a/", start, patience, [&](core::result<platform::watch_result> outcome) {
-        changes = platform::settle_result(std::move(outcome));
+    environment.api().watch("a/", start, patience, [&](core::result<store::watch_result> outcome) {
+        changes = store::settle_result(std::move(outcome));
         ended = true;
     });
     put(environment, "b/other", 0, "not watched");
@@ -122,7 +122,7 @@
 }
 
 void stores_the_largest_value(contract_environment& environment) {
-    const std::string largest(platform::max_value_bytes, 'v');
+    const std::string largest(store::max_value_bytes, 'v');
     REQUIRE(put(environment, "a/x", 0, largest).value);
     CHECK(get(environment, "a/x").value->value == largest);
 }
@@ -178,7 +178,7 @@
 TEST_CASE("the fake keeps the object API's contract", "[platform]") {
     for (const auto& each : cases) {
         DYNAMIC_SECTION(each.name) {
-            platform::tests::fake_environment environment;
+            store::tests::fake_environment environment;
             each.run(environment);
         }
     }
@@ -187,7 +187,7 @@
 TEST_CASE("the HTTP client and the stand-in keep the object API's contract", "[platform]") {
     for (const auto& each : cases) {
         DYNAMIC_SECTION(each.name) {
-            platform::tests::http_environment environment;
+            store::tests::http_environment environment;
             each.run(environment);
         }
     }
@@ -203,10 +203,10 @@
     for (const auto& each : unreachable) {
         INFO(each.address);
         boost::asio::io_context context(1);
-        platform::http_object_api api(context.get_executor(), each.address);
-        platform::settled<platform::object> answer;
-        api.get("a/x", 500ms, [&](core::result<platform::object> outcome) {
-            answer = platform::settle_result(std::move(outcome));
+        store::http_object_api api(context.get_executor(), each.address);
+        store::settled<store::object> answer;
+        api.get("a/x", 500ms, [&](core::result<store::object> outcome) {
+            answer = store::settle_result(std::move(outcome));
         });
         context.run();
         CHECK_FALSE(answer.value);
--- a/src/platform/types/http_message.h
+++ b/src/store/types/http_message.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-namespace monsoonlift::platform {
+namespace monsoonlift::store {
 
 /// One header field of an HTTP message.
 struct http_header {
@@ -25,4 +25,4 @@
     std::string body;
 };
 
-} // namespace monsoonlift::platform
+} // namespace monsoonlift::store
