Stay in the data centre unless another one is better by far; go where a short call ends first

Choices between local and remote followed the scatter of latencies.

Change: a margin of 2 for calls with time to spare; calls that are expected to take half of their time or more go where they end first, by latencies of their own kind.

--- a/src/entry/internal/home_exchange.cpp
+++ b/src/entry/internal/home_exchange.cpp
@@ -48,7 +48,7 @@
 
 call_exchange::destination call_exchange::choose_any() {
     const auto now = m_shared.clock.now();
-    const auto choice = m_shared.routes.choose({m_call.service, m_call.context, m_tried}, now);
+    const auto choice = m_shared.routes.choose({m_call.service, m_call.context, m_call.kind, m_tried}, now);
     m_route_reason = route_reason::load;
     m_evidence = choice.evidence;
     if (choice.endpoint) {
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -78,7 +78,8 @@
         return "another attempt would end the same way";
     }
     // NOTE: only the home of a key may run its request, so that one is asked again.
-    if (!is_bound_to_home() && !m_shared.routes.has_untried({m_call.service, m_call.context, m_tried})) {
+    if (!is_bound_to_home() &&
+        !m_shared.routes.has_untried({m_call.service, m_call.context, m_call.kind, m_tried})) {
         return "every backend server was tried";
     }
     return {};
--- a/src/routing/internal/routing_table.cpp
+++ b/src/routing/internal/routing_table.cpp
@@ -20,7 +20,10 @@
 constexpr double newest_weight = 0.1;
 constexpr double typical_weight =
     0.02; ///< Of a latency in those that are typical of a service or a kind of call.
-constexpr double remote_margin = 1.25; ///< Latencies scatter; a smaller gain isn't worth the way.
+constexpr double remote_margin =
+    2; ///< Latencies scatter and ways between data centres cost; see choose_among.
+constexpr double ample_share =
+    0.5; ///< A call that is expected to take this share of its time has time to spare.
 constexpr double newest_weight_if_stale = 0.5;
 constexpr milliseconds stale_after{500}; ///< Without a result for this time, an endpoint may be probed.
 constexpr double healthy_success = 0.5;  ///< Of a peer that shows that the service itself is well.
@@ -172,8 +175,21 @@
     return lists.stalest;
 }
 
-std::size_t choose_among(const routing_table& table, const candidate_lists& lists, random_engine& random,
-                         core::steady_time now) {
+/// Whether a call at that endpoint is expected to end well within its time.
+bool has_time_to_spare(const routing_table& table, const endpoint_state& endpoint,
+                       const route_request& request, double cost, core::steady_time now) {
+    const auto of_service = table.typical_latency_s.find(endpoint.service);
+    const auto of_kind = table.typical_latency_s.find(endpoint.service + '/' + request.kind);
+    const bool is_known = of_service != table.typical_latency_s.end() && of_service->second > 0 &&
+                          of_kind != table.typical_latency_s.end();
+    const double factor = is_known ? of_kind->second / of_service->second : 1;
+    return cost * factor <= ample_share * seconds_of(request.context.deadline - now);
+}
+
+/// The local endpoint, unless one of another data centre is better by far; a call whose time is short goes
+/// where it ends first. Answers slow endpoints in front of tight timeouts, and links that cost.
+std::size_t choose_among(const routing_table& table, const candidate_lists& lists,
+                         const route_request& request, random_engine& random, core::steady_time now) {
     const auto& best = lists.best;
     if (lists.local.empty() && lists.remote.empty()) {
         return best_of_few(table, lists.avoided, best, random, now);
@@ -188,7 +204,8 @@
     const std::size_t remote = best_of_few(table, lists.remote, best, random, now);
     const double local_cost = expected_cost(table, table.endpoints[local], best, now);
     const double remote_cost = expected_cost(table, table.endpoints[remote], best, now);
-    return local_cost <= remote_cost * remote_margin ? local : remote;
+    const bool may_wait = has_time_to_spare(table, table.endpoints[local], request, local_cost, now);
+    return local_cost <= remote_cost * (may_wait ? remote_margin : 1) ? local : remote;
 }
 
 endpoint_state* find(routing_table& table, const core::endpoint_id& id) {
@@ -293,7 +310,7 @@
         return {std::nullopt, no_route::shed, evidence};
     }
     const auto probe = choose_probe(lists, request.context, random);
-    const std::size_t chosen = probe ? *probe : choose_among(table, lists, random, now);
+    const std::size_t chosen = probe ? *probe : choose_among(table, lists, request, random, now);
     evidence.is_probe = probe.has_value();
     add_endpoint(evidence, table, table.endpoints[chosen], now);
     return {table.endpoints[chosen].id, no_route::unknown_service, evidence};
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -62,6 +62,7 @@
 struct route_request {
     std::string service;
     core::call_context context;
+    std::string kind;                        ///< As in attempt_result.
     std::vector<core::endpoint_id> excluded; ///< Tried by earlier attempts of this call.
 };
 
