--- a/src/admission/call_queue.h
+++ b/src/admission/call_queue.h
@@ -31,7 +31,7 @@
 
 /// Calls that wait at a gate, by class; bounded in time and in length. A call waits no longer than
 /// `max_wait`, or half a run where that is longer: a slot seldom comes free where runs are long and slots
-/// few.
+/// few. A nested call may wait for half of its time, since its root has cost work that a refusal would waste.
 struct call_queue {
     queue_order order = queue_order::adaptive;
     std::vector<std::deque<waiting_call>> by_rank;
--- a/src/admission/internal/call_queue.cpp
+++ b/src/admission/internal/call_queue.cpp
@@ -17,9 +17,24 @@
     return std::max<std::chrono::nanoseconds>(queue.max_wait, by_runs);
 }
 
+/// Share of its time that a nested call may wait; its root has cost work that a refusal would waste.
+constexpr double nested_wait_share = 0.5;
+
+std::chrono::nanoseconds longest_wait_of(const call_queue& queue, const waiting_call& call,
+                                         std::chrono::nanoseconds typical_service) {
+    const auto usual = longest_wait(queue, typical_service);
+    if (call.depth == 0) {
+        return usual;
+    }
+    const auto by_time = std::chrono::duration_cast<std::chrono::nanoseconds>(
+        nested_wait_share * std::chrono::duration<double>(call.deadline - call.arrived));
+    return std::max(usual, by_time);
+}
+
 bool is_hopeless(const call_queue& queue, const waiting_call& call, std::chrono::nanoseconds typical_service,
                  core::steady_time now) {
-    return now - call.arrived > longest_wait(queue, typical_service) || now + typical_service > call.deadline;
+    return now - call.arrived > longest_wait_of(queue, call, typical_service) ||
+           now + typical_service > call.deadline;
 }
 
 void drop_hopeless(call_queue& queue, std::chrono::nanoseconds typical_service, core::steady_time now,
--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -30,12 +30,18 @@
 /// Enough that each data centre of a small deployment watches with all its daemons.
 constexpr std::size_t platform_watchers_per_data_centre = 8;
 
+/// Root calls in flight that hold a budget; what they don't spend is given back, and the ratio bounds what
+/// they do.
+constexpr std::size_t platform_grant_burst = 400;
+
 /// Watches that end at once, as in a quick series of changes, stay within this.
 constexpr double platform_store_calls_per_second = 6;
 
 /// Share of the time to stop after which what is still in flight is given up, so that the end is orderly.
 constexpr double platform_stop_share = 0.9;
 
+constexpr std::chrono::milliseconds platform_leave_patience = 300ms;
+
 /// Heartbeats of the platform's backend servers may be seconds late.
 constexpr std::chrono::milliseconds platform_backend_silence = 8000ms;
 
@@ -54,13 +60,14 @@
     return chosen.deployment ? std::min(drain_grace, chosen.deployment->drain_bound / 2) : drain_grace;
 }
 
-gate::gate_options gate_options_of(const settings::daemon_settings& chosen) {
+gate::gate_options gate_options_of(const settings::daemon_settings& chosen,
+                                   const std::shared_ptr<gate::running_requests>& running) {
     gate::gate_options options;
     options.decisions_on = chosen.decisions != "off";
     options.body_chunk_bytes = chosen.body_chunk_bytes;
     options.body_credit_chunks = static_cast<std::uint32_t>(chosen.body_credit_chunks);
     if (chosen.deployment) {
-        options.protocol = platform::make_backend_protocol();
+        options.protocol = platform::make_backend_protocol(running);
         options.backend_silence = platform_backend_silence;
     }
     return options;
@@ -110,7 +117,8 @@
     return {chosen.transport_address, chosen.advertised_transport_address, chosen.transport_source_ip};
 }
 
-entry::entry_options entry_options_of(const settings::daemon_settings& chosen) {
+entry::entry_options entry_options_of(const settings::daemon_settings& chosen,
+                                      const std::shared_ptr<gate::running_requests>& running) {
     entry::entry_options options;
     options.address = chosen.caller_address;
     options.data_centre = chosen.data_centre;
@@ -121,7 +129,8 @@
     options.random_seed = std::random_device()();
     options.retry_burst = chosen.retry_burst;
     if (chosen.deployment) {
-        options.protocol = platform::make_caller_protocol(chosen.deployment->service);
+        options.protocol = platform::make_caller_protocol(chosen.deployment->service, running);
+        options.grant_burst = platform_grant_burst;
     }
     return options;
 }
@@ -142,10 +151,10 @@
                 [this](std::uint32_t topic, std::string payload) {
                     m_membership->spread({topic, std::move(payload)});
                 }),
-      m_gate(m_io, gate_options_of(m_settings), m_transport, m_ledger, m_crashes, m_budgets, m_clock, log,
-             m_metrics),
+      m_gate(m_io, gate_options_of(m_settings, m_running), m_transport, m_ledger, m_crashes, m_budgets,
+             m_clock, log, m_metrics),
       m_entry(
-          m_io, entry_options_of(m_settings), m_transport, m_budgets,
+          m_io, entry_options_of(m_settings, m_running), m_transport, m_budgets,
           [this] { return m_configuration.current(); }, m_clock, log, m_metrics),
       m_admin(m_io, m_settings.admin_address, m_settings.admin_token, m_clock, log) {
     if (m_settings.deployment) {
@@ -519,6 +528,11 @@
         if (gate_idle && !callers_may_come) {
             m_entry.stop_accepting();
         }
+        if (m_settings.deployment && !callers_may_come) {
+            // NOTE: the platform kills a process that takes too long, with whatever it took last.
+            m_entry.stop_accepting();
+            m_entry.close_idle_connections();
+        }
         const bool homes_settled = m_homes_handed_over || m_clock.now() >= m_hand_over_until;
         const bool out_of_time = m_settings.deployment && m_clock.now() >= m_stop_by;
         const bool is_busy =
@@ -528,16 +542,28 @@
             wait_until_idle();
             return;
         }
-        m_log.write(logging::event_id::drain_finished, {});
+        m_log.write(logging::event_id::drain_finished, {{"given_up", is_busy ? "yes" : "no"}});
+        if (is_busy) {
+            m_entry.give_up_all();
+        }
         m_lifecycle.handle(lifecycle::signal::nothing_in_flight);
     });
 }
 
 void daemon::leave() {
+    if (m_settings.deployment) {
+        m_membership->leave([] {});
+        // NOTE: the store may be out; the member's object is written anew by the next life.
+        m_scheduler.after(platform_leave_patience, [this] { end(); });
+        return;
+    }
     m_membership->leave([this] { boost::asio::post(m_control, [this] { end(); }); });
 }
 
 void daemon::end() {
+    if (std::exchange(m_has_ended, true)) {
+        return;
+    }
     m_homes->stop();
     m_follower->stop();
     m_membership->stop();
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -130,6 +130,7 @@
     configuration::configuration_holder m_configuration;
     configuration::http_peer_source m_peers;
     transport::tcp_transport m_transport;
+    const std::shared_ptr<gate::running_requests> m_running = std::make_shared<gate::running_requests>();
     gate::nested_budgets m_budgets;
     execution::execution_ledger m_ledger;
     execution::crash_guard m_crashes;
@@ -146,6 +147,7 @@
     core::steady_time m_callers_until;
     core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
+    bool m_has_ended = false;
     core::steady_time m_hand_over_until;
 };
 
--- a/src/app/monsoonliftd/tests/call_process_tests.py
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -4,6 +4,7 @@
 """
 import http.client
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -558,6 +559,19 @@
             wait_for(lambda d=daemon: len(calls.get_json(d.admin, "/status")["members"]) == len(fleet.daemons),
                      f"{daemon.name} to know every member")
 
+    def test_a_hangup_reads_the_settings_again(self) -> None:
+        fleet = self.start(BackendOptions("squadre"))
+        daemon = fleet.daemons[0]
+        file = fleet.folder / f"{daemon.name}.yaml"
+        sound = file.read_text()
+        for text, told in ((sound, '"changed":"no"'), (sound + "retry_burst: 3\n", '"changed":"yes"'),
+                           (sound + "retry_burst: many\n", "settings_refused")):
+            file.write_text(text)
+            os.kill(daemon.process.pid, signal.SIGHUP)
+            wait_for(lambda t=told: t in daemon.process.log.read_text(), f"the log to say {told}")
+        self.assertEqual(calls.call(daemon.caller, "GET", "/crews",
+                                    headers={"Monsoonlift-Service": "squadre"}).status, 200)
+
     def test_an_address_in_use_is_a_clear_error(self) -> None:
         fleet = self.start(BackendOptions("squadre"))
         taken = fleet.daemons[0].process.addresses()
--- a/src/app/platform_standin/internal/standin_server.cpp
+++ b/src/app/platform_standin/internal/standin_server.cpp
@@ -19,6 +19,10 @@
     m_state->waiting.clear();
 }
 
+void standin_server::serve_also(path_handler more_paths) {
+    m_state->more_paths = std::move(more_paths);
+}
+
 void standin_server::start() {
     const auto accepted = [state = m_state](boost::asio::ip::tcp::socket socket) {
         std::make_shared<standin_session>(std::move(socket), state)->start();
--- a/src/app/platform_standin/main.cpp
+++ b/src/app/platform_standin/main.cpp
@@ -1,5 +1,6 @@
 /// platform-standin: a small platform in memory, for tests and measurements.
 #include "app/platform_standin/standin_server.h"
+#include "platform/testing/store_paths.h"
 
 #include <csignal>
 #include <exception>
@@ -49,6 +50,7 @@
     monsoonlift::platform_standin::standin_server server(context, parse_listen(listen), seed);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
+    server.serve_also(monsoonlift::platform::testing::handle_store_call);
     server.start();
     std::cout << "ready " << boost::json::serialize(boost::json::object{{"address", server.address()}})
               << std::endl;
--- a/src/app/platform_standin/standin_server.h
+++ b/src/app/platform_standin/standin_server.h
@@ -24,6 +24,9 @@
     standin_server& operator=(const standin_server&) = delete;
     ~standin_server();
 
+    /// Serves further paths too; call it before start().
+    void serve_also(path_handler more_paths);
+
     /// Accepts connections from now on.
     void start();
 
--- a/src/app/platform_standin/standin_state.h
+++ b/src/app/platform_standin/standin_state.h
@@ -7,6 +7,7 @@
 
 #include "app/platform_standin/types/call_counts.h"
 #include "app/platform_standin/types/fault_plan.h"
+#include "app/platform_standin/types/handling.h"
 #include "store/testing/memory_store.h"
 
 namespace monsoonlift::platform_standin {
@@ -19,6 +20,7 @@
     std::mt19937_64 random{1};
     std::map<std::uint64_t, std::function<void()>> waiting; ///< Called once each at the next change.
     std::uint64_t last_waiting = 0;                         ///< The key given last.
+    path_handler more_paths;                                ///< Asked first; may be empty.
 };
 
 /// Has `wake` called at the next change of the store or of the faults; gives a key for stop_waiting.
--- a/src/configuration/tests/follower_tests.cpp
+++ b/src/configuration/tests/follower_tests.cpp
@@ -289,3 +289,18 @@
                         << " outage_calls_60s " << in_outage);
     }
 }
+
+TEST_CASE("a watch whose history is gone is followed by a list", "[configuration]") {
+    const follower_rule rule;
+    store::random_engine random(1);
+    const core::steady_time start{1h};
+    follower_state state;
+    state.is_watcher = true;
+    record_list(state, 530, 7, rule, random, start);
+    REQUIRE(next_store_call(state, 7, rule, start) == store_call::watch);
+    record_store_failure(state, rule, random, start);
+    const auto later = start + rule.store_backoff.longest;
+    CHECK(next_store_call(state, 7, rule, later) == store_call::list);
+    record_list(state, 560, 7, rule, random, later);
+    CHECK(next_store_call(state, 7, rule, later) == store_call::watch);
+}
--- a/src/entry/caller_protocol.h
+++ b/src/entry/caller_protocol.h
@@ -22,9 +22,6 @@
 
     /// Whether answers carry fields of this project.
     bool labels_answers = true;
-
-    /// Whether nested calls name the call that they belong to, so that they spend its budget.
-    bool nests_budgets = true;
 };
 
 } // namespace monsoonlift::entry
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -41,6 +41,7 @@
     std::chrono::milliseconds route_patience{300};    ///< Waited for while no backend server can be reached.
     std::uint64_t random_seed = 1;
     std::size_t retry_burst = 10; ///< Retries at once beyond the ratio of first attempts.
+    std::size_t grant_burst = 10; ///< Retries that root calls in flight may hold beyond it.
     caller_protocol protocol;
 };
 
@@ -87,6 +88,12 @@
     /// Accepts no more connections.
     void stop_accepting();
 
+    /// Gives up every attempt under way; callers are told what is known of it.
+    void give_up_all();
+
+    /// Ends connections that wait for a request; the others end after their answer.
+    void close_idle_connections();
+
     /// "ip:port" that callers use.
     [[nodiscard]] std::string address() const;
 
--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -46,7 +46,14 @@
             m_caller_gone = true;
             co_return co_await give_up(end_reason::cancelled);
         }
-        if (local != nullptr) {
+        if (local != nullptr && *local == local_event::stopping) {
+            co_return co_await give_up(end_reason::deadline);
+        }
+        // NOTE: the request may still be answered, and only a call that may be repeated gains by another
+        // attempt.
+        const bool waits_on =
+            local != nullptr && *local == local_event::endpoint_suspected && !m_call.context.idempotent;
+        if (local != nullptr && !waits_on) {
             co_return outcome_of(*local);
         }
     }
@@ -63,6 +70,11 @@
     case local_event::endpoint_gone:
         return {false, local_end(verdict::may_have_run, end_reason::backend_failed,
                                  "the backend server was lost while the request was there")};
+    case local_event::endpoint_suspected:
+        return {false,
+                local_end(verdict::may_have_run, end_reason::backend_failed,
+                          "the daemon of the backend server can't be reached while the request is there")};
+    case local_event::stopping:
     case local_event::caller_gone:
         break;
     }
--- a/src/entry/internal/attempt_channel.h
+++ b/src/entry/internal/attempt_channel.h
@@ -16,9 +16,11 @@
 
 /// What this daemon itself notices of an attempt.
 enum class local_event {
-    not_sent,      ///< The request never left.
-    link_broken,   ///< A later frame could not be sent.
-    endpoint_gone, ///< Membership says that this life of the endpoint is over.
+    not_sent,           ///< The request never left.
+    link_broken,        ///< A later frame could not be sent.
+    endpoint_gone,      ///< Membership says that this life of the endpoint is over.
+    endpoint_suspected, ///< Membership can't reach the endpoint for now.
+    stopping,           ///< This daemon is about to end.
     caller_gone
 };
 
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -99,8 +99,7 @@
 
 void call_exchange::begin_context(const configuration::document& configuration) {
     if (!m_call.parent) {
-        m_call.context.attempts_left =
-            m_call.attempts ? *m_call.attempts - 1 : configuration.retries.attempts_per_root;
+        m_call.context.attempts_left = configuration.retries.attempts_per_root;
         m_shared.routes.set_retry_ratio(configuration.retries.ratio);
         m_shared.routes.grant(m_call.context);
         return;
@@ -211,7 +210,7 @@
 void call_exchange::send_request() {
     transport::request_head head;
     head.reply_address = m_shared.sender.self().address;
-    m_lent = m_shared.options.protocol.nests_budgets ? retry::lend(m_call.context) : 0;
+    m_lent = retry::lend(m_call.context);
     head.context = m_call.context;
     head.context.attempts_left = m_lent;
     head.service = m_call.service;
@@ -274,6 +273,7 @@
     auto result = judge_attempt(end, m_answer_status, m_caller_gone, now - m_attempt_began);
     result.kind = m_call.kind;
     m_shared.routes.record_result(m_channel->endpoint(), result, now);
+    note_levels(end);
     m_tried.push_back(m_channel->endpoint());
     if (outcome.settled) {
         note_settled(outcome);
@@ -281,6 +281,23 @@
     }
 }
 
+void call_exchange::note_levels(const transport::attempt_end& end) {
+    if (!m_call.parent) {
+        m_shared.routes.record_chain(m_call.kind, end.nested_level, m_shared.clock.now());
+        return;
+    }
+    note_level(end.nested_level);
+    if (end.load) {
+        note_level(end.load->level);
+    }
+}
+
+void call_exchange::note_level(const admission::shed_level& met) {
+    if (m_call.parent && m_call.parent->issuer == m_shared.sender.self().life) {
+        m_shared.budgets.note_level(m_call.parent->run, met);
+    }
+}
+
 void call_exchange::note_settled(const attempt_outcome& outcome) {
     if (outcome.end.reason == end_reason::answered) {
         m_shared.decisions.attempt_answered(decided(), ended(outcome));
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -57,6 +57,9 @@
     [[nodiscard]] destination choose_destination();
     [[nodiscard]] destination choose_any();
 
+    /// What a root call is told that would be refused further down its chain.
+    [[nodiscard]] std::optional<problem> refuse_by_chain();
+
     /// Any gate that this call has not asked yet; once all were asked, any again.
     [[nodiscard]] destination choose_untried();
     [[nodiscard]] destination choose_home(const execution::execution_key& key);
@@ -78,6 +81,9 @@
     [[nodiscard]] attempt_outcome outcome_of(local_event event) const;
     void end_attempt(const attempt_outcome& outcome);
     void count_end(const transport::attempt_end& end);
+    /// Keeps the thresholds that the attempt met, for the root call or, of a root call, for later ones.
+    void note_levels(const transport::attempt_end& end);
+    void note_level(const admission::shed_level& met);
     void note_settled(const attempt_outcome& outcome);
     void count_abandoned(core::verdict run);
     [[nodiscard]] retry_choice choose_retry(const attempt_outcome& outcome);
@@ -119,6 +125,7 @@
     std::uint32_t m_redirects = 0; ///< Attempts that only told where the key's home is.
     std::uint64_t m_homes_version = 0;
     std::uint32_t m_broken_attempts = 0;   ///< The backend server broke off.
+    std::uint32_t m_arrivals = 0;          ///< Attempts that may have reached a backend server.
     std::optional<problem> m_earlier;      ///< What the attempts before the last one came to.
     std::uint32_t m_lost_home_answers = 0; ///< The home of the key can't be reached.
     unsigned m_answer_status = 0;          ///< Of the attempt under way; 0 before its answer begins.
--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -222,6 +222,12 @@
     }
 }
 
+void caller_connection::stop_reading() {
+    m_can_go_on = false;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void caller_connection::abort() {
     m_can_go_on = false;
     m_gone = nullptr;
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -79,6 +79,9 @@
     void close_after_answer() { m_last = true; }
     [[nodiscard]] bool can_go_on() const { return m_can_go_on; }
 
+    /// Takes no further request: what is waited for fails as if the caller had closed.
+    void stop_reading();
+
     /// Closes so that the caller can't take what it got for complete.
     void abort();
 
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "entry/internal/call_exchange.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 
 #include <utility>
 
@@ -34,6 +35,15 @@
         });
 }
 
+void caller_session::close_when_idle() {
+    boost::asio::post(m_connection->strand(), [self = shared_from_this()] {
+        self->m_connection->close_after_answer();
+        if (self->m_is_idle) {
+            self->m_connection->stop_reading();
+        }
+    });
+}
+
 boost::asio::awaitable<void> caller_session::run() {
     m_watchdog->start(m_shared.clock.now() + m_shared.options.idle_patience,
                       [connection = m_connection] { connection->abort(); });
@@ -45,7 +55,9 @@
 boost::asio::awaitable<void> caller_session::serve_requests() {
     while (m_connection->can_go_on()) {
         m_watchdog->allow_until(m_shared.clock.now() + m_shared.options.idle_patience);
+        m_is_idle = true;
         const auto outcome = co_await m_connection->read_head();
+        m_is_idle = false;
         if (outcome != caller_connection::head_outcome::arrived) {
             co_await refuse_head(outcome);
             co_return;
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -18,6 +18,9 @@
 
     void start();
 
+    /// Ends the connection if it waits for a request, else after the answer under way. Thread-safe.
+    void close_when_idle();
+
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
@@ -30,6 +33,7 @@
     std::shared_ptr<entry_state> m_keep_alive;
     std::shared_ptr<caller_connection> m_connection;
     std::shared_ptr<transfer::watchdog> m_watchdog;
+    bool m_is_idle = true; ///< Waits for the head of a request.
 };
 
 } // namespace monsoonlift::entry::internal
--- a/src/entry/internal/entry_service.cpp
+++ b/src/entry/internal/entry_service.cpp
@@ -35,6 +35,14 @@
     m_state->close_connections();
 }
 
+void entry_service::give_up_all() {
+    m_state->give_up_all();
+}
+
+void entry_service::close_idle_connections() {
+    m_state->close_idle_connections();
+}
+
 void entry_service::stop_accepting() {
     m_state->stop_accepting();
 }
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -15,7 +15,8 @@
                          configuration_source source, const core::clock& time, logging::event_log& written,
                          metrics::metrics_registry& metrics)
     : options(chosen), sender(frames), budgets(nested), configuration(std::move(source)), clock(time),
-      log(written), routes(chosen.decisions_on, chosen.data_centre, chosen.random_seed, chosen.retry_burst),
+      log(written), routes(chosen.decisions_on, chosen.data_centre, chosen.random_seed, chosen.retry_burst,
+                           chosen.grant_burst),
       classes([&metrics, &time](const std::string& name) {
           return std::make_unique<call_class>(metrics, time, name);
       }),
@@ -24,7 +25,9 @@
 void entry_state::start() {
     const auto accepted = [weak = weak_from_this()](tcp::socket socket) {
         if (const auto self = weak.lock()) {
-            std::make_shared<caller_session>(*self, self, std::move(socket))->start();
+            const auto session = std::make_shared<caller_session>(*self, self, std::move(socket));
+            self->keep_session(session);
+            session->start();
         }
     };
     const auto not_accepted = [weak = weak_from_this()](const std::string& why, std::uint64_t left_out) {
@@ -43,6 +46,29 @@
     m_acceptor.connections->stop();
 }
 
+void entry_state::keep_session(const std::shared_ptr<caller_session>& session) {
+    const std::scoped_lock lock(m_sessions_mutex);
+    const bool is_full = m_sessions.size() == m_sessions.capacity();
+    if (is_full) {
+        std::erase_if(m_sessions, [](const auto& known) { return known.expired(); });
+    }
+    m_sessions.push_back(session);
+}
+
+void entry_state::close_idle_connections() {
+    m_closing = true;
+    std::vector<std::weak_ptr<caller_session>> sessions;
+    {
+        const std::scoped_lock lock(m_sessions_mutex);
+        sessions = m_sessions;
+    }
+    for (const auto& known : sessions) {
+        if (const auto session = known.lock()) {
+            session->close_when_idle();
+        }
+    }
+}
+
 void entry_state::received(transport::frame message) {
     const auto channel = find(message.attempt);
     const bool crossed = channel && channel->endpoint().life != message.sender;
@@ -68,19 +94,34 @@
 void entry_state::notify_gone(const membership::member& changed) {
     const bool over = changed.status == membership::member_status::dead ||
                       changed.status == membership::member_status::left;
+    const bool suspected = changed.status == membership::member_status::suspect;
     std::vector<channel_pointer> broken;
     {
         const std::scoped_lock lock(m_channels_mutex);
         for (const auto& [attempt, channel] : m_channels) {
             const auto& endpoint = channel->endpoint();
-            const bool older = endpoint.life < changed.id.life || (over && endpoint.life == changed.id.life);
+            const bool older =
+                endpoint.life < changed.id.life || ((over || suspected) && endpoint.life == changed.id.life);
             if (endpoint.address == changed.id.address && older) {
                 broken.push_back(channel);
             }
         }
     }
     for (const auto& channel : broken) {
-        channel->notify(local_event::endpoint_gone);
+        channel->notify(suspected ? local_event::endpoint_suspected : local_event::endpoint_gone);
+    }
+}
+
+void entry_state::give_up_all() {
+    std::vector<channel_pointer> open_channels;
+    {
+        const std::scoped_lock lock(m_channels_mutex);
+        for (const auto& [attempt, channel] : m_channels) {
+            open_channels.push_back(channel);
+        }
+    }
+    for (const auto& channel : open_channels) {
+        channel->notify(local_event::stopping);
     }
 }
 
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -18,6 +18,8 @@
 
 namespace monsoonlift::entry::internal {
 
+class caller_session;
+
 /// What the sessions of one entry share. Kept alive by them.
 class entry_state : public std::enable_shared_from_this<entry_state> {
 public:
@@ -28,6 +30,8 @@
     void start();
     void close_connections() { m_closing = true; }
     void stop_accepting();
+    void close_idle_connections();
+    void give_up_all();
     [[nodiscard]] std::string address() const;
     void received(transport::frame message);
     void unsent(const core::attempt_id& attempt, bool begins_attempt);
@@ -83,6 +87,11 @@
     std::atomic<std::uint64_t> m_next_call = 1;
     std::atomic<std::uint64_t> m_next_permit = 1;
 
+    void keep_session(const std::shared_ptr<caller_session>& session);
+
+    std::mutex m_sessions_mutex; ///< Never held together with the one below.
+    std::vector<std::weak_ptr<caller_session>> m_sessions;
+
     mutable std::mutex m_channels_mutex;
     std::map<core::attempt_id, channel_pointer> m_channels;
 };
--- a/src/entry/internal/home_exchange.cpp
+++ b/src/entry/internal/home_exchange.cpp
@@ -48,9 +48,13 @@
 
 call_exchange::destination call_exchange::choose_any() {
     const auto now = m_shared.clock.now();
+    if (auto trouble = refuse_by_chain()) {
+        return *std::move(trouble);
+    }
     const auto choice = m_shared.routes.choose({m_call.service, m_call.context, m_call.kind, m_tried}, now);
     m_route_reason = route_reason::load;
     m_evidence = choice.evidence;
+    note_level(choice.evidence.level);
     if (choice.endpoint) {
         return *choice.endpoint;
     }
@@ -62,6 +66,25 @@
     return trouble;
 }
 
+std::optional<problem> call_exchange::refuse_by_chain() {
+    const bool is_new_root = !m_call.parent && m_attempts == 0 && !is_bound_to_home();
+    if (!is_new_root) {
+        return std::nullopt;
+    }
+    const auto level = m_shared.routes.chain_level(m_call.kind, m_shared.clock.now());
+    if (routing::chain_admits(level, m_call.context)) {
+        return std::nullopt;
+    }
+    m_evidence = {};
+    m_evidence.level = level;
+    transport::attempt_end end;
+    end.run = verdict::not_run;
+    end.reason = end_reason::shed;
+    end.detail = "a service that calls of this kind need further down refuses this class for now";
+    end.retry_after = m_shared.routes.return_time(m_call.latency_objective);
+    return problem_of(end);
+}
+
 call_exchange::destination call_exchange::choose_home(const execution::execution_key& key) {
     if (key.gate) {
         if (m_shared.routes.is_known(*key.gate)) {
--- a/src/entry/internal/request_parsing.cpp
+++ b/src/entry/internal/request_parsing.cpp
@@ -108,6 +108,8 @@
             {}};
 }
 
+} // namespace
+
 void adopt_parent(parsed_call& call, const gate::context_token& parent, core::incarnation self) {
     call.context.root = parent.root;
     call.context.depth = parent.depth + 1;
@@ -118,8 +120,6 @@
     call.parent = parent;
 }
 
-} // namespace
-
 problem malformed(std::string type, std::string detail) {
     return {400, core::verdict::not_run, std::move(type), "The request is malformed", std::move(detail), {}};
 }
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -27,6 +27,20 @@
     }
 }
 
+/// Whether the backend server may have got the request; the daemon beside it gave the other reasons itself.
+bool may_have_arrived(end_reason reason) {
+    switch (reason) {
+    case end_reason::shed:
+    case end_reason::draining:
+    case end_reason::no_backend:
+    case end_reason::wrong_service:
+    case end_reason::quarantined:
+        return false;
+    default:
+        return true;
+    }
+}
+
 } // namespace
 
 boost::asio::awaitable<bool> call_exchange::wait_for_next(const attempt_outcome& outcome) {
@@ -62,6 +76,10 @@
 
 std::string_view call_exchange::reason_against_retry(end_reason reason) {
     m_broken_attempts += reason == end_reason::backend_failed ? 1 : 0;
+    m_arrivals += may_have_arrived(reason) ? 1 : 0;
+    if (m_call.attempts && m_arrivals >= *m_call.attempts) {
+        return "the attempts that the route allows are spent";
+    }
     if (!m_replayable) {
         return "the body is not kept";
     }
--- a/src/entry/internal/route_book.cpp
+++ b/src/entry/internal/route_book.cpp
@@ -12,15 +12,16 @@
 constexpr std::uint32_t blind_retries = 3;
 constexpr std::chrono::nanoseconds blind_delay = 1ms;
 
+/// Of calls whose operators state no latency objective.
+constexpr std::chrono::milliseconds default_objective = 1000ms;
+
 } // namespace
 
 route_book::route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
-                       std::size_t retry_burst)
+                       std::size_t retry_burst, std::size_t grant_burst)
     : m_decisions_on(decisions_on), m_random(random_seed) {
-    for (auto* bucket : {&m_ratio, &m_grants}) {
-        bucket->max_tokens = static_cast<double>(retry_burst);
-        bucket->tokens = bucket->max_tokens;
-    }
+    m_ratio.max_tokens = m_ratio.tokens = static_cast<double>(retry_burst);
+    m_grants.max_tokens = m_grants.tokens = static_cast<double>(grant_burst);
     m_table.data_centre = std::move(data_centre);
 }
 
@@ -68,6 +69,24 @@
     routing::record_result(m_table, endpoint, result, now);
 }
 
+void route_book::record_chain(const std::string& kind, const admission::shed_level& met,
+                              core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    routing::record_chain(m_chains, kind, met, now);
+}
+
+std::chrono::milliseconds route_book::return_time(std::chrono::milliseconds latency_objective) {
+    const auto objective = latency_objective > 0ms ? latency_objective : default_objective;
+    const std::scoped_lock lock(m_mutex);
+    std::uniform_int_distribution<std::int64_t> any(objective.count() / 4, objective.count() * 3 / 4);
+    return std::chrono::milliseconds(any(m_random));
+}
+
+admission::shed_level route_book::chain_level(const std::string& kind, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    return m_decisions_on ? routing::chain_level(m_chains, kind, now) : admission::shed_level{};
+}
+
 std::optional<std::chrono::nanoseconds> route_book::next_attempt(core::call_context& context,
                                                                  const retry::attempt_outcome& outcome,
                                                                  core::steady_time now) {
--- a/src/entry/internal/route_book.h
+++ b/src/entry/internal/route_book.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "membership/member_directory.h"
 #include "retry/retry_budget.h"
+#include "routing/chain_levels.h"
 #include "routing/routing_table.h"
 
 #include <chrono>
@@ -16,9 +17,10 @@
 class route_book {
 public:
     /// With `decisions_on` false endpoints are chosen at random and retries have no budget.
-    /// `retry_burst` bounds the retries that are sent at once, beyond their ratio to first attempts.
-    route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
-               std::size_t retry_burst);
+    /// `retry_burst` bounds the retries that are sent at once, beyond their ratio to first attempts, and
+    /// `grant_burst` those that root calls in flight may hold.
+    route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed, std::size_t retry_burst,
+               std::size_t grant_burst);
 
     [[nodiscard]] core::root_id draw_root();
 
@@ -36,6 +38,15 @@
     void record_result(const core::endpoint_id& endpoint, const routing::attempt_result& result,
                        core::steady_time now);
 
+    /// Notes the strictest threshold that a root call of that kind met.
+    void record_chain(const std::string& kind, const admission::shed_level& met, core::steady_time now);
+
+    /// The threshold that root calls of that kind are likely to meet; everything passes with decisions off.
+    [[nodiscard]] admission::shed_level chain_level(const std::string& kind, core::steady_time now);
+
+    /// When a caller that is refused may return: within its latency objective, and not all at the same time.
+    [[nodiscard]] std::chrono::milliseconds return_time(std::chrono::milliseconds latency_objective);
+
     /// The delay before the next attempt, or nothing.
     [[nodiscard]] std::optional<std::chrono::nanoseconds>
     next_attempt(core::call_context& context, const retry::attempt_outcome& outcome, core::steady_time now);
@@ -60,6 +71,7 @@
     bool m_decisions_on;
     std::mutex m_mutex;
     routing::routing_table m_table;
+    routing::chain_levels m_chains;
     retry::ratio_state m_ratio;
     retry::ratio_state m_grants; ///< Earned by root calls only.
     routing::random_engine m_random;
--- a/src/entry/internal/route_call.cpp
+++ b/src/entry/internal/route_call.cpp
@@ -72,6 +72,7 @@
         call.request = root_of(request.id);
     }
     call.kind = route->name;
+    call.latency_objective = route->latency_objective;
     call.attempts = route->attempts;
     call.context.rank = route->rank;
     call.context.idempotent = route->idempotent;
--- a/src/entry/request_parsing.h
+++ b/src/entry/request_parsing.h
@@ -34,6 +34,7 @@
     std::optional<std::uint32_t>
         attempts;     ///< Backend servers that the call may be sent to, if its route says.
     std::string kind; ///< Name of the route or the call; calls of one kind take about the same time.
+    std::chrono::milliseconds latency_objective{0}; ///< 0 if the operators state none.
 };
 
 /// What the checks depend on.
@@ -47,6 +48,9 @@
 [[nodiscard]] std::variant<parsed_call, problem>
 parse_call(const request_fields& request, const parsing_rules& rules, core::steady_time now);
 
+/// Makes the call a nested one: it gets the root, depth, class and time of the request that makes it.
+void adopt_parent(parsed_call& call, const gate::context_token& parent, core::incarnation self);
+
 /// What a caller is told whose request can't be understood.
 [[nodiscard]] problem malformed(std::string type, std::string detail);
 
--- a/src/entry/tests/accepting_tests.cpp
+++ b/src/entry/tests/accepting_tests.cpp
@@ -6,7 +6,9 @@
 #include "store/testing/manual_scheduler.h"
 #include "testing/manual_clock.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace monsoonlift;
@@ -90,3 +92,29 @@
     CHECK(source.asked() == failures + 1 + static_cast<int>(callers));
     CHECK(entries.told() == 1);
 }
+
+TEST_CASE("idle connections end when asked", "[entry]") {
+    wired_fleet fleet({}, 1);
+    fleet.daemon(0).announce();
+    fleet.daemon(1).announce();
+    auto& io = fleet.io();
+    const auto address = fleet.daemon(0).caller_address();
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({boost::asio::ip::address_v4::loopback(), port});
+    const std::string request = "GET /answer/1/10 HTTP/1.1\r\nHost: h\r\nMonsoonlift-Service: mappa\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    std::string got(4096, '\0');
+    std::size_t answered = 0;
+    caller.async_read_some(boost::asio::buffer(got),
+                           [&](const boost::system::error_code&, std::size_t bytes) { answered = bytes; });
+    REQUIRE(fleet.run_until([&] { return answered > 0; }));
+    CHECK(got.starts_with("HTTP/1.1 200"));
+    fleet.daemon(0).entry().close_idle_connections();
+    bool ended = false;
+    caller.async_read_some(boost::asio::buffer(got),
+                           [&](const boost::system::error_code& failure, std::size_t) {
+                               ended = failure == boost::asio::error::eof;
+                           });
+    CHECK(fleet.run_until([&] { return ended; }));
+}
--- a/src/entry/tests/frame_fault_tests.cpp
+++ b/src/entry/tests/frame_fault_tests.cpp
@@ -294,3 +294,62 @@
         }
     }
 }
+
+TEST_CASE("an answer whose body comes after its head is whole", "[entry]") {
+    constexpr std::size_t bytes = 600;
+    wired_fleet fleet({}, 1);
+    fleet.daemon(0).announce();
+    fleet.daemon(1).announce();
+    for (std::size_t entry : {0, 1}) {
+        caller_request request;
+        request.target = "/answer/late/" + std::to_string(bytes);
+        caller_answer answer;
+        bool ended = false;
+        fleet.call(entry, request, [&](caller_answer got) {
+            answer = std::move(got);
+            ended = true;
+        });
+        REQUIRE(fleet.run_until([&] { return ended; }));
+        CHECK(answer.whole);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == expected_body(answer.backend, "GET", request.target, ""));
+    }
+}
+
+TEST_CASE("a call at a daemon that can't be reached is made elsewhere only if it may be repeated",
+          "[entry]") {
+    struct suspected_case {
+        const char* method;
+        const char* target;
+        std::uint64_t arrivals;
+    };
+    for (const auto& wanted :
+         {suspected_case{"GET", "/answer/never", 2}, suspected_case{"POST", "/effect/never", 1}}) {
+        INFO(wanted.method);
+        wired_fleet fleet({}, 1);
+        fleet.daemon(0).announce();
+        fleet.daemon(1).announce();
+        const auto arrivals = [&] {
+            return fleet.daemon(0).gate_totals().arrived + fleet.daemon(1).gate_totals().arrived;
+        };
+        caller_request request;
+        request.method = wanted.method;
+        request.target = wanted.target;
+        bool ended = false;
+        fleet.call(0, request, [&](const caller_answer&) { ended = true; });
+        REQUIRE(fleet.run_until([&] { return arrivals() == 1; }));
+        auto& chosen = fleet.daemon(fleet.daemon(0).gate_totals().arrived == 1 ? 0 : 1);
+        membership::member suspected;
+        suspected.id = chosen.id();
+        suspected.service = "mappa";
+        suspected.data_centre = "palermo";
+        suspected.status = membership::member_status::suspect;
+        fleet.daemon(0).entry().member_changed(suspected);
+        if (wanted.arrivals > 1) {
+            CHECK(fleet.run_until([&] { return arrivals() == wanted.arrivals; }));
+        }
+        fleet.daemon(0).entry().give_up_all();
+        CHECK(fleet.run_until([&] { return ended; }));
+        CHECK(arrivals() == wanted.arrivals);
+    }
+}
--- a/src/entry/tests/loopback_backend.cpp
+++ b/src/entry/tests/loopback_backend.cpp
@@ -3,10 +3,14 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
+#include <sstream>
 #include <utility>
 
 namespace monsoonlift::entry::testing {
@@ -48,6 +52,14 @@
         if (method == "POST") {
             ++m_runs[target];
         }
+        if (target.ends_with("/never")) {
+            boost::asio::steady_timer timer(socket.get_executor(), std::chrono::hours(1));
+            co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+        }
+        if (target.starts_with("/answer/late/")) {
+            co_await answer_late(socket, expected_body(m_name, method, target, request.body()));
+            continue;
+        }
         http::response<http::string_body> response(http::status::ok, 11);
         response.set("X-Backend", m_name);
         response.body() = expected_body(m_name, method, target, request.body());
@@ -60,6 +72,22 @@
     }
 }
 
+boost::asio::awaitable<void> loopback_backend::answer_late(tcp::socket& socket, std::string body) {
+    constexpr std::chrono::milliseconds pause{30};
+    std::ostringstream size;
+    size << std::hex << body.size();
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Backend: " + m_name +
+                             "\r\nTransfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n";
+    boost::system::error_code ignored;
+    co_await boost::asio::async_write(socket, boost::asio::buffer(head),
+                                      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    boost::asio::steady_timer timer(socket.get_executor(), pause);
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    const std::string rest = body + "\r\n0\r\n\r\n";
+    co_await boost::asio::async_write(socket, boost::asio::buffer(rest),
+                                      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
 std::string expected_body(const std::string& backend, const std::string& method, const std::string& target,
                           const std::string& body) {
     if (method == "POST") {
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -106,6 +106,7 @@
     /// Entries accept their callers by what `make_acceptor` makes.
     wired_fleet(const frame_faults& faults, std::uint64_t seed, const acceptor_maker& make_acceptor);
 
+    [[nodiscard]] boost::asio::io_context& io() { return m_io; }
     [[nodiscard]] wired_daemon& daemon(std::size_t index) { return *m_daemons[index]; }
 
     /// Makes a call through an entry and hands over what the caller got.
--- a/src/gate/backend_protocol.h
+++ b/src/gate/backend_protocol.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gate/context_token.h"
+#include "gate/running_requests.h"
 #include "gate/types/backend_server.h"
 #include "transport/types/frame.h"
 
@@ -10,6 +11,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string_view>
 
 namespace monsoonlift::gate {
@@ -40,6 +42,9 @@
     /// Empty if answers repeat nothing.
     std::string_view echoed_id_header;
 
+    /// Notes the requests that run, by the value of that field; nullptr if nested calls carry their context.
+    std::shared_ptr<running_requests> running;
+
     /// Whether an answer without length and chunks is whole once its connection is closed in order.
     bool answers_may_end_with_connection = false;
 };
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -170,9 +170,23 @@
     }
     m_sent = true;
     m_sent_at = m_env.clock.now();
+    note_running();
     return true;
 }
 
+void gate_call::note_running() {
+    const auto name = request_name();
+    if (m_env.options.protocol.running && !name.empty()) {
+        m_env.options.protocol.running->begin(std::string(name), make_token());
+    }
+}
+
+void gate_call::note_not_running() {
+    if (m_env.options.protocol.running && m_sent) {
+        m_env.options.protocol.running->end(std::string(request_name()), m_run);
+    }
+}
+
 void gate_call::fail(verdict run, end_reason reason, std::string detail) {
     m_end.run = run;
     m_end.reason = m_stopped.value_or(reason);
@@ -185,6 +199,7 @@
 }
 
 transport::attempt_end gate_call::complete_end() {
+    m_end.nested_level = m_env.budgets.strictest_level(m_run);
     m_end.nested_attempts = m_env.budgets.close(m_run);
     m_end.load = m_env.table.report();
     m_end.service_time = std::chrono::duration_cast<std::chrono::microseconds>(m_report.service_time);
@@ -218,6 +233,7 @@
     if (std::exchange(m_finished, true)) {
         return;
     }
+    note_not_running();
     m_watchdog->stop();
     m_inbox.close();
     m_credit.close();
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -114,6 +114,12 @@
     awaitable<bool> pass_over_answer();
     [[nodiscard]] bool was_refused_by_backend() const;
     [[nodiscard]] transport::response_head make_response_head() const;
+    [[nodiscard]] context_token make_token() const;
+
+    /// The caller's name for the request; empty if the protocol has none.
+    [[nodiscard]] std::string_view request_name() const;
+    void note_running();
+    void note_not_running();
     template <class Body> void fill_request(boost::beast::http::request<Body>& request) const;
     void on_payload(decltype(transport::frame::payload) payload);
     void stop_now(transport::end_reason reason);
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -67,6 +67,13 @@
     for (const auto& field : m_head.headers) {
         request.insert(field.name, field.value);
     }
+    const auto token = make_token();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        core::time_left(m_head.context, m_env.clock.now()));
+    m_env.options.protocol.label_request(request, {m_head, m_backend, token, left});
+}
+
+context_token gate_call::make_token() const {
     context_token token;
     token.root = m_head.context.root;
     token.depth = m_head.context.depth;
@@ -74,9 +81,15 @@
     token.deadline = m_head.context.deadline;
     token.run = m_run;
     token.issuer = m_env.sender.self().life;
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        core::time_left(m_head.context, m_env.clock.now()));
-    m_env.options.protocol.label_request(request, {m_head, m_backend, token, left});
+    return token;
+}
+
+std::string_view gate_call::request_name() const {
+    const auto name = m_env.options.protocol.echoed_id_header;
+    const auto found = std::find_if(m_head.headers.begin(), m_head.headers.end(), [name](const auto& field) {
+        return boost::beast::iequals(field.name, {name.data(), name.size()});
+    });
+    return name.empty() || found == m_head.headers.end() ? std::string_view() : found->value;
 }
 
 boost::asio::awaitable<void> gate_call::write_whole_request() {
@@ -192,10 +205,8 @@
     if (echoed == answer.end()) {
         return true;
     }
-    const auto asked = std::find_if(m_head.headers.begin(), m_head.headers.end(), [name](const auto& field) {
-        return boost::beast::iequals(field.name, {name.data(), name.size()});
-    });
-    return asked == m_head.headers.end() || view(echoed->value()) == asked->value;
+    const auto asked = request_name();
+    return asked.empty() || view(echoed->value()) == asked;
 }
 
 boost::asio::awaitable<bool> gate_call::pass_over_answer() {
--- a/src/gate/internal/nested_budgets.cpp
+++ b/src/gate/internal/nested_budgets.cpp
@@ -6,7 +6,7 @@
 
 void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left) {
     const std::scoped_lock lock(m_mutex);
-    m_budgets[run] = {attempts_left, 0};
+    m_budgets[run] = {attempts_left, 0, {}};
 }
 
 std::uint32_t nested_budgets::reserve(std::uint64_t run) {
@@ -25,6 +25,20 @@
     found->second.spent += spent;
 }
 
+void nested_budgets::note_level(std::uint64_t run, const admission::shed_level& met) {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    if (found != m_budgets.end() && admission::is_stricter(met, found->second.strictest)) {
+        found->second.strictest = met;
+    }
+}
+
+admission::shed_level nested_budgets::strictest_level(std::uint64_t run) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    return found == m_budgets.end() ? admission::shed_level{} : found->second.strictest;
+}
+
 bool nested_budgets::is_open(std::uint64_t run) const {
     const std::scoped_lock lock(m_mutex);
     return m_budgets.contains(run);
--- a/src/platform/backend_protocol.h
+++ b/src/platform/backend_protocol.h
@@ -5,7 +5,8 @@
 
 namespace monsoonlift::platform {
 
-/// Requests name the backend server that is meant and the time left; answers carry the request's id.
-[[nodiscard]] gate::backend_protocol make_backend_protocol();
+/// Requests name the backend server that is meant and the time left; answers carry the request's id. Requests
+/// are noted in `running` while they run.
+[[nodiscard]] gate::backend_protocol make_backend_protocol(std::shared_ptr<gate::running_requests> running);
 
 } // namespace monsoonlift::platform
--- a/src/platform/internal/backend_protocol.cpp
+++ b/src/platform/internal/backend_protocol.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace monsoonlift::platform {
 
@@ -29,11 +30,12 @@
 
 } // namespace
 
-gate::backend_protocol make_backend_protocol() {
+gate::backend_protocol make_backend_protocol(std::shared_ptr<gate::running_requests> running) {
     gate::backend_protocol protocol;
     protocol.label_request = label_request;
     protocol.is_refusal = is_refusal;
     protocol.echoed_id_header = wire::request_id_header;
+    protocol.running = std::move(running);
     protocol.answers_may_end_with_connection = true;
     return protocol;
 }
--- a/src/platform/internal/caller_protocol.cpp
+++ b/src/platform/internal/caller_protocol.cpp
@@ -71,9 +71,9 @@
     return std::chrono::milliseconds(value);
 }
 
-std::variant<entry::parsed_call, problem> parse(const entry::request_fields& request,
-                                                const entry::parsing_rules& rules,
-                                                const std::string& local_service, core::steady_time now) {
+std::variant<entry::parsed_call, problem>
+parse(const entry::request_fields& request, const entry::parsing_rules& rules,
+      const std::string& local_service, const gate::running_requests& running, core::steady_time now) {
     entry::routed_request asked;
     const std::pair<std::string_view, std::string_view*> wanted[] = {{"Host", &asked.host},
                                                                      {wire::request_id_header, &asked.id}};
@@ -97,6 +97,9 @@
     auto call = entry::route_call(asked, rules, now);
     if (auto* parsed = std::get_if<entry::parsed_call>(&call)) {
         parsed->headers = headers_to_pass(request, local_service);
+        if (const auto parent = running.find_parent(asked.id)) {
+            entry::adopt_parent(*parsed, *parent, rules.self);
+        }
     }
     return call;
 }
@@ -140,16 +143,16 @@
 
 } // namespace
 
-entry::caller_protocol make_caller_protocol(std::string local_service) {
+entry::caller_protocol make_caller_protocol(std::string local_service,
+                                            std::shared_ptr<const gate::running_requests> running) {
     entry::caller_protocol protocol;
-    protocol.parse = [service = std::move(local_service)](const entry::request_fields& request,
-                                                          const entry::parsing_rules& rules,
-                                                          core::steady_time now) {
-        return parse(request, rules, service, now);
+    protocol.parse = [service = std::move(local_service), running = std::move(running)](
+                         const entry::request_fields& request, const entry::parsing_rules& rules,
+                         core::steady_time now) {
+        return parse(request, rules, service, *running, now);
     };
     protocol.tell = tell;
     protocol.labels_answers = false;
-    protocol.nests_budgets = false;
     return protocol;
 }
 
--- a/src/platform/internal/configuration_codec.cpp
+++ b/src/platform/internal/configuration_codec.cpp
@@ -26,6 +26,9 @@
 /// since the runs of a retry may make calls of their own.
 constexpr double retry_ratio = 0.1;
 
+/// Retries of a root call with all its nested calls.
+constexpr std::int64_t attempts_per_root = 4;
+
 /// Thrown inside this file only, when a field is missing or of another type.
 struct bad_field {
     std::string reason;
@@ -175,12 +178,13 @@
     configuration::stored_configuration stored;
     stored.revision = revision_of(content);
     stored.submission = "operator";
-    const json::object document{{"format", document_format},
-                                {"data_centres", json::array{"any"}},
-                                {"classes", class_names()},
-                                {"retries", json::object{{"attempts_per_root", 1}, {"ratio", retry_ratio}}},
-                                {"services", services_of(content)},
-                                {"routes", routes_of(content)}};
+    const json::object document{
+        {"format", document_format},
+        {"data_centres", json::array{"any"}},
+        {"classes", class_names()},
+        {"retries", json::object{{"attempts_per_root", attempts_per_root}, {"ratio", retry_ratio}}},
+        {"services", services_of(content)},
+        {"routes", routes_of(content)}};
     // NOTE: JSON is YAML, so that the document reader takes it.
     stored.document = json::serialize(document);
     stored.digest = configuration::digest_of(stored);
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -25,7 +25,6 @@
 constexpr std::size_t longest_reason = 200;
 
 constexpr std::string_view configuration_prefix = "configuration/";
-constexpr std::string_view members_prefix = "members/";
 
 enum http_status : unsigned {
     status_ok = 200,
@@ -78,21 +77,31 @@
     return std::move(*parsed);
 }
 
+bool is_configuration(std::string_view name) {
+    return name.starts_with(configuration_prefix);
+}
+
+/// Our names begin with a word and a slash, as in "members/10.0.0.1:7000".
+std::string prefix_of(std::string_view name) {
+    return std::string(name.substr(0, name.find('/') + 1));
+}
+
 /// The kind of the objects under a prefix, or of one name.
-std::string_view kind_of(std::string_view name) {
-    return name.starts_with(configuration_prefix) ? wire::configuration_kind : wire::members_kind;
+std::string kind_of(std::string_view name) {
+    if (is_configuration(name)) {
+        return std::string(wire::configuration_kind);
+    }
+    return std::string(wire::own_kinds_prefix) + std::string(name.substr(0, name.find('/')));
 }
 
 /// The name within its kind.
 std::string bare_name(std::string_view name) {
-    if (name.starts_with(configuration_prefix)) {
-        return std::string(wire::configuration_name);
-    }
-    return std::string(name.substr(name.starts_with(members_prefix) ? members_prefix.size() : 0));
+    return is_configuration(name) ? std::string(wire::configuration_name)
+                                  : std::string(name.substr(name.find('/') + 1));
 }
 
 std::string kind_target(std::string_view name) {
-    return std::string(wire::objects_path) + std::string(kind_of(name));
+    return std::string(wire::objects_path) + kind_of(name);
 }
 
 std::string object_target(std::string_view name) {
@@ -102,7 +111,7 @@
 /// The object in our terms; nothing if its content can't be used.
 std::optional<store::object> translate(std::string_view prefix, const stored_object& stored,
                                        logging::event_log& log) {
-    if (kind_of(prefix) == wire::configuration_kind) {
+    if (is_configuration(prefix)) {
         const auto decoded = decode_configuration(stored.content);
         if (const auto* fault = std::get_if<configuration_fault>(&decoded)) {
             log.write(logging::event_id::configuration_refused,
@@ -116,12 +125,12 @@
     if (!stored.content.is_string()) {
         return std::nullopt;
     }
-    return store::object{std::string(members_prefix) + stored.name, stored.version,
+    return store::object{prefix_of(prefix) + stored.name, stored.version,
                          std::string(stored.content.get_string())};
 }
 
 bool is_wanted(std::string_view prefix, const stored_object& stored) {
-    return kind_of(prefix) != wire::configuration_kind || stored.name == wire::configuration_name;
+    return !is_configuration(prefix) || stored.name == wire::configuration_name;
 }
 
 store::watch_result translate(std::string_view prefix, const stored_changes& told, logging::event_log& log) {
@@ -132,7 +141,7 @@
             continue;
         }
         if (change.removed) {
-            result.removed.push_back(std::string(members_prefix) + change.object.name);
+            result.removed.push_back(prefix_of(prefix) + change.object.name);
         } else if (auto object = translate(prefix, change.object, log)) {
             result.changed.push_back(*std::move(object));
         }
--- /dev/null
+++ b/src/platform/testing/store_paths.cpp
@@ -0,0 +1,192 @@
+#include "platform/testing/store_paths.h"
+
+#include "platform/types/wire_names.h"
+#include "store/http_target.h"
+#include "store/limits.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace monsoonlift::platform::testing {
+
+namespace json = boost::json;
+using platform_standin::handling;
+using platform_standin::pending_watch;
+using platform_standin::standin_reply;
+using platform_standin::standin_state;
+
+namespace {
+
+constexpr std::uint64_t longest_wait_ms = 30'000;
+
+standin_reply fault(unsigned status, const std::string& text) {
+    return {status, json::serialize(json::object{{"Error", text}})};
+}
+
+json::object metadata_of(std::string_view name, std::uint64_t version) {
+    json::object metadata;
+    metadata["Name"] = json::string(name.data(), name.size());
+    metadata["Rev"] = version;
+    metadata["Finalizers"] = json::array{};
+    metadata["Deleting"] = false;
+    return metadata;
+}
+
+json::object object_of(const store::object& stored) {
+    const auto name = std::string_view(stored.name).substr(stored.name.find('/') + 1);
+    json::object object;
+    object["Metadata"] = metadata_of(name, stored.version);
+    object["Spec"] = json::parse(stored.value);
+    object["Status"] = nullptr;
+    return object;
+}
+
+std::string page_of(const store::object_list& listed) {
+    json::array items;
+    for (const auto& stored : listed.objects) {
+        items.emplace_back(object_of(stored));
+    }
+    return json::serialize(
+        json::object{{"items", std::move(items)}, {"More", false}, {"StoreRevision", listed.revision}});
+}
+
+std::string events_of(const store::watch_result& changes) {
+    json::array events;
+    for (const auto& stored : changes.changed) {
+        events.emplace_back(json::object{{"Deleted", false}, {"Object", object_of(stored)}});
+    }
+    for (const auto& name : changes.removed) {
+        const auto bare = std::string_view(name).substr(name.find('/') + 1);
+        events.emplace_back(json::object{
+            {"Deleted", true}, {"Object", json::object{{"Metadata", metadata_of(bare, changes.revision)}}}});
+    }
+    return json::serialize(json::object{{"events", std::move(events)}, {"StoreRevision", changes.revision}});
+}
+
+std::optional<std::uint64_t> number_in(const store::http_target& target, const std::string& name) {
+    const auto found = target.query.find(name);
+    return found == target.query.end() ? std::nullopt : store::parse_whole_number(found->second);
+}
+
+/// What a write says; the name is empty if the body can't be used.
+struct written_object {
+    std::string name;
+    std::uint64_t version = 0;
+    std::string content;
+};
+
+written_object read_write(const std::string& body) {
+    boost::system::error_code failure;
+    const auto value = json::parse(body, failure);
+    const auto* map = failure ? nullptr : value.if_object();
+    const auto* metadata = map != nullptr ? map->if_contains("Metadata") : nullptr;
+    const auto* fields = metadata != nullptr ? metadata->if_object() : nullptr;
+    const auto* name = fields != nullptr ? fields->if_contains("Name") : nullptr;
+    if (name == nullptr || !name->is_string() || !map->contains("Spec")) {
+        return {};
+    }
+    written_object read;
+    read.name = name->get_string();
+    if (const auto* version = fields->if_contains("Rev")) {
+        read.version = version->to_number<std::uint64_t>(failure);
+    }
+    read.content = json::serialize(map->at("Spec"));
+    return read;
+}
+
+standin_reply write(standin_state& state, const std::string& kind, const std::string& body) {
+    const auto asked = read_write(body);
+    ++state.counts.update;
+    if (asked.name.empty()) {
+        return fault(400, "no name or no content");
+    }
+    if (asked.content.size() > 2 * store::max_value_bytes) {
+        return fault(413, "too large");
+    }
+    const auto name = kind + "/" + asked.name;
+    if (!state.store.update_if(name, asked.version, asked.content)) {
+        ++state.counts.conflicts;
+        return fault(409, "another revision");
+    }
+    notify_waiting(state);
+    return {200, json::serialize(object_of(*state.store.get(name)))};
+}
+
+standin_reply read(standin_state& state, const std::string& name) {
+    ++state.counts.get;
+    const auto found = state.store.get(name);
+    return found ? standin_reply{200, json::serialize(object_of(*found))} : fault(404, "no such object");
+}
+
+standin_reply remove(standin_state& state, const std::string& name, const store::http_target& target) {
+    ++state.counts.remove;
+    const auto found = state.store.get(name);
+    if (!found) {
+        return fault(404, "no such object");
+    }
+    if (!state.store.remove_if(name, number_in(target, "Rev").value_or(found->version))) {
+        ++state.counts.conflicts;
+        return fault(409, "another revision");
+    }
+    notify_waiting(state);
+    return {200, json::serialize(object_of(*found))};
+}
+
+handling list_or_watch(standin_state& state, const std::string& kind, const store::http_target& target) {
+    const auto revision = number_in(target, "Watch");
+    if (!revision) {
+        ++state.counts.list;
+        return standin_reply{200, page_of(state.store.list(kind + "/"))};
+    }
+    ++state.counts.watch;
+    pending_watch watch{
+        kind + "/", *revision,
+        std::chrono::milliseconds(std::min(number_in(target, "WaitMs").value_or(0), longest_wait_ms))};
+    watch.encode = events_of;
+    return resume(state, watch, false);
+}
+
+handling spoil(standin_state& state, handling outcome, bool is_write) {
+    auto* reply = std::get_if<standin_reply>(&outcome);
+    if (reply != nullptr) {
+        reply->delay = state.faults.slow;
+        reply->lost = is_write &&
+                      std::uniform_real_distribution<double>(0, 1)(state.random) < state.faults.lose_answers;
+        state.counts.answers_lost += reply->lost ? 1 : 0;
+    }
+    return outcome;
+}
+
+} // namespace
+
+std::optional<handling> handle_store_call(standin_state& state,
+                                          const platform_standin::standin_request& request) {
+    const auto target = store::parse_target(request.target);
+    if (!target || !target->path.starts_with(wire::objects_path)) {
+        return std::nullopt;
+    }
+    const auto path = target->path.substr(wire::objects_path.size());
+    const auto slash = path.find('/');
+    const auto kind = path.substr(0, slash);
+    if (request.method == "GET" && slash == std::string::npos) {
+        return spoil(state, list_or_watch(state, kind, *target), false);
+    }
+    if (request.method == "GET") {
+        return spoil(state, read(state, path), false);
+    }
+    if (request.method == "POST" || request.method == "PUT") {
+        return spoil(state, write(state, kind, request.body), true);
+    }
+    if (request.method == "DELETE") {
+        return spoil(state, remove(state, path, *target), true);
+    }
+    return fault(405, "GET, POST, PUT or DELETE");
+}
+
+} // namespace monsoonlift::platform::testing
--- a/src/platform/types/wire_names.h
+++ b/src/platform/types/wire_names.h
@@ -19,6 +19,7 @@
 
 inline constexpr std::string_view configuration_kind = "config";
 inline constexpr std::string_view configuration_name = "main";
-inline constexpr std::string_view members_kind = "monsoonlift-members";
+inline constexpr std::string_view own_kinds_prefix =
+    "monsoonlift-"; ///< Of kinds that belong to this project.
 
 } // namespace monsoonlift::platform::wire
--- /dev/null
+++ b/src/routing/internal/chain_levels.cpp
@@ -0,0 +1,56 @@
+#include "routing/chain_levels.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace monsoonlift::routing {
+
+namespace {
+
+constexpr std::chrono::milliseconds level_lifetime{1000};
+constexpr std::size_t most_kept = 31;
+constexpr std::size_t fewest = 4; ///< Fewer say too little.
+
+/// Buckets of roots that pass at any level, about one call in twenty.
+constexpr std::uint32_t always_admitted = admission::root_buckets / 20;
+
+} // namespace
+
+void record_chain(chain_levels& levels, const std::string& kind, const admission::shed_level& met,
+                  core::steady_time now) {
+    auto& latest = levels.by_kind[kind];
+    latest.push_back({met, now});
+    while (latest.size() > most_kept || now - latest.front().when > level_lifetime) {
+        latest.pop_front();
+    }
+}
+
+admission::shed_level chain_level(const chain_levels& levels, const std::string& kind,
+                                  core::steady_time now) {
+    const auto found = levels.by_kind.find(kind);
+    if (found == levels.by_kind.end()) {
+        return {};
+    }
+    std::vector<admission::shed_level> fresh;
+    for (const auto& met : found->second) {
+        if (now - met.when <= level_lifetime) {
+            fresh.push_back(met.level);
+        }
+    }
+    if (fresh.size() < fewest) {
+        return {};
+    }
+    const auto middle = fresh.begin() + static_cast<std::ptrdiff_t>(fresh.size() / 2);
+    std::nth_element(fresh.begin(), middle, fresh.end(), admission::is_stricter);
+    return *middle;
+}
+
+bool chain_admits(const admission::shed_level& level, const core::call_context& context) {
+    const auto bucket = core::bucket_of(context.root, admission::root_buckets);
+    if (bucket < always_admitted || context.rank < level.rank) {
+        return true;
+    }
+    return context.rank == level.rank && bucket < level.bucket;
+}
+
+} // namespace monsoonlift::routing
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -91,6 +91,10 @@
     if (end.retry_after) {
         target.set_retry_after_ms(static_cast<std::uint32_t>(end.retry_after->count()));
     }
+    if (end.nested_level != admission::shed_level{}) {
+        target.set_nested_rank(end.nested_level.rank);
+        target.set_nested_bucket(end.nested_level.bucket);
+    }
     if (end.load) {
         auto& load = *target.mutable_load();
         load.set_rank(end.load->level.rank);
@@ -130,6 +134,10 @@
     if (source.retry_after_ms() != 0) {
         end.retry_after = std::chrono::milliseconds(source.retry_after_ms());
     }
+    if (source.has_nested_rank() && source.has_nested_bucket()) {
+        end.nested_level.rank = static_cast<core::class_rank>(std::min(source.nested_rank(), 255U));
+        end.nested_level.bucket = source.nested_bucket();
+    }
     if (source.has_load()) {
         end.load = read(source.load());
     }
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -51,6 +51,7 @@
     /// Attempts spent by nested calls beyond their first; nothing if that is not known.
     std::optional<std::uint32_t> nested_attempts;
     std::optional<routing::load_report> load;
+    admission::shed_level nested_level; ///< Strictest threshold that nested calls met further down.
     std::chrono::microseconds service_time{0};
     core::endpoint_id home; ///< With wrong_home.
     std::uint64_t homes_version = 0;
