--- a/src/entry/tests/loopback_backend.h
+++ b/src/entry/tests/loopback_backend.h
@@ -11,7 +11,8 @@
 namespace monsoonlift::entry::testing {
 
 /// A backend server on a loopback port. "GET /answer/N/BYTES" gives a body that only this request at this
-/// server has, "GET /answer/late/BYTES" one in chunks whose head and first size come well before the rest; "POST /effect/N" counts a run and gives its request body back.
+/// server has, "GET /answer/late/BYTES" one in chunks whose head and first size come well before the rest;
+/// "POST /effect/N" counts a run and gives its request body back.
 class loopback_backend {
 public:
     loopback_backend(boost::asio::io_context& io, std::string name);
--- a/src/gate/tests/backend_answer_tests.cpp
+++ b/src/gate/tests/backend_answer_tests.cpp
@@ -160,8 +160,9 @@
     testing::silent_log m_log;
     keeping_sender m_sender;
     execution::execution_ledger m_ledger{m_clock, m_sender.self(), {}};
-    execution::crash_guard m_crashes{m_clock, m_sender.self(), {}, m_log, [](std::uint32_t, std::string) {
-                                     }};
+    execution::crash_guard m_crashes{
+        m_clock, m_sender.self(), {}, m_log, [](std::uint32_t, const std::string&) {
+        }};
     nested_budgets m_budgets;
     metrics::metrics_registry m_registry;
     std::optional<gate_service> m_service;
