Cancel an attempt that a suspicion broke

The first attempt was never cancelled, so its backend server went on for nobody.

Change: the attempt is cancelled when a suspicion breaks it; the test waits until no gate has work.

--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -53,6 +53,9 @@
         // attempt.
         const bool waits_on =
             local != nullptr && *local == local_event::endpoint_suspected && !m_call.context.idempotent;
+        if (local != nullptr && !waits_on && *local == local_event::endpoint_suspected) {
+            send(transport::cancel{});
+        }
         if (local != nullptr && !waits_on) {
             co_return outcome_of(*local);
         }
--- a/src/entry/tests/frame_fault_tests.cpp
+++ b/src/entry/tests/frame_fault_tests.cpp
@@ -351,5 +351,6 @@
         fleet.daemon(0).entry().give_up_all();
         CHECK(fleet.run_until([&] { return ended; }));
         CHECK(arrivals() == wanted.arrivals);
+        CHECK(fleet.settle());
     }
 }
