Don't cut links whose peer reads nothing for 1.5 s

TCP_USER_TIMEOUT, added for links that fall silent, also ends a connection whose peer doesn't read for that long, as a paused VM.

Change: peer_link is as it was.

--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -9,9 +9,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 namespace monsoonlift::transport::internal {
 
 using boost::asio::ip::tcp;
@@ -31,11 +28,6 @@
 /// A connect that takes longer is begun anew, once a frame needs it.
 constexpr std::chrono::milliseconds longest_connect = 1s;
 
-/// A link whose bytes stay unacknowledged this long is taken for cut; it may have fallen silent for good.
-constexpr std::chrono::milliseconds longest_unacknowledged = 1500ms;
-
-using user_timeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
 } // namespace
 
 peer_link::peer_link(boost::asio::io_context& io, route way, bool bulk, const core::clock& clock,
@@ -122,7 +114,6 @@
     }
     if (!failure) {
         m_socket.set_option(tcp::no_delay(true), failure);
-        m_socket.set_option(user_timeout(static_cast<int>(longest_unacknowledged.count())), failure);
     }
     if (!failure) {
         m_socket.non_blocking(true, failure);
