One rule for each decision on the path of a call, and less work in it

The id of a request was drawn and spelt for calls that had one; its name was looked up three times a call; each latency built two strings; the gate took its table's lock for a line that might not be written.

Ruled out: one guard for all log decisions: their fields must not be composed before it, and an initializer list can't be handed on.

Change: admission::admits_nested and median_level, entry::headers_to_pass, parse_milliseconds, check_target, not_known; names kept once; what this daemon notices of an attempt is judged in one function. A field that Connection lists stays at the entry in our own protocol too (RFC 9110, 7.6.1), with a test that fails without it.

--- a/src/admission/internal/shedding.cpp
+++ b/src/admission/internal/shedding.cpp
@@ -41,6 +41,11 @@
     return context.depth == 0 ? 1 : 0;
 }
 
+bool admits_position(const shed_level& level, core::class_rank rank, std::uint32_t position) {
+    const auto counted = static_cast<core::class_rank>(rank_index(rank));
+    return counted != level.rank ? counted < level.rank : position < level.bucket;
+}
+
 double blend(double old, double fresh, double weight) {
     return old == 0 ? fresh : old + weight * (fresh - old);
 }
@@ -164,11 +169,20 @@
 }
 
 bool admits(const shed_level& level, const core::call_context& context) {
-    const auto rank = static_cast<core::class_rank>(rank_index(context.rank));
-    if (rank != level.rank) {
-        return rank < level.rank;
+    return admits_position(level, context.rank, position_of(context));
+}
+
+bool admits_nested(const shed_level& level, core::class_rank rank, const core::root_id& root) {
+    return admits_position(level, rank, core::bucket_of(root, root_buckets));
+}
+
+shed_level median_level(std::vector<shed_level> levels) {
+    if (levels.empty()) {
+        return {};
     }
-    return position_of(context) < level.bucket;
+    const auto middle = levels.begin() + static_cast<std::ptrdiff_t>(levels.size() / 2);
+    std::nth_element(levels.begin(), middle, levels.end(), is_stricter);
+    return *middle;
 }
 
 void record_arrival(overload_state& state, const core::call_context& context, bool admitted) {
--- a/src/admission/shedding.h
+++ b/src/admission/shedding.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace monsoonlift::admission {
 
@@ -22,6 +23,12 @@
 /// of the same class.
 [[nodiscard]] bool admits(const shed_level& level, const core::call_context& context);
 
+/// Whether nested calls of that root pass the threshold.
+[[nodiscard]] bool admits_nested(const shed_level& level, core::class_rank rank, const core::root_id& root);
+
+/// The threshold that half of those given have or exceed; the one that admits everything if there are none.
+[[nodiscard]] shed_level median_level(std::vector<shed_level> levels);
+
 /// Bounds of the rule that moves the threshold.
 struct overload_settings {
     std::chrono::milliseconds window{100};     ///< Shortest time between two moves.
--- a/src/app/monsoonctl/internal/request_story.cpp
+++ b/src/app/monsoonctl/internal/request_story.cpp
@@ -47,12 +47,12 @@
     return text + "\n";
 }
 
-std::size_t process_count(const request_story& story) {
+std::set<std::string> processes_of(const request_story& story) {
     std::set<std::string> processes;
     for (const auto& line : story.lines) {
         processes.insert(text_of(line.event, "process"));
     }
-    return processes.size();
+    return processes;
 }
 
 boost::json::array events_of(const std::vector<story_line>& lines) {
@@ -100,10 +100,7 @@
     request_story story = m_story;
     std::stable_sort(story.lines.begin(), story.lines.end(), is_earlier);
     std::stable_sort(story.left_out.begin(), story.left_out.end(), is_earlier);
-    std::set<std::string> processes;
-    for (const auto& line : story.lines) {
-        processes.insert(text_of(line.event, "process"));
-    }
+    const auto processes = processes_of(story);
     std::erase_if(story.left_out, [&](const story_line& line) {
         return !processes.contains(text_of(line.event, "process"));
     });
@@ -115,7 +112,7 @@
     for (const auto& line : story.lines) {
         text += line_text(line);
     }
-    text += std::to_string(story.lines.size()) + " lines of " + std::to_string(process_count(story)) +
+    text += std::to_string(story.lines.size()) + " lines of " + std::to_string(processes_of(story).size()) +
             " processes, of " + std::to_string(story.lines_read) + " lines read\n";
     if (story.lines_not_events > 0) {
         text += std::to_string(story.lines_not_events) + " lines read are no events\n";
--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -42,24 +42,36 @@
             co_return attempt_outcome{false, std::move(*end), true};
         }
         const auto* local = std::get_if<local_event>(&*event);
-        if (local != nullptr && *local == local_event::caller_gone) {
-            m_caller_gone = true;
-            co_return co_await give_up(end_reason::cancelled);
+        if (local == nullptr) {
+            continue;
         }
-        if (local != nullptr && *local == local_event::stopping) {
-            co_return co_await give_up(end_reason::deadline);
+        auto outcome = co_await take_local(*local);
+        if (outcome) {
+            co_return *std::move(outcome);
         }
-        // NOTE: the request may still be answered, and only a call that may be repeated gains by another
+    }
+}
+
+boost::asio::awaitable<std::optional<call_exchange::attempt_outcome>>
+call_exchange::take_local(local_event event) {
+    switch (event) {
+    case local_event::caller_gone:
+        m_caller_gone = true;
+        co_return co_await give_up(end_reason::cancelled);
+    case local_event::stopping:
+        co_return co_await give_up(end_reason::deadline);
+    case local_event::endpoint_suspected:
+        // NOTE: the request may still be answered, and only one that may be repeated gains by another
         // attempt.
-        const bool waits_on =
-            local != nullptr && *local == local_event::endpoint_suspected && !m_call.context.idempotent;
-        if (local != nullptr && !waits_on && *local == local_event::endpoint_suspected) {
-            send(transport::cancel{});
-        }
-        if (local != nullptr && !waits_on) {
-            co_return outcome_of(*local);
+        if (!m_call.context.idempotent) {
+            co_return std::nullopt;
         }
+        send(transport::cancel{});
+        break;
+    default:
+        break;
     }
+    co_return outcome_of(event);
 }
 
 call_exchange::attempt_outcome call_exchange::outcome_of(local_event event) const {
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -56,15 +56,15 @@
 
 boost::asio::awaitable<void> call_exchange::run() {
     m_began = m_shared.clock.now();
-    m_call.context.root = m_shared.routes.draw_root();
     m_call_number = m_shared.next_call();
-    m_connection->name_request(core::to_string(m_call.context.root));
     if (asks_for_permit()) {
+        name_call(m_shared.routes.draw_root());
         co_await give_permit();
         co_return;
     }
     auto trouble = parse();
     if (trouble) {
+        name_call(m_shared.routes.draw_root());
         co_await refuse(*trouble);
         co_return;
     }
@@ -85,18 +85,23 @@
     if (auto* trouble = std::get_if<problem>(&parsed)) {
         return std::move(*trouble);
     }
-    const auto drawn = m_call.context.root;
     m_call = std::move(std::get<parsed_call>(parsed));
     m_class = &m_shared.classes.of(m_call.context.rank);
-    if (!m_call.parent) {
-        m_call.context.root = m_call.request.value_or(drawn);
+    if (m_call.parent) {
+        name_call(m_call.parent->root);
+    } else {
+        name_call(m_call.request ? *m_call.request : m_shared.routes.draw_root());
     }
-    m_connection->name_request(core::to_string(m_call.context.root));
     begin_context(*configuration);
     m_shared.decisions.accepted(decided(), m_call, configuration->revision);
     return std::nullopt;
 }
 
+void call_exchange::name_call(const core::root_id& root) {
+    m_call.context.root = root;
+    m_connection->name_request(root);
+}
+
 void call_exchange::begin_context(const configuration::document& configuration) {
     if (!m_call.parent) {
         m_call.context.attempts_left = configuration.retries.attempts_per_root;
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -48,6 +48,7 @@
     using destination = std::variant<core::endpoint_id, problem>;
 
     [[nodiscard]] std::optional<problem> parse();
+    void name_call(const core::root_id& root);
     void begin_context(const configuration::document& configuration);
     void give_budget_back();
     awaitable<void> serve();
@@ -72,6 +73,9 @@
     [[nodiscard]] problem last_problem(const attempt_outcome& outcome) const;
     void send_request();
     awaitable<attempt_outcome> follow_attempt();
+
+    /// What follows from something that this daemon noticed itself; nothing if the attempt goes on.
+    awaitable<std::optional<attempt_outcome>> take_local(local_event event);
     awaitable<attempt_outcome> give_up(transport::end_reason reason);
     awaitable<attempt_outcome> take_answer(transport::response_head head);
     awaitable<attempt_outcome> take_whole_answer(transport::response_head head);
--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -45,7 +45,7 @@
 
 boost::asio::awaitable<caller_connection::head_outcome> caller_connection::read_head() {
     m_request = {};
-    m_request_id.clear();
+    m_request_id.reset();
     m_parser.emplace();
     m_parser->header_limit(m_head_limit);
     m_parser->body_limit(boost::none);
@@ -104,8 +104,8 @@
 void caller_connection::label(http::response<Body>& response, answer_notes notes) const {
     response.set("Monsoonlift-Verdict", core::to_string(notes.run));
     response.set("Monsoonlift-Attempts", std::to_string(notes.attempts));
-    if (!m_request_id.empty()) {
-        response.set("Monsoonlift-Request-Id", m_request_id);
+    if (m_request_id) {
+        response.set("Monsoonlift-Request-Id", core::to_string(*m_request_id));
     }
 }
 
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -55,7 +55,7 @@
     [[nodiscard]] bool is_body_read() const { return m_parser->is_done(); }
 
     /// Every answer to the request that was read last carries this id.
-    void name_request(std::string id) { m_request_id = std::move(id); }
+    void name_request(const core::root_id& id) { m_request_id = id; }
 
     /// Writes a whole answer.
     awaitable<bool> write_answer(transport::response_head head, answer_notes notes);
@@ -106,7 +106,7 @@
     const caller_protocol& m_protocol;
     std::optional<parser> m_parser;
     request_fields m_request;
-    std::string m_request_id; ///< Empty for a head that is no request.
+    std::optional<core::root_id> m_request_id; ///< None for a head that is no request.
     std::optional<buffer_response> m_response;
     std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> m_serializer;
     std::function<void()> m_gone;
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -95,33 +95,31 @@
     const bool over = changed.status == membership::member_status::dead ||
                       changed.status == membership::member_status::left;
     const bool suspected = changed.status == membership::member_status::suspect;
-    std::vector<channel_pointer> broken;
-    {
-        const std::scoped_lock lock(m_channels_mutex);
-        for (const auto& [attempt, channel] : m_channels) {
-            const auto& endpoint = channel->endpoint();
-            const bool older =
-                endpoint.life < changed.id.life || ((over || suspected) && endpoint.life == changed.id.life);
-            if (endpoint.address == changed.id.address && older) {
-                broken.push_back(channel);
-            }
-        }
-    }
-    for (const auto& channel : broken) {
-        channel->notify(suspected ? local_event::endpoint_suspected : local_event::endpoint_gone);
-    }
+    const auto is_broken = [&](const core::endpoint_id& endpoint) {
+        const bool older =
+            endpoint.life < changed.id.life || ((over || suspected) && endpoint.life == changed.id.life);
+        return endpoint.address == changed.id.address && older;
+    };
+    notify_where(is_broken, suspected ? local_event::endpoint_suspected : local_event::endpoint_gone);
 }
 
 void entry_state::give_up_all() {
-    std::vector<channel_pointer> open_channels;
+    notify_where([](const core::endpoint_id&) { return true; }, local_event::stopping);
+}
+
+void entry_state::notify_where(const std::function<bool(const core::endpoint_id&)>& chosen,
+                               local_event event) {
+    std::vector<channel_pointer> told;
     {
         const std::scoped_lock lock(m_channels_mutex);
         for (const auto& [attempt, channel] : m_channels) {
-            open_channels.push_back(channel);
+            if (chosen(channel->endpoint())) {
+                told.push_back(channel);
+            }
         }
     }
-    for (const auto& channel : open_channels) {
-        channel->notify(local_event::stopping);
+    for (const auto& channel : told) {
+        channel->notify(event);
     }
 }
 
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -79,16 +79,18 @@
 private:
     using channel_pointer = std::shared_ptr<attempt_channel>;
 
+    void keep_session(const std::shared_ptr<caller_session>& session);
     [[nodiscard]] channel_pointer find(const core::attempt_id& attempt) const;
     void notify_gone(const membership::member& changed);
 
+    /// Notifies the attempts under way at the endpoints chosen.
+    void notify_where(const std::function<bool(const core::endpoint_id&)>& chosen, local_event event);
+
     network::listening_acceptor m_acceptor;
     std::atomic<bool> m_closing = false;
     std::atomic<std::uint64_t> m_next_call = 1;
     std::atomic<std::uint64_t> m_next_permit = 1;
 
-    void keep_session(const std::shared_ptr<caller_session>& session);
-
     std::mutex m_sessions_mutex; ///< Never held together with the one below.
     std::vector<std::weak_ptr<caller_session>> m_sessions;
 
--- a/src/entry/internal/request_parsing.cpp
+++ b/src/entry/internal/request_parsing.cpp
@@ -49,8 +49,8 @@
 }
 
 std::optional<problem> check_names(const request_fields& request, const own_fields& fields) {
-    if (request.target.empty() || request.target.front() != '/') {
-        return malformed("bad-target", "the request target must be a path that begins with /");
+    if (auto trouble = check_target(request.target)) {
+        return trouble;
     }
     if (fields.service.empty()) {
         return malformed("missing-service", "the header Monsoonlift-Service is missing or empty");
@@ -70,16 +70,6 @@
     return std::nullopt;
 }
 
-std::optional<milliseconds> parse_timeout(std::string_view text) {
-    std::int64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = failure == std::errc() && end == text.data() + text.size();
-    if (!whole || value < 1 || milliseconds(value) > longest_timeout) {
-        return std::nullopt;
-    }
-    return milliseconds(value);
-}
-
 milliseconds patience_of(const configuration::document& configuration, const configuration::call_rule& call,
                          std::string_view caller, milliseconds fallback) {
     auto patience = call.patience > 0ms ? call.patience : fallback;
@@ -91,23 +81,6 @@
     return patience;
 }
 
-std::vector<transport::header> headers_to_pass(const request_fields& request) {
-    std::vector<transport::header> passed;
-    passed.reserve(request.headers.size());
-    for (const auto& field : request.headers) {
-        const bool own = transfer::is_own(field.name) || boost::beast::iequals(field.name, "Idempotency-Key");
-        if (!own && !transfer::is_hop_by_hop(field.name)) {
-            passed.push_back(field);
-        }
-    }
-    return passed;
-}
-
-problem not_known(std::string type, std::string detail) {
-    return {404, core::verdict::not_run, std::move(type), "Not known to the configuration", std::move(detail),
-            {}};
-}
-
 } // namespace
 
 void adopt_parent(parsed_call& call, const gate::context_token& parent, core::incarnation self) {
@@ -124,6 +97,46 @@
     return {400, core::verdict::not_run, std::move(type), "The request is malformed", std::move(detail), {}};
 }
 
+problem not_known(std::string type, std::string detail) {
+    return {404, core::verdict::not_run, std::move(type), "Not known to the configuration", std::move(detail),
+            {}};
+}
+
+std::optional<problem> check_target(std::string_view target) {
+    if (target.empty() || target.front() != '/') {
+        return malformed("bad-target", "the request target must be a path that begins with /");
+    }
+    return std::nullopt;
+}
+
+std::optional<milliseconds> parse_milliseconds(std::string_view text, milliseconds shortest) {
+    std::int64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = failure == std::errc() && end == text.data() + text.size();
+    if (!whole || milliseconds(value) < shortest || milliseconds(value) > longest_timeout) {
+        return std::nullopt;
+    }
+    return milliseconds(value);
+}
+
+std::vector<transport::header> headers_to_pass(const request_fields& request) {
+    std::string_view connection;
+    for (const auto& field : request.headers) {
+        connection =
+            boost::beast::iequals(field.name, "Connection") ? std::string_view(field.value) : connection;
+    }
+    std::vector<transport::header> passed;
+    passed.reserve(request.headers.size());
+    for (const auto& field : request.headers) {
+        const bool stays = transfer::is_own(field.name) || transfer::is_hop_by_hop(field.name) ||
+                           transfer::is_listed(connection, field.name);
+        if (!stays) {
+            passed.push_back(field);
+        }
+    }
+    return passed;
+}
+
 std::variant<std::string_view, problem> single_header(const request_fields& request, std::string_view name) {
     std::string_view value;
     bool seen = false;
@@ -152,7 +165,7 @@
     if (auto trouble = check_names(request, fields)) {
         return *std::move(trouble);
     }
-    const auto timeout = parse_timeout(fields.timeout);
+    const auto timeout = parse_milliseconds(fields.timeout, 1ms);
     if (!fields.timeout.empty() && !timeout) {
         return malformed("bad-timeout", "Monsoonlift-Timeout-Ms must be a whole number from 1 to 600000");
     }
@@ -183,6 +196,10 @@
         adopt_parent(call, *parent, rules.self);
     }
     call.headers = headers_to_pass(request);
+    // NOTE: the gate sets the key again from the call's context.
+    std::erase_if(call.headers, [](const transport::header& field) {
+        return boost::beast::iequals(field.name, "Idempotency-Key");
+    });
     return call;
 }
 
--- a/src/entry/internal/route_call.cpp
+++ b/src/entry/internal/route_call.cpp
@@ -37,11 +37,6 @@
     return static_cast<double>(XXH3_64bits_withSeed(id.data(), id.size(), seed)) / values;
 }
 
-problem unknown_route(std::string detail) {
-    return {404, core::verdict::not_run, "unknown-route", "Not known to the configuration", std::move(detail),
-            {}};
-}
-
 std::chrono::milliseconds patience_of(const configuration::route_rule& route, const routed_request& request,
                                       const parsing_rules& rules) {
     const auto asked = request.time_left.value_or(rules.default_patience);
@@ -52,8 +47,8 @@
 
 std::variant<parsed_call, problem> route_call(const routed_request& request, const parsing_rules& rules,
                                               core::steady_time now) {
-    if (request.target.empty() || request.target.front() != '/') {
-        return malformed("bad-target", "the request target must be a path that begins with /");
+    if (auto trouble = check_target(request.target)) {
+        return *std::move(trouble);
     }
     if (request.id.size() > longest_request_id) {
         return malformed("bad-request-id", "the request's id must be at most 128 characters");
@@ -64,7 +59,8 @@
                                   ? configuration::pick_destination(*route, point_of(request.id, route->name))
                                   : nullptr;
     if (destination == nullptr) {
-        return unknown_route("no route leads from " + std::string(request.host) + std::string(path));
+        return not_known("unknown-route",
+                         "no route leads from " + std::string(request.host) + std::string(path));
     }
     parsed_call call;
     call.service = destination->service;
--- a/src/entry/request_parsing.h
+++ b/src/entry/request_parsing.h
@@ -54,6 +54,20 @@
 /// What a caller is told whose request can't be understood.
 [[nodiscard]] problem malformed(std::string type, std::string detail);
 
+/// What a caller is told whose request is well formed and leads nowhere.
+[[nodiscard]] problem not_known(std::string type, std::string detail);
+
+/// What speaks against a request target; nothing if it is a path.
+[[nodiscard]] std::optional<problem> check_target(std::string_view target);
+
+/// The whole milliseconds of a text, from `shortest` to ten minutes; nothing for any other text.
+[[nodiscard]] std::optional<std::chrono::milliseconds> parse_milliseconds(std::string_view text,
+                                                                          std::chrono::milliseconds shortest);
+
+/// The header fields that go on to the backend server: none of this system's own, and none that concerns the
+/// caller's connection only, by its name or because the Connection field lists it (RFC 9110, 7.6.1).
+[[nodiscard]] std::vector<transport::header> headers_to_pass(const request_fields& request);
+
 /// The value of a header field that may be given once at most; two different ones are an error.
 [[nodiscard]] std::variant<std::string_view, problem> single_header(const request_fields& request,
                                                                     std::string_view name);
--- a/src/entry/tests/request_parsing_tests.cpp
+++ b/src/entry/tests/request_parsing_tests.cpp
@@ -119,6 +119,16 @@
     REQUIRE(call.context.rank == 1);
 }
 
+TEST_CASE("a field that the Connection field lists stays here", "[entry]") {
+    const auto parsed = parse({{"Monsoonlift-Service", "mappa"},
+                               {"Connection", "keep-alive, X-Hop"},
+                               {"x-hop", "1"},
+                               {"X-Other", "2"}});
+    const auto& call = std::get<parsed_call>(parsed);
+    REQUIRE(call.headers.size() == 1);
+    CHECK(call.headers[0].name == "X-Other");
+}
+
 TEST_CASE("a nested call keeps root, class and deadline of its parent", "[entry]") {
     auto token = sample_token();
     const auto ours =
--- a/src/gate/internal/attempt_decisions.cpp
+++ b/src/gate/internal/attempt_decisions.cpp
@@ -19,10 +19,11 @@
 attempt_decisions::attempt_decisions(logging::event_log& log) : m_log(log) {}
 
 void attempt_decisions::started(const decided_attempt& subject, std::chrono::nanoseconds waited,
-                                const routing::load_report& load) {
+                                const std::function<routing::load_report()>& read_load) {
     if (!m_log.wants(event_id::attempt_started)) {
         return;
     }
+    const auto load = read_load();
     m_log.write(event_id::attempt_started, {{"root", core::to_string(subject.root)},
                                             {"attempt", core::to_string(subject.attempt)},
                                             {"service", subject.service},
--- a/src/gate/internal/attempt_decisions.h
+++ b/src/gate/internal/attempt_decisions.h
@@ -8,6 +8,7 @@
 #include "transport/types/frame.h"
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -26,9 +27,10 @@
 public:
     explicit attempt_decisions(logging::event_log& log);
 
-    /// The attempt got a slot after waiting that long; `load` is that of the gate now.
+    /// The attempt got a slot after waiting that long; `read_load` gives the load of the gate now, and is
+    /// asked only if the line is written.
     void started(const decided_attempt& subject, std::chrono::nanoseconds waited,
-                 const routing::load_report& load);
+                 const std::function<routing::load_report()>& read_load);
 
     /// The attempt never got a slot.
     void not_admitted(const decided_attempt& subject, std::chrono::nanoseconds waited,
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -3,7 +3,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoonlift::gate::internal {
@@ -36,19 +38,28 @@
     }
 }
 
+std::string value_of(const std::vector<transport::header>& headers, std::string_view name) {
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const transport::header& field) {
+        return boost::beast::iequals(field.name, {name.data(), name.size()});
+    });
+    return found == headers.end() ? std::string() : found->value;
+}
+
 } // namespace
 
 gate_call::gate_call(const gate_environment& environment, std::uint64_t run, const core::incarnation& entry,
                      const core::attempt_id& attempt, transport::request_head head)
     : m_env(environment), m_run(run), m_entry{head.reply_address, entry}, m_attempt(attempt),
-      m_head(std::move(head)), m_class(environment.classes.of(m_head.context.rank)),
-      m_arrived(environment.clock.now()), m_strand(boost::asio::make_strand(environment.executor)),
+      m_head(std::move(head)),
+      m_name(value_of(m_head.headers, environment.options.protocol.echoed_id_header)),
+      m_class(environment.classes.of(m_head.context.rank)), m_arrived(environment.clock.now()),
+      m_strand(boost::asio::make_strand(environment.executor)),
       m_watchdog(std::make_shared<transfer::watchdog>(m_strand)), m_inbox(m_strand), m_credit(m_strand) {}
 
 void gate_call::start(ended_handler ended) {
     m_ended = std::move(ended);
     m_class.admitted.add();
-    m_env.decisions.started(decided(), waited(), m_env.table.report());
+    m_env.decisions.started(decided(), waited(), [this] { return m_env.table.report(); });
     boost::asio::co_spawn(
         m_strand, [self = shared_from_this()] { return self->run(); },
         [self = shared_from_this()](const std::exception_ptr& failure) {
@@ -129,24 +140,24 @@
 }
 
 boost::asio::awaitable<bool> gate_call::open_connection() {
-    const auto backend = m_env.table.backend();
+    auto backend = m_env.table.backend();
     if (!backend) {
         fail(verdict::not_run, end_reason::no_backend, describe(end_reason::no_backend));
         co_return false;
     }
-    m_backend = *backend;
-    m_connection = m_env.pool.take_idle(backend->address);
+    m_backend = *std::move(backend);
+    m_connection = m_env.pool.take_idle(m_backend.address);
     if (m_connection) {
         co_return may_still_begin();
     }
-    m_connection = m_env.pool.make(backend->address);
-    const auto endpoint = parse_endpoint(backend->address);
+    m_connection = m_env.pool.make(m_backend.address);
+    const auto endpoint = parse_endpoint(m_backend.address);
     const auto [refused] = co_await m_connection->socket.async_connect(
         endpoint, boost::asio::as_tuple(boost::asio::use_awaitable));
     if (refused) {
         m_report.outcome = concurrency::run_outcome::refused;
         if (!m_stopped) {
-            m_env.events.connection_refused(backend->address, refused.message());
+            m_env.events.connection_refused(m_backend.address, refused.message());
         }
         fail(verdict::not_run, end_reason::no_backend, "the backend server refuses connections");
         co_return false;
@@ -175,15 +186,14 @@
 }
 
 void gate_call::note_running() {
-    const auto name = request_name();
-    if (m_env.options.protocol.running && !name.empty()) {
-        m_env.options.protocol.running->begin(std::string(name), make_token());
+    if (m_env.options.protocol.running && !m_name.empty()) {
+        m_env.options.protocol.running->begin(m_name, make_token());
     }
 }
 
 void gate_call::note_not_running() {
     if (m_env.options.protocol.running && m_sent) {
-        m_env.options.protocol.running->end(std::string(request_name()), m_run);
+        m_env.options.protocol.running->end(m_name, m_run);
     }
 }
 
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -116,8 +116,6 @@
     [[nodiscard]] transport::response_head make_response_head() const;
     [[nodiscard]] context_token make_token() const;
 
-    /// The caller's name for the request; empty if the protocol has none.
-    [[nodiscard]] std::string_view request_name() const;
     void note_running();
     void note_not_running();
     template <class Body> void fill_request(boost::beast::http::request<Body>& request) const;
@@ -137,6 +135,7 @@
     core::endpoint_id m_entry;
     core::attempt_id m_attempt;
     transport::request_head m_head;
+    const std::string m_name; ///< The caller's name for the request; empty if the protocol has none.
     const gate_class& m_class;
     const core::steady_time m_arrived;
     boost::asio::any_io_executor m_strand;
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -84,14 +83,6 @@
     return token;
 }
 
-std::string_view gate_call::request_name() const {
-    const auto name = m_env.options.protocol.echoed_id_header;
-    const auto found = std::find_if(m_head.headers.begin(), m_head.headers.end(), [name](const auto& field) {
-        return boost::beast::iequals(field.name, {name.data(), name.size()});
-    });
-    return name.empty() || found == m_head.headers.end() ? std::string_view() : found->value;
-}
-
 boost::asio::awaitable<void> gate_call::write_whole_request() {
     http::request<http::string_body> request;
     fill_request(request);
@@ -205,8 +196,7 @@
     if (echoed == answer.end()) {
         return true;
     }
-    const auto asked = request_name();
-    return asked.empty() || view(echoed->value()) == asked;
+    return m_name.empty() || view(echoed->value()) == m_name;
 }
 
 boost::asio::awaitable<bool> gate_call::pass_over_answer() {
--- a/src/gate/tests/attempt_decisions_tests.cpp
+++ b/src/gate/tests/attempt_decisions_tests.cpp
@@ -33,7 +33,7 @@
 
 TEST_CASE("an attempt that starts says how long it waited and for what limit", "[gate][events]") {
     attempt_under_test test;
-    test.decisions.started(test.subject(), 1'500us, {{}, 4, 2, 8});
+    test.decisions.started(test.subject(), 1'500us, [] { return routing::load_report{{}, 4, 2, 8}; });
     CHECK(test.log.lines.at(0).id == event_id::attempt_started);
     CHECK(test.field("root") == "ab000000000000000000000000000000");
     CHECK(test.field("attempt") == "9/3/1");
--- a/src/gate/tests/backend_answer_tests.cpp
+++ b/src/gate/tests/backend_answer_tests.cpp
@@ -1,9 +1,9 @@
 // What a gate makes of answers that are late, of another request, cut short, or end with their connection.
 #include "core/system_clock.h"
 #include "gate/gate_service.h"
+#include "gate/tests/request_frame.h"
 #include "metrics/metrics_registry.h"
 #include "testing/silent_log.h"
-#include "transfer/body_digest.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -91,19 +91,7 @@
     }
 
     void begin_request() {
-        transport::request_head head;
-        head.reply_address = "127.0.0.1:7000";
-        head.context.deadline = m_clock.now() + 60s;
-        head.context.idempotent = true;
-        head.service = "mappa";
-        head.method = "GET";
-        head.target = "/map";
-        head.headers = {{"Request-Name", "mine"}};
-        head.total = transfer::total_of(head.body);
-        transport::frame message;
-        message.sender = {1};
-        message.attempt = {{1}, 1, 0};
-        message.payload = head;
+        auto message = tests::request_frame(1, m_clock.now() + 60s, {{"Request-Name", "mine"}});
         m_service->received(message);
         // NOTE: a streamed answer needs credit, which an entry grants with the answer's head.
         message.payload = transport::credit{16};
--- a/src/gate/tests/backend_restart_tests.cpp
+++ b/src/gate/tests/backend_restart_tests.cpp
@@ -4,9 +4,9 @@
 
 #include "core/system_clock.h"
 #include "gate/gate_table.h"
+#include "gate/tests/request_frame.h"
 #include "metrics/metrics_registry.h"
 #include "testing/manual_clock.h"
-#include "transfer/body_digest.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -61,19 +61,7 @@
 
     /// Sends a request and runs until the backend server has its connection.
     void begin_request() {
-        transport::request_head head;
-        head.reply_address = "127.0.0.1:7000";
-        head.context.deadline = clock.now() + 60s;
-        head.context.idempotent = true;
-        head.service = "mappa";
-        head.method = "GET";
-        head.target = "/map";
-        head.total = transfer::total_of(head.body);
-        transport::frame message;
-        message.sender = {1};
-        message.attempt = {{1}, ++calls, 0};
-        message.payload = head;
-        service->received(message);
+        service->received(tests::request_frame(++calls, clock.now() + 60s));
         std::optional<tcp::socket> accepted;
         backend.async_accept([&](const boost::system::error_code& failure, tcp::socket socket) {
             REQUIRE_FALSE(failure);
--- a/src/platform/internal/caller_protocol.cpp
+++ b/src/platform/internal/caller_protocol.cpp
@@ -2,14 +2,11 @@
 
 #include "entry/route_call.h"
 #include "platform/types/wire_names.h"
-#include "transfer/http_headers.h"
 
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <optional>
 #include <utility>
@@ -21,8 +18,6 @@
 
 namespace {
 
-constexpr std::int64_t longest_time_left_ms = 600'000;
-
 /// Fields that this side sets itself, whatever the caller sent.
 constexpr std::array own_fields{wire::time_left_header, wire::expected_backend_header,
                                 wire::calling_service_header};
@@ -36,41 +31,14 @@
                        [name](std::string_view own) { return same(name, own); });
 }
 
-/// Whether a Connection field lists the name, so that it concerns that connection only.
-bool is_listed(std::string_view connection, std::string_view name) {
-    boost::beast::http::token_list tokens({connection.data(), connection.size()});
-    return tokens.exists({name.data(), name.size()});
-}
-
 std::vector<transport::header> headers_to_pass(const entry::request_fields& request,
                                                const std::string& local_service) {
-    std::string_view connection;
-    for (const auto& field : request.headers) {
-        connection = same(field.name, "Connection") ? std::string_view(field.value) : connection;
-    }
-    std::vector<transport::header> passed;
-    passed.reserve(request.headers.size() + 1);
-    for (const auto& field : request.headers) {
-        const bool stays = transfer::is_hop_by_hop(field.name) || transfer::is_own(field.name) ||
-                           is_set_here(field.name) || is_listed(connection, field.name);
-        if (!stays) {
-            passed.push_back(field);
-        }
-    }
+    auto passed = entry::headers_to_pass(request);
+    std::erase_if(passed, [](const transport::header& field) { return is_set_here(field.name); });
     passed.push_back({std::string(wire::calling_service_header), local_service});
     return passed;
 }
 
-std::optional<std::chrono::milliseconds> time_left(std::string_view text) {
-    std::int64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = failure == std::errc() && end == text.data() + text.size();
-    if (!whole || value < 0 || value > longest_time_left_ms) {
-        return std::nullopt;
-    }
-    return std::chrono::milliseconds(value);
-}
-
 std::variant<entry::parsed_call, problem>
 parse(const entry::request_fields& request, const entry::parsing_rules& rules,
       const std::string& local_service, const gate::running_requests& running, core::steady_time now) {
@@ -89,7 +57,7 @@
         return *trouble;
     }
     const auto text = std::get<std::string_view>(patience);
-    asked.time_left = time_left(text);
+    asked.time_left = entry::parse_milliseconds(text, std::chrono::milliseconds::zero());
     if (!text.empty() && !asked.time_left) {
         return entry::malformed("bad-timeout", "X-Deadline-Ms must be a whole number from 0 to 600000");
     }
--- a/src/routing/internal/chain_levels.cpp
+++ b/src/routing/internal/chain_levels.cpp
@@ -1,6 +1,8 @@
 #include "routing/chain_levels.h"
 
-#include <algorithm>
+#include "admission/shedding.h"
+
+#include <utility>
 #include <vector>
 
 namespace monsoonlift::routing {
@@ -40,17 +42,12 @@
     if (fresh.size() < fewest) {
         return {};
     }
-    const auto middle = fresh.begin() + static_cast<std::ptrdiff_t>(fresh.size() / 2);
-    std::nth_element(fresh.begin(), middle, fresh.end(), admission::is_stricter);
-    return *middle;
+    return admission::median_level(std::move(fresh));
 }
 
 bool chain_admits(const admission::shed_level& level, const core::call_context& context) {
-    const auto bucket = core::bucket_of(context.root, admission::root_buckets);
-    if (bucket < always_admitted || context.rank < level.rank) {
-        return true;
-    }
-    return context.rank == level.rank && bucket < level.bucket;
+    return core::bucket_of(context.root, admission::root_buckets) < always_admitted ||
+           admission::admits_nested(level, context.rank, context.root);
 }
 
 } // namespace monsoonlift::routing
--- a/src/routing/internal/routing_table.cpp
+++ b/src/routing/internal/routing_table.cpp
@@ -50,17 +50,6 @@
     return now - endpoint.reported <= level_lifetime;
 }
 
-/// The threshold that half of the endpoints have or exceed; everything passes while none is known. The most
-/// lenient one would draw all calls that the others refuse to a single endpoint.
-admission::shed_level median_level(std::vector<admission::shed_level>& levels) {
-    if (levels.empty()) {
-        return {};
-    }
-    const auto middle = levels.begin() + static_cast<std::ptrdiff_t>(levels.size() / 2);
-    std::nth_element(levels.begin(), middle, levels.end(), admission::is_stricter);
-    return *middle;
-}
-
 bool is_avoided(const endpoint_state& endpoint, core::steady_time now) {
     return endpoint.avoided_until > now;
 }
@@ -161,7 +150,8 @@
             lists.remote.push_back(position);
         }
     }
-    lists.level = median_level(levels);
+    // NOTE: the most lenient level would draw all calls that the others refuse to a single endpoint.
+    lists.level = admission::median_level(std::move(levels));
     lists.admitted = admission::admits(lists.level, request.context);
     return lists;
 }
@@ -175,15 +165,21 @@
     return lists.stalest;
 }
 
+/// How much longer calls of a kind take than those of their service typically do; 1 if that is not known.
+double kind_factor(const routing_table& table, const std::string& service, const std::string& kind) {
+    const auto known = table.typical_latency.find(service);
+    if (known == table.typical_latency.end() || known->second.service_s <= 0) {
+        return 1;
+    }
+    const auto of_kind = known->second.kind_s.find(kind);
+    return of_kind == known->second.kind_s.end() ? 1 : of_kind->second / known->second.service_s;
+}
+
 /// Whether a call at that endpoint is expected to end well within its time.
 bool has_time_to_spare(const routing_table& table, const endpoint_state& endpoint,
                        const route_request& request, double cost, core::steady_time now) {
-    const auto of_service = table.typical_latency_s.find(endpoint.service);
-    const auto of_kind = table.typical_latency_s.find(endpoint.service + '/' + request.kind);
-    const bool is_known = of_service != table.typical_latency_s.end() && of_service->second > 0 &&
-                          of_kind != table.typical_latency_s.end();
-    const double factor = is_known ? of_kind->second / of_service->second : 1;
-    return cost * factor <= ample_share * seconds_of(request.context.deadline - now);
+    return cost * kind_factor(table, endpoint.service, request.kind) <=
+           ample_share * seconds_of(request.context.deadline - now);
 }
 
 /// The local endpoint, unless one of another data centre is better by far; a call whose time is short goes
@@ -244,19 +240,19 @@
     return best;
 }
 
-double learn_typical(routing_table& table, const std::string& name, double seconds) {
-    auto& typical = table.typical_latency_s.try_emplace(name, seconds).first->second;
-    typical += typical_weight * (seconds - typical);
-    return typical;
+void learn_typical(double& typical_s, double seconds) {
+    typical_s += typical_weight * (seconds - typical_s);
 }
 
 /// The latency that a call of the service's typical kind would have had, so that an endpoint that happened to
 /// get long calls isn't taken for a slow one.
 double comparable_latency_s(routing_table& table, const std::string& service, const attempt_result& outcome) {
     const double seconds = std::chrono::duration<double>(outcome.latency).count();
-    const double of_service = learn_typical(table, service, seconds);
-    const double of_kind = learn_typical(table, service + '/' + outcome.kind, seconds);
-    return of_kind > 0 ? seconds * of_service / of_kind : seconds;
+    auto& typical = table.typical_latency.try_emplace(service, typical_latencies{seconds, {}}).first->second;
+    auto& kind_s = typical.kind_s.try_emplace(outcome.kind, seconds).first->second;
+    learn_typical(typical.service_s, seconds);
+    learn_typical(kind_s, seconds);
+    return kind_s > 0 ? seconds * typical.service_s / kind_s : seconds;
 }
 
 void learn_latency(endpoint_state& endpoint, double seconds, double weight) {
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -47,6 +47,12 @@
     std::uint32_t avoided_times = 0;
 };
 
+/// Smoothed latencies of the answered calls of one service, at all its endpoints.
+struct typical_latencies {
+    double service_s = 0;                           ///< Of all kinds.
+    std::unordered_map<std::string, double> kind_s; ///< Of each kind of call.
+};
+
 /// Backend servers known to one entry. Endpoints come and go through upsert and remove, which keep the
 /// indexes.
 struct routing_table {
@@ -54,8 +60,7 @@
     std::vector<endpoint_state> endpoints;
     std::unordered_map<std::string, std::size_t> by_address;              ///< Positions in `endpoints`.
     std::unordered_map<std::string, std::vector<std::size_t>> by_service; ///< Positions in `endpoints`.
-    std::unordered_map<std::string, double>
-        typical_latency_s; ///< Of each service, and of each kind of call in it.
+    std::unordered_map<std::string, typical_latencies> typical_latency;   ///< By service.
 };
 
 /// What a choice depends on.
