One reading of a store's answers, of JSON fields and of the stand-in's faults

Ruled out: a common base of the object_api implementations; what they share there is the interface itself.

The client of our own object API now reads 410 and 429, which that API does not send, as unavailable, and any 2xx as success. No assertion is changed.

--- a/src/app/platform_standin/internal/request_handler.cpp
+++ b/src/app/platform_standin/internal/request_handler.cpp
@@ -22,11 +22,6 @@
     return {status, json::serialize(json::object{{"error", text}})};
 }
 
-std::optional<std::uint64_t> number_in(const store::http_target& target, const std::string& name) {
-    const auto found = target.query.find(name);
-    return found == target.query.end() ? std::nullopt : store::parse_whole_number(found->second);
-}
-
 std::string text_in(const store::http_target& target, const std::string& name) {
     const auto found = target.query.find(name);
     return found == target.query.end() ? std::string{} : found->second;
@@ -50,7 +45,7 @@
 standin_reply put_object(standin_state& state, const std::string& name, const store::http_target& target,
                          const std::string& value) {
     ++state.counts.update;
-    const auto expected = number_in(target, "expected_version");
+    const auto expected = store::number_in(target, "expected_version");
     if (!expected || name.empty()) {
         return problem(400, "a name and ?expected_version=N are needed");
     }
@@ -62,7 +57,7 @@
 
 standin_reply delete_object(standin_state& state, const std::string& name, const store::http_target& target) {
     ++state.counts.remove;
-    const auto expected = number_in(target, "expected_version");
+    const auto expected = store::number_in(target, "expected_version");
     if (!expected) {
         return problem(400, "?expected_version=N is needed");
     }
@@ -89,8 +84,8 @@
 
 handling begin_watch(standin_state& state, const store::http_target& target) {
     ++state.counts.watch;
-    const auto revision = number_in(target, "revision");
-    const auto patience = number_in(target, "patience_ms");
+    const auto revision = store::number_in(target, "revision");
+    const auto patience = store::number_in(target, "patience_ms");
     if (!revision || !patience) {
         return problem(400, "?revision=N&patience_ms=N are needed");
     }
@@ -141,12 +136,21 @@
                                               {"waiting_watches", state.waiting.size()}})};
 }
 
+handling refuse_in_outage(standin_state& state) {
+    ++state.counts.refused_in_outage;
+    if (state.faults.silent) {
+        return no_answer{};
+    }
+    return problem(503, "out of service");
+}
+
+} // namespace
+
 handling spoil(standin_state& state, standin_reply reply) {
     reply.delay = state.faults.slow;
     return reply;
 }
 
-/// As above, for a write: its answer may be lost.
 handling spoil_write(standin_state& state, standin_reply reply) {
     reply.lost = std::uniform_real_distribution<double>(0, 1)(state.random) < state.faults.lose_answers;
     if (reply.lost) {
@@ -155,16 +159,6 @@
     return spoil(state, std::move(reply));
 }
 
-handling refuse_in_outage(standin_state& state) {
-    ++state.counts.refused_in_outage;
-    if (state.faults.silent) {
-        return no_answer{};
-    }
-    return problem(503, "out of service");
-}
-
-} // namespace
-
 std::uint64_t wait_for_change(standin_state& state, std::function<void()> wake) {
     state.waiting.emplace(++state.last_waiting, std::move(wake));
     return state.last_waiting;
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -5,7 +5,7 @@
 #include "platform/store_codec.h"
 #include "platform/types/wire_names.h"
 #include "store/http_target.h"
-#include "store/settled.h"
+#include "store/reply_reading.h"
 
 #include <optional>
 #include <string_view>
@@ -21,62 +21,8 @@
 /// Time that an answer to a watch may take beyond the time that the watch itself waits.
 constexpr std::chrono::milliseconds watch_grace{1000};
 
-/// Of what the store says of a refused call, for the log.
-constexpr std::size_t longest_reason = 200;
-
 constexpr std::string_view configuration_prefix = "configuration/";
 
-enum http_status : unsigned {
-    status_ok = 200,
-    status_no_content = 204,
-    status_not_found = 404,
-    status_conflict = 409,
-    status_gone = 410,
-    status_too_many_requests = 429,
-    status_internal_error = 500,
-    status_unavailable = 503
-};
-
-core::error error_of(const http_reply& reply) {
-    const auto status = reply.status;
-    const auto code = std::to_string(status);
-    switch (status) {
-    case status_not_found:
-        return {core::error_code::not_found, "the store has no such object"};
-    case status_conflict:
-        return {core::error_code::conflict, "the object has another version"};
-    case status_gone:
-        return {core::error_code::unavailable, "the store has dropped the history after that revision (410)"};
-    case status_too_many_requests:
-    case status_unavailable:
-        return {core::error_code::unavailable, "the store did nothing (" + code + ")"};
-    default:
-        break;
-    }
-    if (status >= status_internal_error) {
-        return {core::error_code::timeout, "the store failed with status " + code,
-                core::verdict::may_have_run};
-    }
-    return {core::error_code::invalid_input,
-            "the store refused the call with status " + code + ": " + reply.body.substr(0, longest_reason)};
-}
-
-template <class T, class Parser> core::result<T> interpret(core::result<http_reply> answered, Parser parse) {
-    const auto answer = store::settle_result(std::move(answered));
-    if (!answer.value) {
-        return core::captured_failure<T>(answer.failure);
-    }
-    if (answer.value->status < status_ok || answer.value->status > status_no_content) {
-        return core::captured_failure<T>(error_of(*answer.value));
-    }
-    std::optional<T> parsed = parse(answer.value->body);
-    if (!parsed) {
-        return core::captured_failure<T>(
-            {core::error_code::timeout, "the store's answer can't be read", core::verdict::may_have_run});
-    }
-    return std::move(*parsed);
-}
-
 bool is_configuration(std::string_view name) {
     return name.starts_with(configuration_prefix);
 }
@@ -221,7 +167,7 @@
                           handler<T> done) {
     m_client.send(m_address, std::move(request), patience,
                   [parse, done = std::move(done)](core::result<http_reply> answered) {
-                      done(interpret<T>(std::move(answered), parse));
+                      done(store::read_reply<T>(std::move(answered), parse));
                   });
 }
 
--- a/src/platform/testing/store_paths.cpp
+++ b/src/platform/testing/store_paths.cpp
@@ -1,5 +1,6 @@
 #include "platform/testing/store_paths.h"
 
+#include "platform/internal/json_fields.h"
 #include "platform/types/wire_names.h"
 #include "store/http_target.h"
 #include "store/limits.h"
@@ -69,11 +70,6 @@
     return json::serialize(json::object{{"events", std::move(events)}, {"StoreRevision", changes.revision}});
 }
 
-std::optional<std::uint64_t> number_in(const store::http_target& target, const std::string& name) {
-    const auto found = target.query.find(name);
-    return found == target.query.end() ? std::nullopt : store::parse_whole_number(found->second);
-}
-
 /// What a write says; the name is empty if the body can't be used.
 struct written_object {
     std::string name;
@@ -82,20 +78,15 @@
 };
 
 written_object read_write(const std::string& body) {
-    boost::system::error_code failure;
-    const auto value = json::parse(body, failure);
-    const auto* map = failure ? nullptr : value.if_object();
-    const auto* metadata = map != nullptr ? map->if_contains("Metadata") : nullptr;
-    const auto* fields = metadata != nullptr ? metadata->if_object() : nullptr;
-    const auto* name = fields != nullptr ? fields->if_contains("Name") : nullptr;
-    if (name == nullptr || !name->is_string() || !map->contains("Spec")) {
+    const auto map = internal::parse_map(body);
+    const auto* metadata = map ? internal::find_map(*map, "Metadata") : nullptr;
+    const auto name = metadata != nullptr ? internal::find_text(*metadata, "Name") : std::nullopt;
+    if (!name || !map->contains("Spec")) {
         return {};
     }
     written_object read;
-    read.name = name->get_string();
-    if (const auto* version = fields->if_contains("Rev")) {
-        read.version = version->to_number<std::uint64_t>(failure);
-    }
+    read.name = *name;
+    read.version = internal::find_number(*metadata, "Rev").value_or(0);
     read.content = json::serialize(map->at("Spec"));
     return read;
 }
@@ -130,7 +121,7 @@
     if (!found) {
         return fault(404, "no such object");
     }
-    if (!state.store.remove_if(name, number_in(target, "Rev").value_or(found->version))) {
+    if (!state.store.remove_if(name, store::number_in(target, "Rev").value_or(found->version))) {
         ++state.counts.conflicts;
         return fault(409, "another revision");
     }
@@ -139,30 +130,19 @@
 }
 
 handling list_or_watch(standin_state& state, const std::string& kind, const store::http_target& target) {
-    const auto revision = number_in(target, "Watch");
+    const auto revision = store::number_in(target, "Watch");
     if (!revision) {
         ++state.counts.list;
-        return standin_reply{200, page_of(state.store.list(kind + "/"))};
+        return platform_standin::spoil(state, {200, page_of(state.store.list(kind + "/"))});
     }
     ++state.counts.watch;
     pending_watch watch{
         kind + "/", *revision,
-        std::chrono::milliseconds(std::min(number_in(target, "WaitMs").value_or(0), longest_wait_ms))};
+        std::chrono::milliseconds(std::min(store::number_in(target, "WaitMs").value_or(0), longest_wait_ms))};
     watch.encode = events_of;
     return resume(state, watch, false);
 }
 
-handling spoil(standin_state& state, handling outcome, bool is_write) {
-    auto* reply = std::get_if<standin_reply>(&outcome);
-    if (reply != nullptr) {
-        reply->delay = state.faults.slow;
-        reply->lost = is_write &&
-                      std::uniform_real_distribution<double>(0, 1)(state.random) < state.faults.lose_answers;
-        state.counts.answers_lost += reply->lost ? 1 : 0;
-    }
-    return outcome;
-}
-
 } // namespace
 
 std::optional<handling> handle_store_call(standin_state& state,
@@ -175,16 +155,16 @@
     const auto slash = path.find('/');
     const auto kind = path.substr(0, slash);
     if (request.method == "GET" && slash == std::string::npos) {
-        return spoil(state, list_or_watch(state, kind, *target), false);
+        return list_or_watch(state, kind, *target);
     }
     if (request.method == "GET") {
-        return spoil(state, read(state, path), false);
+        return platform_standin::spoil(state, read(state, path));
     }
     if (request.method == "POST" || request.method == "PUT") {
-        return spoil(state, write(state, kind, request.body), true);
+        return platform_standin::spoil_write(state, write(state, kind, request.body));
     }
     if (request.method == "DELETE") {
-        return spoil(state, remove(state, path, *target), true);
+        return platform_standin::spoil_write(state, remove(state, path, *target));
     }
     return fault(405, "GET, POST, PUT or DELETE");
 }
--- a/src/platform/tests/platform_store_tests.cpp
+++ b/src/platform/tests/platform_store_tests.cpp
@@ -1,14 +1,12 @@
 // The platform's store behind the object API: the same contract as every other implementation of it.
-#include "app/platform_standin/standin_server.h"
 #include "platform/platform_store.h"
 #include "platform/testing/store_paths.h"
-#include "store/http_client.h"
 #include "store/tests/object_api_contract.h"
+#include "store/tests/standin_environment.h"
 #include "testing/silent_log.h"
 
 #include "configuration/stored_configuration_json.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
 using namespace monsoonlift;
@@ -16,43 +14,18 @@
 
 namespace {
 
-class platform_environment final : public store::tests::contract_environment {
+class platform_environment final : public store::tests::standin_environment {
 public:
     platform_environment() {
-        m_server.serve_also(platform::testing::handle_store_call);
-        m_server.start();
+        server().serve_also(platform::testing::handle_store_call);
+        server().start();
     }
 
     store::object_api& api() override { return m_api; }
 
-    void run_until(const std::function<bool()>& reached) override {
-        m_context.restart();
-        while (!reached() && m_context.run_one() > 0) {
-        }
-    }
-
-    void set_outage(bool outage, bool silent) override {
-        post("/faults", std::string("{\"outage\":") + (outage ? "true" : "false") +
-                            ",\"silent\":" + (silent ? "true" : "false") + "}");
-    }
-
-    void lose_answers(bool lost) override {
-        post("/faults", lost ? "{\"lose_answers\":1}" : "{\"lose_answers\":0}");
-    }
-
-    void post(const std::string& target, const std::string& body) {
-        bool ended = false;
-        m_http.send(m_server.address(), {"POST", target, body, {}}, 5s,
-                    [&ended](const core::result<store::http_reply>&) { ended = true; });
-        run_until([&ended] { return ended; });
-    }
-
 private:
-    boost::asio::io_context m_context{1};
     testing::silent_log m_log;
-    platform_standin::standin_server m_server{m_context, {boost::asio::ip::address_v4::loopback(), 0}, 1};
-    store::http_client m_http{m_context.get_executor()};
-    platform::platform_store m_api{m_context.get_executor(), m_server.address(), m_log};
+    platform::platform_store m_api{context().get_executor(), server().address(), m_log};
 };
 
 store::settled<store::object_list> list_configuration(platform_environment& environment) {
--- a/src/store/http_target.h
+++ b/src/store/http_target.h
@@ -15,6 +15,9 @@
     std::map<std::string, std::string> query;
 };
 
+/// The whole number of a query field, or nothing.
+[[nodiscard]] std::optional<std::uint64_t> number_in(const http_target& target, const std::string& name);
+
 /// Takes a request target apart; nothing if an escape is malformed.
 [[nodiscard]] std::optional<http_target> parse_target(std::string_view target);
 
--- a/src/store/internal/http_object_api.cpp
+++ b/src/store/internal/http_object_api.cpp
@@ -4,7 +4,7 @@
 
 #include "store/http_target.h"
 #include "store/object_wire.h"
-#include "store/settled.h"
+#include "store/reply_reading.h"
 
 namespace monsoonlift::store {
 
@@ -13,50 +13,6 @@
 /// Time that an answer to a watch may take beyond the time that the watch itself waits.
 constexpr std::chrono::milliseconds watch_grace{2000};
 
-enum http_status : unsigned {
-    status_ok = 200,
-    status_created = 201,
-    status_not_found = 404,
-    status_conflict = 409,
-    status_internal_error = 500,
-    status_unavailable = 503
-};
-
-core::error error_of(const http_reply& reply) {
-    const auto code = std::to_string(reply.status);
-    switch (reply.status) {
-    case status_not_found:
-        return {core::error_code::not_found, "the platform has no such object"};
-    case status_conflict:
-        return {core::error_code::conflict, "the object has another version"};
-    case status_unavailable:
-        return {core::error_code::unavailable, "the platform is out of service (503)"};
-    default:
-        break;
-    }
-    if (reply.status >= status_internal_error) {
-        return {core::error_code::timeout, "the platform failed with status " + code,
-                core::verdict::may_have_run};
-    }
-    return {core::error_code::invalid_input, "the platform refused the call with status " + code};
-}
-
-template <class T, class Parser> core::result<T> interpret(core::result<http_reply> answered, Parser parse) {
-    const auto answer = settle_result(std::move(answered));
-    if (!answer.value) {
-        return core::captured_failure<T>(answer.failure);
-    }
-    if (answer.value->status != status_ok && answer.value->status != status_created) {
-        return core::captured_failure<T>(error_of(*answer.value));
-    }
-    auto parsed = parse(answer.value->body);
-    if (!parsed) {
-        return core::captured_failure<T>(
-            {core::error_code::timeout, "the platform's answer can't be read", core::verdict::may_have_run});
-    }
-    return std::move(*parsed);
-}
-
 std::string object_target(const std::string& name) {
     return "/objects/" + percent_encode(name);
 }
@@ -71,7 +27,7 @@
                            handler<T> done) {
     m_client.send(m_address, std::move(request), patience,
                   [parse, done = std::move(done)](core::result<http_reply> answered) {
-                      done(interpret<T>(std::move(answered), parse));
+                      done(read_reply<T>(std::move(answered), parse));
                   });
 }
 
--- a/src/store/internal/http_target.cpp
+++ b/src/store/internal/http_target.cpp
@@ -68,6 +68,11 @@
     return parsed;
 }
 
+std::optional<std::uint64_t> number_in(const http_target& target, const std::string& name) {
+    const auto found = target.query.find(name);
+    return found == target.query.end() ? std::nullopt : parse_whole_number(found->second);
+}
+
 std::string percent_encode(std::string_view text) {
     std::string encoded;
     for (const char byte : text) {
--- /dev/null
+++ b/src/store/reply_reading.h
@@ -0,0 +1,46 @@
+/// What an answer over HTTP says, for every client of an object API.
+#pragma once
+
+#include "core/error.h"
+#include "store/settled.h"
+#include "store/types/http_message.h"
+
+#include <utility>
+
+namespace monsoonlift::store {
+
+/// Statuses that the clients tell apart.
+enum http_status : unsigned {
+    status_ok = 200,
+    status_first_redirection = 300,
+    status_not_found = 404,
+    status_conflict = 409,
+    status_gone = 410,
+    status_too_many_requests = 429,
+    status_internal_error = 500,
+    status_unavailable = 503
+};
+
+/// The error that an answer other than a success stands for; what it said of a refusal is kept in part.
+[[nodiscard]] core::error error_of(const http_reply& reply);
+
+/// The value that `parse` reads from the body of a success, or the error. An answer that can't be read leaves
+/// the effect of its call unknown.
+template <class T, class Parser> core::result<T> read_reply(core::result<http_reply> answered, Parser parse) {
+    const auto answer = settle_result(std::move(answered));
+    if (!answer.value) {
+        return core::captured_failure<T>(answer.failure);
+    }
+    const auto status = answer.value->status;
+    if (status < status_ok || status >= status_first_redirection) {
+        return core::captured_failure<T>(error_of(*answer.value));
+    }
+    auto parsed = parse(answer.value->body);
+    if (!parsed) {
+        return core::captured_failure<T>(
+            {core::error_code::timeout, "the store's answer can't be read", core::verdict::may_have_run});
+    }
+    return std::move(*parsed);
+}
+
+} // namespace monsoonlift::store
