Don't lose calls with idle connections that the backend server has forgotten

Cause: a gate took the connection used last from its pool whatever its rest. Ruled out: looking at the connection before use (it is done already; a connection that is forgotten without notice looks open). Probing idle connections: a probe is a request and waits for a slot. Change: a request that can't be sent again goes only on a connection that rested 100 ms at most (gate/connection_rest, free functions). One that can is sent once more on a new connection if a rested one broke before any byte of an answer. A call that was sent once is never told as not run, also when the second connection is refused. The tests of the gate share one rig where two of them had a copy each.

--- a/src/gate/internal/backend_pool.cpp
+++ b/src/gate/internal/backend_pool.cpp
@@ -26,9 +26,11 @@
 
 backend_pool::backend_pool(boost::asio::any_io_executor executor) : m_executor(std::move(executor)) {}
 
-backend_pool::connection backend_pool::take_idle(const std::string& address) {
+backend_pool::connection backend_pool::take_idle(const std::string& address,
+                                                 std::chrono::milliseconds longest_rest,
+                                                 core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    while (!m_idle.empty()) {
+    while (!m_idle.empty() && now - m_idle.back()->idle_since <= longest_rest) {
         auto idle = std::move(m_idle.back());
         m_idle.pop_back();
         if (idle->address == address && is_quiet(idle->socket)) {
@@ -44,7 +46,8 @@
     return made;
 }
 
-void backend_pool::give_back(connection idle, std::size_t max_idle) {
+void backend_pool::give_back(connection idle, std::size_t max_idle, core::steady_time now) {
+    idle->idle_since = now;
     const std::scoped_lock lock(m_mutex);
     if (m_idle.size() < max_idle) {
         m_idle.push_back(std::move(idle));
--- a/src/gate/internal/backend_pool.h
+++ b/src/gate/internal/backend_pool.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -19,6 +22,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::string address;
+    core::steady_time idle_since; ///< While it is in a pool.
 };
 
 /// The endpoint of an "ip:port"; for another text one that refuses every connection.
@@ -31,14 +35,15 @@
 
     explicit backend_pool(boost::asio::any_io_executor executor);
 
-    /// An idle connection to `address` that is still open, or nothing.
-    [[nodiscard]] connection take_idle(const std::string& address);
+    /// The connection to `address` used last, if it seems open and has rested no longer than `longest_rest`.
+    [[nodiscard]] connection take_idle(const std::string& address, std::chrono::milliseconds longest_rest,
+                                       core::steady_time now);
 
     /// A connection that is yet to be made.
     [[nodiscard]] connection make(const std::string& address) const;
 
     /// Keeps an open connection for later use; at most `max_idle` are kept.
-    void give_back(connection idle, std::size_t max_idle);
+    void give_back(connection idle, std::size_t max_idle, core::steady_time now);
 
 private:
     boost::asio::any_io_executor m_executor;
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -1,5 +1,7 @@
 #include "gate/internal/gate_call.h"
 
+#include "gate/connection_rest.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -64,8 +66,8 @@
         m_strand, [self = shared_from_this()] { return self->run(); },
         [self = shared_from_this()](const std::exception_ptr& failure) {
             if (failure) {
-                self->fail(self->m_sent ? verdict::may_have_run : verdict::not_run,
-                           end_reason::backend_failed, "an internal error broke the call off");
+                self->fail(self->verdict_so_far(), end_reason::backend_failed,
+                           "an internal error broke the call off");
                 self->finish();
             }
         });
@@ -146,10 +148,17 @@
         co_return false;
     }
     m_backend = *std::move(backend);
-    m_connection = m_env.pool.take_idle(m_backend.address);
-    if (m_connection) {
-        co_return may_still_begin();
+    const auto now = m_env.clock.now();
+    m_connection = m_env.pool.take_idle(m_backend.address, longest_rest(m_head), now);
+    if (!m_connection) {
+        co_return co_await make_connection();
     }
+    m_is_rested = now - m_connection->idle_since > sure_rest;
+    co_return may_still_begin();
+}
+
+boost::asio::awaitable<bool> gate_call::make_connection() {
+    m_is_rested = false;
     m_connection = m_env.pool.make(m_backend.address);
     const auto endpoint = parse_endpoint(m_backend.address);
     const auto [refused] = co_await m_connection->socket.async_connect(
@@ -159,7 +168,7 @@
         if (!m_stopped) {
             m_env.events.connection_refused(m_backend.address, refused.message());
         }
-        fail(verdict::not_run, end_reason::no_backend, "the backend server refuses connections");
+        fail(verdict_so_far(), end_reason::no_backend, "the backend server refuses connections");
         co_return false;
     }
     boost::system::error_code ignored;
@@ -167,6 +176,10 @@
     co_return may_still_begin();
 }
 
+verdict gate_call::verdict_so_far() const {
+    return m_sent ? verdict::may_have_run : verdict::not_run;
+}
+
 bool gate_call::may_still_begin() {
     // NOTE: the process may have been paused; this is the last look at the clock before the effect.
     if (!m_stopped && m_env.clock.now() >= m_head.context.deadline) {
@@ -176,7 +189,7 @@
         m_stopped = end_reason::deadline;
     }
     if (m_stopped) {
-        fail(verdict::not_run, *m_stopped, describe(*m_stopped));
+        fail(verdict_so_far(), *m_stopped, describe(*m_stopped));
         return false;
     }
     m_sent = true;
@@ -271,7 +284,7 @@
     }
     const auto backend = m_env.table.backend();
     if (backend) {
-        m_env.pool.give_back(m_connection, backend->connections);
+        m_env.pool.give_back(m_connection, backend->connections, m_env.clock.now());
     }
 }
 
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -89,6 +89,10 @@
 
     awaitable<void> run();
     awaitable<bool> open_connection();
+    awaitable<bool> make_connection();
+
+    /// What is true of a request that goes no further now.
+    [[nodiscard]] core::verdict verdict_so_far() const;
     [[nodiscard]] bool may_still_begin();
     [[nodiscard]] std::optional<execution::begin_request> execution_request() const;
     void refuse_by_record(const execution::begin_decision& decision);
@@ -96,6 +100,12 @@
     void keep_answer(const transport::response_head& answer);
     void end_execution();
     awaitable<void> exchange();
+
+    /// Sends the request and reads the head of its answer; false if there is none.
+    awaitable<bool> ask();
+
+    /// Whether the backend server had most likely forgotten the connection before the request came.
+    [[nodiscard]] bool was_lost_with_rested_connection() const;
     awaitable<void> write_whole_request();
     awaitable<void> upload();
     awaitable<bool> upload_item(body_item item, transfer::body_receiver& intake);
@@ -157,6 +167,7 @@
     std::string m_key;              ///< Of the record of a non-idempotent request.
     bool m_admitted = false;        ///< The crash guard counts the request.
     bool m_execution_begun = false; ///< A record is open.
+    bool m_is_rested = false;       ///< The connection had been idle for longer than sure_rest.
     bool m_sent = false;            ///< From now on the request may have run.
     bool m_uploaded = false;        ///< The backend server got the whole request.
     bool m_answered = false;        ///< The whole answer is on its way to the entry.
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -1,4 +1,5 @@
 // The part of gate_call that speaks HTTP with the backend server.
+#include "gate/connection_rest.h"
 #include "gate/context_token.h"
 #include "gate/internal/gate_call.h"
 #include "transfer/http_headers.h"
@@ -32,14 +33,30 @@
 
 } // namespace
 
-boost::asio::awaitable<void> gate_call::exchange() {
+boost::asio::awaitable<bool> gate_call::ask() {
     if (m_head.total) {
         co_await write_whole_request();
     } else {
         boost::asio::co_spawn(
             m_strand, [self = shared_from_this()] { return self->upload(); }, boost::asio::detached);
     }
-    const bool answered = co_await read_head();
+    co_return co_await read_head();
+}
+
+bool gate_call::was_lost_with_rested_connection() const {
+    const bool has_answer = m_parser && m_parser->got_some();
+    return m_is_rested && !has_answer && !m_stopped && can_send_again(m_head);
+}
+
+boost::asio::awaitable<void> gate_call::exchange() {
+    bool answered = co_await ask();
+    if (!answered && was_lost_with_rested_connection()) {
+        const bool ready = co_await make_connection();
+        if (!ready) {
+            co_return;
+        }
+        answered = co_await ask();
+    }
     if (!answered) {
         fail(verdict::may_have_run, end_reason::backend_failed,
              "the backend server closed the connection before it had answered");
@@ -86,7 +103,7 @@
 boost::asio::awaitable<void> gate_call::write_whole_request() {
     http::request<http::string_body> request;
     fill_request(request);
-    request.body() = std::move(m_head.body);
+    request.body() = m_is_rested ? m_head.body : std::move(m_head.body);
     const bool has_length = request.find(http::field::content_length) != request.end();
     if (has_length || !request.body().empty()) {
         request.content_length(request.body().size());
@@ -302,7 +319,8 @@
     body.data = into.data();
     body.size = limit;
     boost::system::error_code failure;
-    auto& [socket, buffer, address] = *m_connection;
+    auto& socket = m_connection->socket;
+    auto& buffer = m_connection->buffer;
     if (fill) {
         std::tie(failure, std::ignore) = co_await http::async_read(socket, buffer, *m_parser, to_tuple);
     } else {
--- a/src/gate/tests/backend_answer_tests.cpp
+++ b/src/gate/tests/backend_answer_tests.cpp
@@ -1,18 +1,11 @@
 // What a gate makes of answers that are late, of another request, cut short, or end with their connection.
 #include "core/system_clock.h"
-#include "gate/gate_service.h"
+#include "gate/tests/gate_rig.h"
 #include "gate/tests/request_frame.h"
-#include "metrics/metrics_registry.h"
-#include "testing/silent_log.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,16 +17,6 @@
 
 namespace {
 
-class keeping_sender final : public transport::frame_sender {
-public:
-    void send(const core::endpoint_id&, transport::frame message) override {
-        sent.push_back(std::move(message));
-    }
-    [[nodiscard]] core::endpoint_id self() const override { return {"127.0.0.1:7000", {1}}; }
-
-    std::vector<transport::frame> sent;
-};
-
 backend_protocol echoing_protocol() {
     backend_protocol protocol;
     protocol.echoed_id_header = "Request-Name";
@@ -58,26 +41,18 @@
 /// One request at a gate whose backend server answers with prescribed bytes.
 class scripted_gate {
 public:
-    scripted_gate() {
-        m_service.emplace(m_io, options(), m_sender, m_ledger, m_crashes, m_budgets, m_clock, m_log,
-                          m_registry);
-        const auto port = std::to_string(m_backend.local_endpoint().port());
-        m_service->announce({"mappa", "127.0.0.1:" + port, 4, 8, "first"});
-    }
+    scripted_gate() { m_rig.announce("first"); }
 
     told answer_with(const std::vector<std::string>& pieces, ending last) {
         begin_request();
-        tcp::socket connection(m_io);
-        bool accepted = false;
-        m_backend.async_accept(connection, [&](const boost::system::error_code&) { accepted = true; });
-        REQUIRE(run_until([&] { return accepted; }));
-        read_request(connection);
+        auto connection = m_rig.accept();
+        REQUIRE(m_rig.read_request(connection));
         for (const auto& piece : pieces) {
             boost::asio::write(connection, boost::asio::buffer(piece));
-            m_io.run_for(pause_between_pieces);
+            m_rig.io.run_for(pause_between_pieces);
         }
         end(connection, last);
-        REQUIRE(run_until([&] { return m_service->counters().in_flight == 0; }));
+        REQUIRE(m_rig.run_until_idle());
         return collect();
     }
 
@@ -92,18 +67,10 @@
 
     void begin_request() {
         auto message = tests::request_frame(1, m_clock.now() + 60s, {{"Request-Name", "mine"}});
-        m_service->received(message);
+        m_rig.service.received(message);
         // NOTE: a streamed answer needs credit, which an entry grants with the answer's head.
         message.payload = transport::credit{16};
-        m_service->received(message);
-    }
-
-    void read_request(tcp::socket& connection) {
-        boost::asio::streambuf request;
-        bool read = false;
-        boost::asio::async_read_until(connection, request, "\r\n\r\n",
-                                      [&](const boost::system::error_code&, std::size_t) { read = true; });
-        REQUIRE(run_until([&] { return read; }));
+        m_rig.service.received(message);
     }
 
     static void end(tcp::socket& connection, ending last) {
@@ -115,18 +82,9 @@
         }
     }
 
-    bool run_until(const std::function<bool()>& reached) {
-        constexpr auto longest_wait = 20s;
-        const auto until = std::chrono::steady_clock::now() + longest_wait;
-        while (!reached() && std::chrono::steady_clock::now() < until) {
-            m_io.run_one_for(20ms);
-        }
-        return reached();
-    }
-
     told collect() const {
         told result;
-        for (const auto& message : m_sender.sent) {
+        for (const auto& message : m_rig.sender.sent) {
             if (const auto* head = std::get_if<transport::response_head>(&message.payload)) {
                 result.status = head->status;
                 result.body = head->body;
@@ -142,18 +100,8 @@
         return result;
     }
 
-    boost::asio::io_context m_io;
-    tcp::acceptor m_backend{m_io, {boost::asio::ip::address_v4::loopback(), 0}};
     core::system_clock m_clock;
-    testing::silent_log m_log;
-    keeping_sender m_sender;
-    execution::execution_ledger m_ledger{m_clock, m_sender.self(), {}};
-    execution::crash_guard m_crashes{
-        m_clock, m_sender.self(), {}, m_log, [](std::uint32_t, const std::string&) {
-        }};
-    nested_budgets m_budgets;
-    metrics::metrics_registry m_registry;
-    std::optional<gate_service> m_service;
+    tests::gate_rig m_rig{m_clock, options()};
 };
 
 const std::string own_head = "HTTP/1.1 200 OK\r\nRequest-Name: mine\r\n";
--- /dev/null
+++ b/src/gate/tests/gate_rig.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/clock.h"
+#include "gate/gate_service.h"
+#include "metrics/metrics_registry.h"
+#include "testing/silent_log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace monsoonlift::gate::tests {
+
+/// Keeps what a gate sends to entries.
+class keeping_sender final : public transport::frame_sender {
+public:
+    void send(const core::endpoint_id&, transport::frame message) override {
+        sent.push_back(std::move(message));
+    }
+    [[nodiscard]] core::endpoint_id self() const override { return {"127.0.0.1:7000", {1}}; }
+
+    std::vector<transport::frame> sent;
+};
+
+/// A gate with all that it needs and the listening socket of its backend server, which the test plays.
+struct gate_rig {
+    explicit gate_rig(const core::clock& time, const gate_options& options = {});
+    gate_rig(const gate_rig&) = delete;
+    gate_rig& operator=(const gate_rig&) = delete;
+    ~gate_rig() = default;
+
+    /// The backend server says that it is there, under that name.
+    void announce(const std::string& instance);
+
+    /// Takes the gate's next connection to the backend server.
+    [[nodiscard]] boost::asio::ip::tcp::socket accept();
+
+    /// Reads the head of a request from a connection of the backend server; false if the connection ended.
+    [[nodiscard]] bool read_request(boost::asio::ip::tcp::socket& connection);
+
+    /// Runs until `reached` holds; false if it does not within a time that no machine needs.
+    [[nodiscard]] bool run_until(const std::function<bool()>& reached);
+
+    /// Runs until no call is at the gate.
+    [[nodiscard]] bool run_until_idle();
+
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor backend{io, {boost::asio::ip::address_v4::loopback(), 0}};
+    const core::clock& clock;
+    testing::silent_log log;
+    keeping_sender sender;
+    std::vector<execution::crash_report> reports; ///< Crashes that the gate told other daemons of.
+    execution::execution_ledger ledger{clock, sender.self(), {}};
+    nested_budgets budgets;
+    metrics::metrics_registry registry;
+    execution::crash_guard crashes;
+    gate_service service;
+};
+
+} // namespace monsoonlift::gate::tests
