A fault soak of the real programs, judged from outside

Ruled out: growing scripts/measure faults: it speaks our own protocols and its faults come one by one. Change: scripts/soak plays seeded plans against monsoonliftd processes on the platform's protocols: 22 kinds of faults and planned work that overlap and repeat (signals, links through a loopback proxy that delays, resets, silences both ways or one, the store down, slow, losing answers, backend servers that crash, slow down, lose or cut answers, forget connections, refuse, leave; configurations). Promises are judged from what callers and backend servers saw alone. The harness' backend server and the soak's share one quiet HTTP server; with it a poisoned backend server of `faults` resets all its connections, as its text already said.

--- a/scripts/lib/harness/ledger_backend.py
+++ b/scripts/lib/harness/ledger_backend.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from harness import http as calls
+from harness.quiet_server import QuietServer
 
 ANNOUNCE_INTERVAL_S = 0.5
 POISON_MARKER = b"crash-the-server"
@@ -63,7 +64,7 @@
         self._slots = threading.Semaphore(slots)
         self._slot_count = slots
         self._ended = threading.Event()
-        self._server: http.server.ThreadingHTTPServer | None = None
+        self._server: QuietServer | None = None
         self._open()
         self._announcer = threading.Thread(target=self._announce, daemon=True)
         self._announcer.start()
@@ -108,39 +109,12 @@
         handler.wfile.write(text)
 
     def _open(self) -> None:
-        backend = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            """Hands each request to the backend server."""
-
-            protocol_version = "HTTP/1.1"
-
-            def do_GET(self) -> None:  # noqa: N802 (the library's name)
-                backend.answer(self)
-
-            def do_POST(self) -> None:  # noqa: N802 (the library's name)
-                backend.answer(self)
-
-            def log_message(self, *_: object) -> None:
-                """Keeps the library's own log quiet."""
-
-        class Server(http.server.ThreadingHTTPServer):
-            """Threads end with the process; broken connections are no news here."""
-
-            daemon_threads = True
-            request_queue_size = 256
-
-            def handle_error(self, *_: object) -> None:
-                """Keeps connections that broke off quiet."""
-
-        self._server = Server(("127.0.0.1", 0), Handler)
-        threading.Thread(target=self._server.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
+        self._server = QuietServer(("127.0.0.1", 0), self.answer)
 
     def _shut(self) -> None:
         server, self._server = self._server, None
         if server is not None:
-            threading.Thread(target=server.shutdown, daemon=True).start()
-            server.server_close()
+            server.end()
 
     def _reopen(self) -> None:
         if not self._ended.is_set() and self._server is None:
--- /dev/null
+++ b/scripts/lib/harness/quiet_server.py
@@ -0,0 +1,62 @@
+"""A threaded HTTP server that keeps broken connections quiet and can end with all its connections."""
+from __future__ import annotations
+
+import http.server
+import socket
+import struct
+import threading
+from collections.abc import Callable
+
+POLL_S = 0.02
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+Answerer = Callable[[http.server.BaseHTTPRequestHandler], None]
+
+
+class QuietServer(http.server.ThreadingHTTPServer):
+    """Serves at once; its threads end with the process."""
+
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, address: tuple[str, int], answer: Answerer) -> None:
+        class Handler(http.server.BaseHTTPRequestHandler):
+            """Hands each request to `answer`."""
+
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def do_GET(self) -> None:  # noqa: N802 (the library's name)
+                answer(self)
+
+            def do_POST(self) -> None:  # noqa: N802 (the library's name)
+                answer(self)
+
+            def log_message(self, *_: object) -> None:
+                """Keeps the library's own log quiet."""
+
+        self._open: set[socket.socket] = set()
+        super().__init__(address, Handler)
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": POLL_S}, daemon=True).start()
+
+    def process_request(self, request: socket.socket, client_address: object) -> None:
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: socket.socket) -> None:
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, *_: object) -> None:
+        """Keeps connections that broke off quiet."""
+
+    def end(self) -> None:
+        """Stops listening, then resets every open connection."""
+        threading.Thread(target=self.shutdown, daemon=True).start()
+        self.server_close()
+        for connection in list(self._open):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # NOTE: it has ended by itself.
--- /dev/null
+++ b/scripts/lib/soak/callers.py
@@ -0,0 +1,113 @@
+"""Callers of one VM: each keeps its connection open and uses it until the process behind it is gone."""
+from __future__ import annotations
+
+import http.client
+import random
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from soak.checker import Attempt
+from soak.endpoint import is_own_body
+
+HOST = "soak.example"
+TIME_LEFT_MS = 3000
+PATIENCE_S = 6.0
+UNSAFE_SHARE = 0.4
+PAUSE_S = 0.05
+BODY_BYTES = 40_000
+LARGE_BODY_SHARE = 0.1
+
+
+@dataclass(frozen=True)
+class Target:
+    """One route as callers use it."""
+
+    service: str
+    method: str
+    path: str
+    idempotent: bool
+
+
+STATUS = Target("mappa", "GET", "/status/north", True)
+DISPATCH = Target("squadre", "POST", "/dispatch/crew", False)
+
+
+@dataclass
+class Sender:
+    """Sends requests through one VM's daemon on a kept connection."""
+
+    vm: int
+    caller_service: str
+    address: str
+    connection: http.client.HTTPConnection | None = None
+
+    def send(self, name: str, target: Target, body: bytes) -> Attempt:
+        """One attempt, without a resend."""
+        sent = time.monotonic()
+        status, stamp, right = None, "", True
+        try:
+            status, stamp, right = self._exchange(name, target, body)
+        except (OSError, http.client.HTTPException):
+            self.close()
+        return Attempt(name, self.vm, self.caller_service, target.service, target.method, target.path, body,
+                       target.idempotent, sent, time.monotonic(), status, stamp, right)
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
+
+    def _exchange(self, name: str, target: Target, body: bytes) -> tuple[int, str, bool]:
+        if self.connection is None:
+            host, port = self.address.rsplit(":", 1)
+            self.connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S)
+            # NOTE: a connection that ended must be seen by us, not replaced and used for another send.
+            self.connection.auto_open = 0
+            self.connection.connect()
+        headers = {"Host": HOST, "X-Request-Id": name, "X-Deadline-Ms": str(TIME_LEFT_MS)}
+        self.connection.request(target.method, target.path, body=body or None, headers=headers)
+        response = self.connection.getresponse()
+        text = response.read()
+        stamp = response.getheader("X-Server-Stamp", "")
+        if response.will_close:
+            self.close()
+        right = response.status != 200 or is_own_body(name, stamp, text)
+        return response.status, stamp, right
+
+
+@dataclass
+class Callers:
+    """The callers of all VMs."""
+
+    senders: Callable[[int], Sender]
+    vms: int
+    seed: int
+    saw: Callable[[Attempt], None]
+    _end: threading.Event = field(default_factory=threading.Event)
+    _threads: list[threading.Thread] = field(default_factory=list)
+
+    def start(self, for_each_vm: int) -> None:
+        for vm in range(self.vms):
+            for number in range(for_each_vm):
+                thread = threading.Thread(target=self._work, args=(vm, number), daemon=True)
+                thread.start()
+                self._threads.append(thread)
+
+    def stop(self) -> None:
+        """Waits for the last answers."""
+        self._end.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _work(self, vm: int, number: int) -> None:
+        draw = random.Random(f"{self.seed}/{vm}/{number}")
+        sender = self.senders(vm)
+        serial = 0
+        while not self._end.wait(draw.uniform(0, 2 * PAUSE_S)):
+            serial += 1
+            target = DISPATCH if draw.random() < UNSAFE_SHARE else STATUS
+            length = 0 if target.idempotent else (BODY_BYTES if draw.random() < LARGE_BODY_SHARE else 7)
+            self.saw(sender.send(f"s{self.seed}-{vm}-{number}-{serial}", target, b"b" * length))
+        sender.close()
--- /dev/null
+++ b/scripts/lib/soak/endpoint.py
@@ -0,0 +1,198 @@
+"""A backend server on the platform: it tells the daemon beside it that it is there, runs requests and records them."""
+from __future__ import annotations
+
+import http.server
+import json
+import random
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harness import http as calls
+from harness.quiet_server import QuietServer
+from soak.checker import Attempt, Run
+
+HEARTBEAT_S = 0.3
+HEARTBEAT_PATIENCE_S = 1.0
+SLOTS = 8
+QUEUE_PATIENCE_S = 0.5
+REST_FORGOTTEN_S = 0.3
+CALL_SHARE = 0.2  # Of the dispatches; each of these asks the map service while it runs.
+LARGE_SHARE = 0.05
+LARGE_BYTES = 300_000
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+SPARE_S = 3.0  # A leaving server serves on for this long after the acknowledgement.
+
+
+@dataclass
+class Misbehaviour:
+    """What is wrong with a backend server now."""
+
+    slow_x: float = 1.0
+    loses_answers: bool = False
+    cuts_answers: bool = False
+    forgets_connections: bool = False
+    refuses: bool = False
+
+
+def answer_body(name: str, stamp: str, filling: int) -> bytes:
+    """The body of an answer; a caller can tell from it whose it is and whether it is whole."""
+    return json.dumps({"id": name, "stamp": stamp, "length": filling, "filling": "x" * filling}).encode()
+
+
+def is_own_body(name: str, stamp: str, body: bytes) -> bool:
+    """Whether a body is the whole answer of that run of that request."""
+    try:
+        told = json.loads(body)
+        return (told["id"], told["stamp"], len(told["filling"])) == (name, stamp, told["length"])
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
+class Endpoint:
+    """The backend server of one VM through all its lives; another life has another instance."""
+
+    def __init__(self, name: str, service: str, address: tuple[str, int], control: str, seed: int,
+                 ran: Callable[[Run], None], ask: Callable[[str], Attempt]) -> None:
+        self.service = service
+        self.misbehaviour = Misbehaviour()
+        self.instance = ""
+        self._name = name
+        self._address = address
+        self._control = control
+        self._draw = random.Random(seed)
+        self._ran = ran
+        self._ask = ask
+        self._slots = threading.Semaphore(SLOTS)
+        self._lives = 0
+        self._runs = 0
+        self._sequence = 0
+        self._born_ms = 0
+        self._state = "ready"
+        self._server: QuietServer | None = None
+        self._lock = threading.Lock()
+        self._ended = threading.Event()
+        self._beats = threading.Thread(target=self._beat, daemon=True)
+
+    def start(self) -> None:
+        self.open()
+        self._beats.start()
+
+    def open(self) -> None:
+        """Begins a life."""
+        with self._lock:
+            self._lives += 1
+            self.instance = f"{self._name}-{self._lives}"
+            self._sequence = 0
+            self._born_ms = time.time_ns() // 1_000_000
+            self._state = "ready"
+            self._server = QuietServer(self._address, self._serve)
+
+    def shut(self) -> None:
+        """Ends a life at once; every connection is reset."""
+        with self._lock:
+            server, self._server = self._server, None
+        if server is not None:
+            server.end()
+
+    def close(self) -> None:
+        self._ended.set()
+        self.shut()
+
+    def drain(self) -> tuple[str, float | None]:
+        """Says that it leaves, serves on, and leaves; gives the instance and when it was acknowledged."""
+        leaving = self.instance
+        self._state = "draining"
+        acknowledged = time.monotonic() if self._tell() else None
+        time.sleep(SPARE_S)
+        try:
+            calls.post_json(self._control, f"/api/Instances.Deregister/{leaving}", {"born": self._born_ms})
+        except OSError:
+            pass  # NOTE: a server that isn't heard leaves all the same.
+        self.shut()
+        return leaving, acknowledged
+
+    def _beat(self) -> None:
+        while not self._ended.wait(HEARTBEAT_S):
+            if self._server is not None:
+                self._tell()
+
+    def _tell(self) -> bool:
+        """Sends a heartbeat; true if it was acknowledged."""
+        with self._lock:
+            self._sequence += 1
+            told = {"Service": self.service, "Address": f"{self._address[0]}:{self._address[1]}", "Zone": "any",
+                    "Version": "v1", "Slots": SLOTS, "State": self._state, "ColdRemainingMs": 0,
+                    "Sequence": self._sequence, "born": self._born_ms}
+            path = f"/api/Instances.Heartbeat/{self.instance}"
+        try:
+            return calls.call(self._control, "POST", path, body=json.dumps(told).encode(),
+                              headers={"Content-Type": "application/json"},
+                              patience_s=HEARTBEAT_PATIENCE_S).status == 200
+        except (OSError, calls.http.client.HTTPException):
+            return False
+
+    def _serve(self, handler: http.server.BaseHTTPRequestHandler) -> None:
+        body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+        now = time.monotonic()
+        rested = now - getattr(handler, "idle_since", now)
+        if self.misbehaviour.forgets_connections and rested > REST_FORGOTTEN_S:
+            reset(handler)
+            return
+        expected = handler.headers.get("X-Expect-Instance", self.instance)
+        if expected != self.instance:
+            self._refuse(handler, 421)
+        elif self.misbehaviour.refuses or not self._slots.acquire(timeout=QUEUE_PATIENCE_S):
+            self._refuse(handler, 503)
+        else:
+            try:
+                self._run(handler, body, now)
+            finally:
+                self._slots.release()
+        handler.idle_since = time.monotonic()
+
+    def _refuse(self, handler: http.server.BaseHTTPRequestHandler, status: int) -> None:
+        handler.send_response(status)
+        handler.send_header("X-Not-Executed", "1")
+        handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id", ""))
+        handler.send_header("Content-Length", "0")
+        handler.end_headers()
+
+    def _run(self, handler: http.server.BaseHTTPRequestHandler, body: bytes, arrived: float) -> None:
+        name = handler.headers.get("X-Request-Id", "")
+        with self._lock:
+            self._runs += 1
+            stamp = f"{self.instance}.{self._runs}"
+            work_s = self._draw.uniform(0.002, 0.03)
+            asks = handler.command == "POST" and self._draw.random() < CALL_SHARE
+            filling = LARGE_BYTES if self._draw.random() < LARGE_SHARE else self._draw.randrange(2000)
+        self._ran(Run(name, self.service, self.instance, stamp, handler.command, handler.path, body,
+                      handler.headers.get("X-Caller-Service", ""), arrived))
+        time.sleep(work_s * self.misbehaviour.slow_x)
+        failed = asks and self._ask(f"{name}.1").status != 200
+        if self.misbehaviour.loses_answers:
+            reset(handler)
+            return
+        self._answer(handler, 500 if failed else 200, stamp, answer_body(name, stamp, filling))
+
+    def _answer(self, handler: http.server.BaseHTTPRequestHandler, status: int, stamp: str, text: bytes) -> None:
+        handler.send_response(status)
+        handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id", ""))
+        handler.send_header("X-Server-Stamp", stamp)
+        handler.send_header("Content-Length", str(len(text)))
+        handler.end_headers()
+        if self.misbehaviour.cuts_answers:
+            handler.wfile.write(text[:len(text) // 2])
+            reset(handler)
+            return
+        handler.wfile.write(text)
+
+
+def reset(handler: http.server.BaseHTTPRequestHandler) -> None:
+    """Resets the connection without another byte."""
+    handler.close_connection = True
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    handler.connection.close()
--- /dev/null
+++ b/scripts/lib/soak/fleet.py
@@ -0,0 +1,144 @@
+"""The VMs of one run: a daemon, its backend server and its links each."""
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import threading
+import time
+from dataclasses import dataclass, field
+
+from harness.fleet import BINARIES
+from harness.platform import Platform
+from harness.process import Process
+from soak.callers import STATUS, Sender
+from soak.checker import Attempt, Facts, Span
+from soak.endpoint import Endpoint
+from soak.proxy import Proxy, ProxyLoop
+
+# NOTE: below the ports that the system gives to connections from the same ip.
+PORTS = {"caller": 7000, "heartbeat": 7001, "ready": 7002, "backend": 7003, "transport": 7004, "admin": 7005,
+         "link": 7006, "store": 7007}
+DATA_CENTRES = ("palermo", "catania")
+SERVICES = ("mappa", "squadre")
+STOP_BOUND_S = 6.0
+FIRST_IP = 10
+
+
+def split(address: str) -> tuple[str, int]:
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
+@dataclass
+class Vm:
+    """One VM. Its locks keep two faults from starting or ending its daemon, or its backend server, at once."""
+
+    number: int
+    folder: pathlib.Path
+    store: str
+    carrier: ProxyLoop
+    facts: Facts
+    seed: int
+    starts: int = 0
+    process: Process | None = None
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    server_lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def __post_init__(self) -> None:
+        owner = os.getpid()
+        second, third = (FIRST_IP + self.number) % 250 + 1, owner // 256 % 256
+        self.ip = f"127.{second}.{third}.{owner % 256}"
+        self.service = SERVICES[self.number % len(SERVICES)]
+        self.link = Proxy(self.carrier, (self.ip, PORTS["link"]), (self.ip, PORTS["transport"]))
+        self.store_link = Proxy(self.carrier, (self.ip, PORTS["store"]), split(self.store))
+        self.endpoint = Endpoint(f"{self.service}-{self.number}", self.service, (self.ip, PORTS["backend"]),
+                                 self.at("heartbeat"), self.seed * 1000 + self.number, self.facts.runs.append, self.ask)
+
+    def at(self, port: str) -> str:
+        return f"{self.ip}:{PORTS[port]}"
+
+    def sender(self, caller_service: str = "") -> Sender:
+        return Sender(self.number, caller_service or self.service, self.at("caller"))
+
+    def ask(self, name: str) -> Attempt:
+        """The backend server's own call to the map service, through the daemon beside it."""
+        sender = self.sender()
+        attempt = sender.send(name, STATUS, b"")
+        sender.close()
+        self.facts.attempts.append(attempt)
+        return attempt
+
+    def start(self) -> None:
+        self.link.start()
+        self.store_link.start()
+        self.endpoint.start()
+        self.start_daemon()
+
+    def start_daemon(self) -> None:
+        self.starts += 1
+        settings = self.folder / f"vm-{self.number}.yaml"
+        settings.write_text(self._settings())
+        log = self.folder / f"vm-{self.number}.{self.starts}.log"
+        self.process = Process(f"vm-{self.number}", [str(BINARIES / "monsoonliftd"), "--settings", str(settings)], log)
+
+    def kill_daemon(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+
+    def stop_daemon(self) -> None:
+        """A planned stop, killed when its time is over as the platform does."""
+        assert self.process is not None
+        self.process.addresses()  # NOTE: a signal before main has begun would end any process.
+        began = time.monotonic()
+        self.process.signal(signal.SIGTERM)
+        while self.process.running and time.monotonic() < began + STOP_BOUND_S:
+            time.sleep(0.02)
+        self.facts.stops.setdefault(self.number, []).append(Span(began, time.monotonic()))
+        if self.process.running:
+            self.process.kill()
+            self.facts.exits.append(f"vm-{self.number} did not end within its time")
+        elif self.process.wait() != 0:
+            self.facts.exits.append(f"vm-{self.number} ended with {self.process.wait()} after SIGTERM")
+
+    def close(self) -> None:
+        self.kill_daemon()
+        self.endpoint.close()
+        self.link.close()
+        self.store_link.close()
+
+    def _settings(self) -> str:
+        settings = {
+            "fleet": "soak", "name": f"vm-{self.number}", "data_centre": DATA_CENTRES[self.number % len(DATA_CENTRES)],
+            "caller_address": self.at("caller"), "admin_address": self.at("admin"),
+            "transport_address": self.at("transport"), "advertised_transport_address": self.at("link"),
+            "transport_source_ip": self.ip, "membership_address": self.at("transport"),
+            "platform_address": self.at("store"), "retry_burst": 2, "log_lines_per_second": 1000,
+        }
+        deployment = {
+            "service": self.service, "backend_address": self.at("backend"),
+            "heartbeat_address": self.at("heartbeat"), "ready_address": self.at("ready"),
+            "configuration_bound": "2s", "drain_bound": "2s", "stop_bound": f"{STOP_BOUND_S:.0f}s",
+        }
+        lines = [f"{key}: {json.dumps(value)}\n" for key, value in settings.items()]
+        lines += ["deployment:\n", *[f"  {key}: {json.dumps(value)}\n" for key, value in deployment.items()]]
+        return "".join(lines)
+
+
+class SoakFleet:
+    """The platform stand-in and all VMs of one run; a context manager that ends what it started."""
+
+    def __init__(self, folder: pathlib.Path, vms: int, facts: Facts, seed: int) -> None:
+        self.carrier = ProxyLoop()
+        self.platform = Platform(BINARIES, folder / "platform.log", "--listen", "127.0.0.1:0")
+        self.vms = [Vm(number, folder, self.platform.address, self.carrier, facts, seed) for number in range(vms)]
+
+    def __enter__(self) -> SoakFleet:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for vm in self.vms:
+            vm.close()
+        self.platform.process.kill()
+        self.carrier.close()
--- /dev/null
+++ b/scripts/lib/tests/test_soak.py
@@ -0,0 +1,105 @@
+"""The soak's plan comes from its seed alone, and a planted fault of each kind makes its checker fail."""
+import dataclasses
+import unittest
+
+from soak.checker import Attempt, Facts, Run, Span, judge
+from soak.operator import RevisionWatch, marker_path
+from soak.plan import Kind, make_plan
+
+SAFE = Attempt("one", 0, "mappa", "mappa", "GET", "/status/north", b"", True, 10.0, 10.1, 200, "mappa-0-1.1")
+SAFE_RUN = Run("one", "mappa", "mappa-0-1", "mappa-0-1.1", "GET", "/status/north", b"", "mappa", 10.05)
+ORDER = Attempt("two", 0, "mappa", "squadre", "POST", "/dispatch/crew", b"crew=7", False, 11.0, 11.1, 200, "squadre-1-1.1")
+ORDER_RUN = Run("two", "squadre", "squadre-1-1", "squadre-1-1.1", "POST", "/dispatch/crew", b"crew=7", "mappa", 11.05)
+
+
+def facts_of(attempts: list[Attempt], runs: list[Run], **more: object) -> Facts:
+    return Facts(attempts=attempts, runs=runs, **more)
+
+
+def names(facts: Facts) -> set[str]:
+    """The promises that were found broken."""
+    return {finding.split()[0] for finding in judge(facts)}
+
+
+class CheckerTests(unittest.TestCase):
+    """Each planted fault is found, and nothing else."""
+
+    def test_a_sound_run_breaks_nothing(self) -> None:
+        self.assertEqual(judge(facts_of([SAFE, ORDER], [SAFE_RUN, ORDER_RUN])), [])
+
+    def test_planted_faults(self) -> None:
+        changed = dataclasses.replace
+        lost = changed(ORDER, status=None, stamp="")
+        later = changed(ORDER_RUN, arrived=14.0)
+        planted = {
+            "TWICE": facts_of([ORDER], [ORDER_RUN, changed(ORDER_RUN, stamp="squadre-3-1.1", server="squadre-3-1")]),
+            "REFUSED": facts_of([changed(ORDER, status=503, stamp="")], [ORDER_RUN]),
+            "MIXED": facts_of([changed(SAFE, body_right=False)], [SAFE_RUN]),
+            "BUDGET": facts_of([SAFE], [SAFE_RUN, changed(SAFE_RUN, server="b"), changed(SAFE_RUN, server="c")]),
+            "UNASKED": facts_of([], [SAFE_RUN]),
+            "ROUTE": facts_of([ORDER], [changed(ORDER_RUN, service="mappa")]),
+            "DRAIN": facts_of([ORDER], [later], drained={"squadre-1-1": 11.5}),
+            "LOST": facts_of([lost], [ORDER_RUN], stops={0: [Span(11.05, 12.0)]}),
+            "EXIT": facts_of([], [], exits=["vm-0 ended by itself with -11"]),
+            "REVERTED": facts_of([], [], reverted=["vm-0 went from version 6 to 3"]),
+            "RECOVERY": facts_of([], [], not_recovered=["vm-0 does not serve status"]),
+        }
+        for promise, facts in planted.items():
+            with self.subTest(promise):
+                self.assertEqual(names(facts), {promise})
+
+    def test_variants_of_planted_faults(self) -> None:
+        changed = dataclasses.replace
+        variants = {
+            "a stamp of no run": ("MIXED", facts_of([changed(SAFE, stamp="another")], [SAFE_RUN])),
+            "another body": ("UNASKED", facts_of([ORDER], [changed(ORDER_RUN, body=b"crew=8")])),
+            "another caller": ("UNASKED", facts_of([SAFE], [changed(SAFE_RUN, caller_service="squadre")])),
+            "many repeats": ("BUDGET", facts_of([SAFE], [SAFE_RUN] * 60)),
+        }
+        for what, (promise, facts) in variants.items():
+            with self.subTest(what):
+                self.assertEqual(names(facts), {promise})
+
+    def test_what_a_fault_explains_is_no_finding(self) -> None:
+        lost = dataclasses.replace(ORDER, status=None, stamp="")
+        stops = {0: [Span(11.05, 12.0)]}
+        self.assertEqual(judge(facts_of([lost], [ORDER_RUN], stops=stops, faults=[Span(9.0, 9.5)])), [])
+        self.assertEqual(judge(facts_of([lost], [ORDER_RUN], stops={1: stops[0]})), [])
+        self.assertEqual(judge(facts_of([lost], [], stops=stops)), [])
+
+
+class RevisionWatchTests(unittest.TestCase):
+    """Steps back are found of one process, not of the one that follows it."""
+
+    def test_a_step_back_is_found(self) -> None:
+        watch = RevisionWatch()
+        in_force = {marker_path(6): 200}
+        self.assertIsNone(watch.look(0, 1, 6, lambda path: in_force.get(path, 404)))
+        self.assertIsNone(watch.look(0, 1, 3, lambda path: in_force.get(path, 404)))
+        self.assertIsNone(watch.look(0, 2, 3, lambda _: 200))
+        self.assertIsNotNone(watch.look(0, 1, 3, lambda _: 200))
+
+    def test_an_answer_that_tells_nothing_is_no_step(self) -> None:
+        watch = RevisionWatch()
+        self.assertIsNone(watch.look(0, 1, 6, lambda _: 200))
+        for status in (None, 404, 503):
+            self.assertIsNone(watch.look(0, 1, 3, lambda _, told=status: told))
+
+
+class PlanTests(unittest.TestCase):
+    """Plans."""
+
+    def test_a_seed_always_gives_the_same_plan(self) -> None:
+        self.assertEqual(make_plan(7, 6, 12.0, 10), make_plan(7, 6, 12.0, 10))
+        self.assertNotEqual(make_plan(7, 6, 12.0, 10), make_plan(8, 6, 12.0, 10))
+
+    def test_plans_come_in_order_and_overlap_and_have_every_kind(self) -> None:
+        plans = [make_plan(seed, 6, 12.0, 10) for seed in range(100)]
+        self.assertEqual({fault.kind for plan in plans for fault in plan}, set(Kind))
+        for plan in plans:
+            self.assertEqual(plan, sorted(plan, key=lambda fault: fault.at))
+        self.assertTrue(any(first.end > second.at for plan in plans for first, second in zip(plan, plan[1:])))
+
+
+if __name__ == "__main__":
+    unittest.main()
