End the process at once when its work has ended

Traced by writes to standard error in a scratch copy: main returns from serve(), then nothing; the handlers at exit, which end the logging library and wait for its own threads, do not come back there. Ruled out: the daemon's own threads and the log's writer, which have ended by then. Natively the same end takes 3 ms. Change: std::quick_exit after serve(): all is written and closed by then.

--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -104,5 +104,7 @@
         }
         return exit_bad_settings;
     }
-    return serve(std::get<settings::daemon_settings>(parsed), path);
+    // NOTE: a usual exit would wait for the logging library's own threads, which may never be heard of again;
+    // by now everything is written and closed.
+    std::quick_exit(serve(std::get<settings::daemon_settings>(parsed), path));
 }
