A backend server that said that it leaves never comes back

Change: gate::has_left; a life that deregistered or drains is not announced again, nor one before it.

--- a/scripts/lib/soak/endpoint.py
+++ b/scripts/lib/soak/endpoint.py
@@ -24,7 +24,8 @@
 LARGE_SHARE = 0.05
 LARGE_BYTES = 300_000
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
-SPARE_S = 3.0  # A leaving server serves on for this long after the acknowledgement.
+SPARE_S = 3.5  # A leaving server serves on for this long after the acknowledgement.
+DELAYED_S = 1.5  # A heartbeat from before its leaving arrives this long after.
 
 
 @dataclass
@@ -102,32 +103,47 @@
         self._ended.set()
         self.shut()
 
-    def drain(self) -> tuple[str, float | None]:
-        """Says that it leaves, serves on, and leaves; gives the instance and when it was acknowledged."""
+    def drain(self, abrupt: bool) -> tuple[str, float | None]:
+        """Leaves and gives the instance and when that was acknowledged. It says first that it drains; if it is abrupt
+        its first word is the farewell. A heartbeat from before comes late."""
         leaving = self.instance
-        self._state = "draining"
-        acknowledged = time.monotonic() if self._tell() else None
-        time.sleep(SPARE_S)
-        try:
-            calls.post_json(self._control, f"/api/Instances.Deregister/{leaving}", {"born": self._born_ms})
-        except OSError:
-            pass  # NOTE: a server that isn't heard leaves all the same.
+        delayed = self._next_heartbeat()
+        self._state = "left" if abrupt else "draining"
+        heard = self._say_farewell(leaving) if abrupt else self._post(self._next_heartbeat())
+        acknowledged = time.monotonic() if heard else None
+        time.sleep(DELAYED_S)
+        self._post(delayed)
+        time.sleep(SPARE_S - DELAYED_S)
+        if not abrupt:
+            self._say_farewell(leaving)
         self.shut()
         return leaving, acknowledged
 
+    def _say_farewell(self, leaving: str) -> bool:
+        """Says that an instance leaves; a server that isn't heard leaves all the same."""
+        try:
+            told = calls.post_json(self._control, f"/api/Instances.Deregister/{leaving}", {"born": self._born_ms})
+            return told.status == 200
+        except (OSError, calls.http.client.HTTPException):
+            return False
+
     def _beat(self) -> None:
         while not self._ended.wait(HEARTBEAT_S):
-            if self._server is not None:
-                self._tell()
+            if self._server is not None and self._state != "left":
+                self._post(self._next_heartbeat())
 
-    def _tell(self) -> bool:
-        """Sends a heartbeat; true if it was acknowledged."""
+    def _next_heartbeat(self) -> tuple[str, dict[str, object]]:
+        """Path and body of the next heartbeat."""
         with self._lock:
             self._sequence += 1
             told = {"Service": self.service, "Address": f"{self._address[0]}:{self._address[1]}", "Zone": "any",
                     "Version": "v1", "Slots": SLOTS, "State": self._state, "ColdRemainingMs": 0,
                     "Sequence": self._sequence, "born": self._born_ms}
-            path = f"/api/Instances.Heartbeat/{self.instance}"
+            return f"/api/Instances.Heartbeat/{self.instance}", told
+
+    def _post(self, heartbeat: tuple[str, dict[str, object]]) -> bool:
+        """Sends a heartbeat; true if it was acknowledged."""
+        path, told = heartbeat
         try:
             return calls.call(self._control, "POST", path, body=json.dumps(told).encode(),
                               headers={"Content-Type": "application/json"},
--- a/scripts/lib/soak/plan.py
+++ b/scripts/lib/soak/plan.py
@@ -30,10 +30,11 @@
     SERVER_FORGETS = "server forgets connections"
     SERVER_REFUSES = "server refuses"
     SERVER_DRAIN = "server drain"  # it says that it leaves, leaves, and another instance starts
+    SERVER_FAREWELL = "server farewell"  # the same without saying before that it leaves
     CONFIGURATION = "configuration"
 
 
-PLANNED = frozenset({Kind.STOP, Kind.RELOAD, Kind.SERVER_DRAIN, Kind.CONFIGURATION})
+PLANNED = frozenset({Kind.STOP, Kind.RELOAD, Kind.SERVER_DRAIN, Kind.SERVER_FAREWELL, Kind.CONFIGURATION})
 ALL_VMS = frozenset({Kind.HERD_KILL, Kind.STORE_DOWN, Kind.STORE_SLOW, Kind.STORE_LOSES_ANSWERS, Kind.CONFIGURATION})
 LONGEST_S = 4.0
 SHORTEST_S = 0.3
--- a/scripts/lib/soak/run.py
+++ b/scripts/lib/soak/run.py
@@ -109,7 +109,8 @@
             Kind.SERVER_CUTS_ANSWERS: lambda: self._set(vm.endpoint.misbehaviour, fault.duration, cuts_answers=True),
             Kind.SERVER_FORGETS: lambda: self._set(vm.endpoint.misbehaviour, fault.duration, forgets_connections=True),
             Kind.SERVER_REFUSES: lambda: self._set(vm.endpoint.misbehaviour, fault.duration, refuses=True),
-            Kind.SERVER_DRAIN: lambda: self._drain_server(vm, fault.duration),
+            Kind.SERVER_DRAIN: lambda: self._drain_server(vm, fault.duration, abrupt=False),
+            Kind.SERVER_FAREWELL: lambda: self._drain_server(vm, fault.duration, abrupt=True),
             Kind.CONFIGURATION: self.operator.change,
         }
         effects[fault.kind]()
@@ -167,9 +168,9 @@
             time.sleep(down_s)
             vm.endpoint.open()
 
-    def _drain_server(self, vm: Vm, down_s: float) -> None:
+    def _drain_server(self, vm: Vm, down_s: float, abrupt: bool) -> None:
         with vm.server_lock:
-            instance, acknowledged = vm.endpoint.drain()
+            instance, acknowledged = vm.endpoint.drain(abrupt)
             if acknowledged is not None:
                 self.facts.drained[instance] = acknowledged
             time.sleep(down_s)
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -98,7 +98,7 @@
     [[nodiscard]] platform::local_server_hooks local_hooks();
     void take_heartbeat(const platform::heartbeat& told);
     void take_deregistration(const std::string& id, std::uint64_t started_ms);
-    void leave_backend(const std::string& id);
+    void leave_backend(const gate::departed_life& leaving);
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
     void stop_gracefully();
@@ -143,7 +143,7 @@
     lifecycle::drain_watch m_drain_watch{m_clock};
     std::optional<platform::local_server> m_local; ///< Only on the users' platform.
     std::optional<gate::announcement_mark> m_newest_heartbeat;
-    std::string m_leaving_backend; ///< Id of the backend server that said that it leaves.
+    std::optional<gate::departed_life> m_departed_backend; ///< Said that it leaves; no other came since.
     core::steady_time m_callers_until;
     core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -67,17 +67,18 @@
 
 void daemon::take_heartbeat(const platform::heartbeat& told) {
     const gate::announcement_mark mark{told.id, told.started_ms, told.sequence};
-    if (gate::is_overtaken(m_newest_heartbeat, mark)) {
+    const bool comes_back = !told.draining && gate::has_left(m_departed_backend, mark);
+    if (comes_back || gate::is_overtaken(m_newest_heartbeat, mark)) {
         m_log.write(logging::event_id::heartbeat_late,
                     {{"id", told.id}, {"sequence", std::to_string(told.sequence)}});
         return;
     }
     m_newest_heartbeat = mark;
     if (told.draining) {
-        leave_backend(told.id);
+        leave_backend({told.id, told.started_ms});
         return;
     }
-    m_leaving_backend.clear();
+    m_departed_backend.reset();
     const auto rules = m_configuration.current();
     const auto* service = rules ? configuration::find_service(*rules, told.service) : nullptr;
     gate::backend_server server;
@@ -96,12 +97,14 @@
         m_newest_heartbeat &&
         (m_newest_heartbeat->id != id || (started_ms != 0 && started_ms < m_newest_heartbeat->started_ms));
     if (!is_of_earlier_life) {
-        leave_backend(id);
+        leave_backend({id, started_ms});
     }
 }
 
-void daemon::leave_backend(const std::string& id) {
-    if (std::exchange(m_leaving_backend, id) != id) {
+void daemon::leave_backend(const gate::departed_life& leaving) {
+    const bool is_known = m_departed_backend && m_departed_backend->id == leaving.id;
+    m_departed_backend = leaving;
+    if (!is_known) {
         begin_withdrawal();
     }
 }
--- a/src/gate/announcement_order.h
+++ b/src/gate/announcement_order.h
@@ -19,4 +19,15 @@
 [[nodiscard]] bool is_overtaken(const std::optional<announcement_mark>& newest,
                                 const announcement_mark& offered);
 
+/// A life that said that it leaves.
+struct departed_life {
+    std::string id;
+    std::uint64_t started_ms = 0; ///< Unix time of its start; 0 if it isn't told.
+};
+
+/// Whether `offered` comes from the life that leaves or from one before it. A life that leaves never comes
+/// back, whatever its sequence numbers say. Answers heartbeats that were delayed past the farewell, which
+/// bears no number, and daemons that were started anew and know of nothing earlier.
+[[nodiscard]] bool has_left(const std::optional<departed_life>& departed, const announcement_mark& offered);
+
 } // namespace monsoonlift::gate
--- a/src/gate/internal/announcement_order.cpp
+++ b/src/gate/internal/announcement_order.cpp
@@ -12,4 +12,14 @@
     return offered.id == newest->id && offered.sequence <= newest->sequence;
 }
 
+bool has_left(const std::optional<departed_life>& departed, const announcement_mark& offered) {
+    if (!departed || departed->started_ms == 0 || offered.started_ms == 0) {
+        return false;
+    }
+    if (offered.started_ms != departed->started_ms) {
+        return offered.started_ms < departed->started_ms;
+    }
+    return offered.id == departed->id;
+}
+
 } // namespace monsoonlift::gate
--- a/src/gate/tests/announcement_order_tests.cpp
+++ b/src/gate/tests/announcement_order_tests.cpp
@@ -29,3 +29,26 @@
     }
     CHECK_FALSE(is_overtaken(std::nullopt, {"a", 100, 1}));
 }
+
+TEST_CASE("a life that leaves never comes back", "[announcement_order]") {
+    struct leaving_case {
+        const char* what;
+        departed_life departed;
+        announcement_mark offered;
+        bool left;
+    };
+    const leaving_case cases[] = {
+        {"delayed past the farewell", {"a", 100}, {"a", 100, 22}, true},
+        {"of an earlier life", {"b", 200}, {"a", 100, 22}, true},
+        {"the next life", {"a", 100}, {"b", 200, 1}, false},
+        {"the next life under the same name", {"a", 100}, {"a", 200, 1}, false},
+        {"another one started at that time", {"a", 100}, {"b", 100, 1}, false},
+        {"the start of the one that left isn't told", {"a", 0}, {"a", 100, 1}, false},
+        {"the start of the one offered isn't told", {"a", 100}, {"a", 0, 1}, false},
+    };
+    for (const auto& wanted : cases) {
+        INFO(wanted.what);
+        CHECK(has_left(wanted.departed, wanted.offered) == wanted.left);
+    }
+    CHECK_FALSE(has_left(std::nullopt, {"a", 100, 1}));
+}
