End a rested connection when another one takes its place

Change: the rested one is closed then. Test first (its connection stayed open). Measurement: gate_tests pass.

--- a/src/gate/internal/backend_pool.cpp
+++ b/src/gate/internal/backend_pool.cpp
@@ -30,9 +30,14 @@
                                                  std::chrono::milliseconds longest_rest,
                                                  core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    while (!m_idle.empty() && now - m_idle.back()->idle_since <= longest_rest) {
+    while (!m_idle.empty()) {
         auto idle = std::move(m_idle.back());
         m_idle.pop_back();
+        // NOTE: it ends here, so that the one that takes its place doesn't add to the backend server's
+        // connections.
+        if (now - idle->idle_since > longest_rest) {
+            return nullptr;
+        }
         if (idle->address == address && is_quiet(idle->socket)) {
             return idle;
         }
--- a/src/gate/internal/backend_pool.h
+++ b/src/gate/internal/backend_pool.h
@@ -35,7 +35,8 @@
 
     explicit backend_pool(boost::asio::any_io_executor executor);
 
-    /// The connection to `address` used last, if it seems open and has rested no longer than `longest_rest`.
+    /// The connection to `address` used last, if it seems open and has rested no longer than `longest_rest`;
+    /// one that has rested longer is closed.
     [[nodiscard]] connection take_idle(const std::string& address, std::chrono::milliseconds longest_rest,
                                        core::steady_time now);
 
--- a/src/gate/tests/rested_connection_tests.cpp
+++ b/src/gate/tests/rested_connection_tests.cpp
@@ -107,6 +107,15 @@
     CHECK(gate.was_answered());
 }
 
+TEST_CASE("a connection that has rested too long ends when another one takes its place",
+          "[rested_connection]") {
+    rested_gate gate(2s);
+    gate.begin_request(false);
+    auto fresh = gate.rig.accept();
+    gate.answer(fresh);
+    CHECK_FALSE(gate.rig.read_request(gate.connection));
+}
+
 TEST_CASE("connections in use are shared by all calls", "[rested_connection]") {
     for (const bool idempotent : {true, false}) {
         rested_gate gate(0ms);
