A farewell of a life that has announced nothing yet counts

Change: gate::is_late_farewell decides by the start of the lives; by names only where no start is told.

--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -93,11 +93,9 @@
 }
 
 void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms) {
-    const bool is_of_earlier_life =
-        m_newest_heartbeat &&
-        (m_newest_heartbeat->id != id || (started_ms != 0 && started_ms < m_newest_heartbeat->started_ms));
-    if (!is_of_earlier_life) {
-        leave_backend({id, started_ms});
+    const gate::departed_life leaving{id, started_ms};
+    if (!gate::is_late_farewell(m_newest_heartbeat, leaving)) {
+        leave_backend(leaving);
     }
 }
 
--- a/src/gate/announcement_order.h
+++ b/src/gate/announcement_order.h
@@ -30,4 +30,9 @@
 /// bears no number, and daemons that were started anew and know of nothing earlier.
 [[nodiscard]] bool has_left(const std::optional<departed_life>& departed, const announcement_mark& offered);
 
+/// Whether a farewell comes from a life before that of `newest`, which it says nothing about. One of a later
+/// life, which has announced nothing yet, ends that of `newest` too: both had the same address.
+[[nodiscard]] bool is_late_farewell(const std::optional<announcement_mark>& newest,
+                                    const departed_life& leaving);
+
 } // namespace monsoonlift::gate
--- a/src/gate/internal/announcement_order.cpp
+++ b/src/gate/internal/announcement_order.cpp
@@ -22,4 +22,14 @@
     return offered.id == departed->id;
 }
 
+bool is_late_farewell(const std::optional<announcement_mark>& newest, const departed_life& leaving) {
+    if (!newest) {
+        return false;
+    }
+    if (leaving.started_ms == 0 || newest->started_ms == 0) {
+        return leaving.id != newest->id;
+    }
+    return leaving.started_ms < newest->started_ms;
+}
+
 } // namespace monsoonlift::gate
--- a/src/gate/tests/announcement_order_tests.cpp
+++ b/src/gate/tests/announcement_order_tests.cpp
@@ -52,3 +52,25 @@
     }
     CHECK_FALSE(has_left(std::nullopt, {"a", 100, 1}));
 }
+
+TEST_CASE("a farewell of an earlier life says nothing about the later one", "[announcement_order]") {
+    struct farewell_case {
+        const char* what;
+        announcement_mark newest;
+        departed_life leaving;
+        bool late;
+    };
+    const farewell_case cases[] = {
+        {"the life itself", {"a", 100, 4}, {"a", 100}, false},
+        {"of an earlier life", {"b", 200, 1}, {"a", 100}, true},
+        {"of an earlier life under the same name", {"a", 200, 1}, {"a", 100}, true},
+        {"of a later life that has announced nothing", {"a", 100, 4}, {"b", 200}, false},
+        {"no start is told, the same name", {"a", 100, 4}, {"a", 0}, false},
+        {"no start is told, another name", {"a", 100, 4}, {"b", 0}, true},
+    };
+    for (const auto& wanted : cases) {
+        INFO(wanted.what);
+        CHECK(is_late_farewell(wanted.newest, wanted.leaving) == wanted.late);
+    }
+    CHECK_FALSE(is_late_farewell(std::nullopt, {"a", 100}));
+}
