Don't hold a request for crashes between which it ended well

Change: a good end in the last minute, since the last death at a gate, speaks for a request: it is neither accused there nor held for reports of others. Giving a suspect up midway no longer clears it.

--- a/src/execution/crash_book.h
+++ b/src/execution/crash_book.h
@@ -2,8 +2,9 @@
 ///
 /// When a backend server dies while its daemon lives, what was in flight becomes suspect everywhere. A gate
 /// runs one suspect at a time, so that a second crash names its cause: whatever was in flight at both is
-/// held, what was only there is not. A suspect that ends well at a gate is cleared there. Holds end by time
-/// or by an operator.
+/// held, what was only there is not. A suspect that ends well at a gate is cleared there, and one that ended
+/// well there a moment ago is not accused: so a popular request isn't held for servers that died while it
+/// was there. Holds end by time or by an operator.
 #pragma once
 
 #include "core/clock.h"
@@ -26,7 +27,9 @@
 struct crash_limits {
     std::chrono::seconds suspicion{600}; ///< How long a suspect stays one.
     std::chrono::seconds hold{1800};     ///< How long a request is held.
+    std::chrono::seconds proof{60};      ///< How long a good end speaks for a request.
     std::size_t suspects = 4096;
+    std::size_t proven = 4096;  ///< Requests whose good ends are remembered.
     std::size_t reported = 100; ///< Fingerprints in one report.
 };
 
--- a/src/execution/crash_guard.h
+++ b/src/execution/crash_guard.h
@@ -1,9 +1,7 @@
 /// Quarantine at a gate, thread-safe, for every request, idempotent or not. How a gate uses it:
 ///
 ///   1. Before a request waits: admit(). `held` and `busy` are refused with not_run; Retry-After for `busy`.
-///   2. With `admitted`, exactly one end() when the request no longer runs; `broken` if the backend server
-///   closed
-///      the connection without a whole answer.
+///   2. With `admitted`, exactly one end() when the request no longer runs.
 ///   3. When the backend server died while this daemon lives and hasn't been withdrawn (a broken connection,
 ///   and
 ///      new connections are refused): backend_died().
@@ -38,6 +36,13 @@
     held  ///< It crashed two backend servers.
 };
 
+/// How an admitted request ended, as far as its guilt goes.
+enum class run_ending : std::uint8_t {
+    answered, ///< The backend server lived through it.
+    unclear,  ///< It did not run, or was given up before its end.
+    broken    ///< The backend server closed the connection without a whole answer.
+};
+
 /// A request that is held or suspect, for operators.
 struct quarantined_request {
     request_fingerprint request;
@@ -59,7 +64,7 @@
     [[nodiscard]] admittance admit(request_fingerprint request);
 
     /// An admitted request no longer runs.
-    void end(request_fingerprint request, bool broken);
+    void end(request_fingerprint request, run_ending ending);
 
     /// The backend server died; what was in flight becomes suspect everywhere.
     void backend_died();
@@ -83,6 +88,8 @@
     };
 
     [[nodiscard]] std::vector<request_fingerprint> take_in_flight(core::steady_time now);
+    void note_well(request_fingerprint request, core::steady_time now);
+    [[nodiscard]] bool is_proven(request_fingerprint request, core::steady_time now) const;
     void note(const crash_report& report, core::steady_time now);
 
     const core::clock& m_clock;
@@ -92,8 +99,9 @@
     mutable std::mutex m_mutex;
     crash_book m_book;
     std::map<request_fingerprint, unsigned> m_in_flight;
-    std::vector<broken_request> m_broken;          ///< Ended by a broken connection a moment ago.
-    std::optional<request_fingerprint> m_on_trial; ///< The suspect that runs here now.
+    std::vector<broken_request> m_broken; ///< Ended by a broken connection a moment ago.
+    std::map<request_fingerprint, core::steady_time> m_ended_well; ///< Latest, since the last crash here.
+    std::optional<request_fingerprint> m_on_trial;                 ///< The suspect that runs here now.
     std::uint64_t m_reports = 0;
 };
 
--- a/src/execution/internal/crash_guard.cpp
+++ b/src/execution/internal/crash_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <set>
 
 namespace monsoonlift::execution {
 
@@ -41,7 +42,7 @@
     return admittance::admitted;
 }
 
-void crash_guard::end(request_fingerprint request, bool broken) {
+void crash_guard::end(request_fingerprint request, run_ending ending) {
     const std::scoped_lock lock(m_mutex);
     const auto found = m_in_flight.find(request);
     if (found == m_in_flight.end()) {
@@ -50,34 +51,56 @@
     if (--found->second == 0) {
         m_in_flight.erase(found);
     }
-    if (broken) {
-        m_broken.push_back({request, m_clock.now()});
+    const auto now = m_clock.now();
+    if (ending == run_ending::broken) {
+        m_broken.push_back({request, now});
+    }
+    if (ending == run_ending::answered) {
+        note_well(request, now);
     }
     if (m_on_trial != request) {
         return;
     }
     m_on_trial.reset();
-    const bool is_cleared = !broken && look_up(m_book, request, m_clock.now()) == crash_state::suspect;
+    const bool is_cleared =
+        ending == run_ending::answered && look_up(m_book, request, now) == crash_state::suspect;
     if (is_cleared) {
         release(m_book, request);
     }
 }
 
 std::vector<request_fingerprint> crash_guard::take_in_flight(core::steady_time now) {
-    std::vector<request_fingerprint> gone;
+    std::set<request_fingerprint> gone;
     for (const auto& [request, count] : m_in_flight) {
-        gone.push_back(request);
+        gone.insert(request);
     }
     for (const broken_request& one : m_broken) {
         if (now - one.time <= broken_memory) {
-            gone.push_back(one.request);
+            gone.insert(one.request);
         }
     }
     m_broken.clear();
-    if (gone.size() > m_book.limits.reported) {
-        gone.resize(m_book.limits.reported);
+    std::vector<request_fingerprint> accused;
+    for (const request_fingerprint request : gone) {
+        if (!is_proven(request, now) && accused.size() < m_book.limits.reported) {
+            accused.push_back(request);
+        }
+        // NOTE: a good end speaks for one death only; a request that crashes servers from now on has none
+        // after it.
+        m_ended_well.erase(request);
     }
-    return gone;
+    return accused;
+}
+
+void crash_guard::note_well(request_fingerprint request, core::steady_time now) {
+    if (m_ended_well.size() < m_book.limits.proven || m_ended_well.contains(request)) {
+        m_ended_well[request] = now;
+    }
+}
+
+bool crash_guard::is_proven(request_fingerprint request, core::steady_time now) const {
+    const auto found = m_ended_well.find(request);
+    return found != m_ended_well.end() && now - found->second <= m_book.limits.proof;
 }
 
 void crash_guard::backend_died() {
@@ -100,7 +123,9 @@
     std::vector<request_fingerprint> held;
     {
         const std::scoped_lock lock(m_mutex);
-        held = note_crash(m_book, report, now);
+        crash_report accusing = report;
+        std::erase_if(accusing.in_flight, [&](request_fingerprint one) { return is_proven(one, now); });
+        held = note_crash(m_book, accusing, now);
     }
     for (const request_fingerprint request : held) {
         m_log.write(logging::event_id::request_quarantined,
@@ -149,6 +174,7 @@
 void crash_guard::expire() {
     const std::scoped_lock lock(m_mutex);
     execution::expire(m_book, m_clock.now());
+    std::erase_if(m_ended_well, [&](const auto& entry) { return !is_proven(entry.first, m_clock.now()); });
     std::erase_if(m_broken,
                   [&](const broken_request& one) { return m_clock.now() - one.time > broken_memory; });
 }
--- a/src/execution/tests/crash_tests.cpp
+++ b/src/execution/tests/crash_tests.cpp
@@ -51,7 +51,7 @@
             REQUIRE(gates[gate]->admit(one) == admittance::admitted);
         }
         for (const request_fingerprint one : in_flight) {
-            gates[gate]->end(one, true);
+            gates[gate]->end(one, run_ending::broken);
         }
         gates[gate]->backend_died();
     }
@@ -91,10 +91,10 @@
     crash_guard& gate = *fleet.gates[1];
     CHECK(gate.admit(bystander) == admittance::admitted);
     CHECK(gate.admit(poison) == admittance::busy);
-    gate.end(bystander, false);
+    gate.end(bystander, run_ending::answered);
     CHECK(gate.admit(poison) == admittance::admitted);
     CHECK(gate.admit(bystander) == admittance::admitted);
-    gate.end(poison, true);
+    gate.end(poison, run_ending::broken);
     gate.backend_died();
     fleet.deliver();
     CHECK(gate.admit(poison) == admittance::held);
@@ -111,14 +111,56 @@
     }
     for (std::size_t gate = 0; gate < 8; ++gate) {
         CHECK(fleet.gates[0]->admit({100 + gate}) != admittance::held);
-        fleet.gates[0]->end({100 + gate}, false);
+        fleet.gates[0]->end({100 + gate}, run_ending::answered);
     }
 }
 
+TEST_CASE("a request that ends well again and again is not accused by servers that die under it", "[crash]") {
+    fleet fleet(4);
+    for (std::size_t gate = 0; gate < 4; ++gate) {
+        REQUIRE(fleet.gates[gate]->admit(other) == admittance::admitted);
+        fleet.gates[gate]->end(other, run_ending::answered);
+    }
+    for (std::size_t gate = 0; gate < 3; ++gate) {
+        // NOTE: one more of the same content is still in flight when the server dies.
+        REQUIRE(fleet.gates[gate]->admit(other) == admittance::admitted);
+        fleet.crash(gate, gate < 2 ? std::vector{other, poison} : std::vector{other});
+        fleet.deliver();
+    }
+    for (const auto& gate : fleet.gates) {
+        CHECK(gate->admit(other) == admittance::admitted);
+        CHECK(gate->admit(poison) == admittance::held);
+    }
+}
+
+TEST_CASE("a request that has ended well and crashes servers since is held", "[crash]") {
+    fleet fleet(2);
+    REQUIRE(fleet.gates[0]->admit(poison) == admittance::admitted);
+    fleet.gates[0]->end(poison, run_ending::answered);
+    fleet.crash(0, {poison});
+    fleet.crash(0, {poison});
+    fleet.deliver();
+    fleet.crash(1, {poison});
+    fleet.deliver();
+    CHECK(fleet.gates[0]->admit(poison) == admittance::held);
+    CHECK(fleet.gates[1]->admit(poison) == admittance::held);
+}
+
+TEST_CASE("a suspect that was given up is no better for it", "[crash]") {
+    fleet fleet(2);
+    fleet.crash(0, {poison});
+    fleet.deliver();
+    crash_guard& gate = *fleet.gates[1];
+    REQUIRE(gate.admit(poison) == admittance::admitted);
+    gate.end(poison, run_ending::unclear);
+    REQUIRE(gate.requests().size() == 1);
+    CHECK(gate.requests().front().crashes == 1);
+}
+
 TEST_CASE("a broken connection without a death accuses nobody", "[crash]") {
     fleet fleet(1);
     REQUIRE(fleet.gates[0]->admit(poison) == admittance::admitted);
-    fleet.gates[0]->end(poison, true);
+    fleet.gates[0]->end(poison, run_ending::broken);
     fleet.clock.advance(3s);
     fleet.gates[0]->backend_died();
     CHECK(fleet.rumors.empty());
--- a/src/gate/internal/gate_execution.cpp
+++ b/src/gate/internal/gate_execution.cpp
@@ -15,6 +15,13 @@
 /// Answers above this size are not kept by the records either.
 constexpr std::size_t largest_kept_answer = 16 * 1024;
 
+execution::run_ending ending_of(const run_report& report) {
+    if (report.broken) {
+        return execution::run_ending::broken;
+    }
+    return report.answered ? execution::run_ending::answered : execution::run_ending::unclear;
+}
+
 end_reason reason_of(begin_reason reason) {
     switch (reason) {
     case begin_reason::key_conflict:
@@ -196,7 +203,7 @@
 
 void gate_call::end_execution() {
     if (std::exchange(m_admitted, false)) {
-        m_env.crashes.end(m_fingerprint, m_report.broken);
+        m_env.crashes.end(m_fingerprint, ending_of(m_report));
     }
     if (!std::exchange(m_execution_begun, false)) {
         return;
