--- a/src/membership/internal/swim_gossip.h
+++ b/src/membership/internal/swim_gossip.h
@@ -14,9 +14,9 @@
 /// Tells several members at once what the allowance bears, and at least the revision.
 [[nodiscard]] std::vector<outgoing_message> push(swim_state& state);
 
-/// Begins to tell this daemon's own record to other members, whatever the allowance. Answers fleets that start
-/// at once: all owe for the tables they have exchanged, and until that is paid nobody would hear of a backend
-/// server.
+/// Begins to tell this daemon's own record to other members, whatever the allowance. Answers fleets that
+/// start at once: all owe for the tables they have exchanged, and until that is paid nobody would hear of a
+/// backend server.
 [[nodiscard]] std::vector<outgoing_message> begin_telling(swim_state& state);
 
 /// Tells it to some more of them when that is due.
