Tests of rested connections begin at the machine's time; orders are alike where they must be

Ruled out: the product; load (the three failing cases are those that go through the timers). Change: clocks that stand still from the machine's time on, so that no pause of the test counts either; one function gives an order's body. Conclusion: both faults were the tests'.

--- a/src/app/monsoonliftd/tests/call_process_tests.py
+++ b/src/app/monsoonliftd/tests/call_process_tests.py
@@ -93,6 +93,11 @@
         return answer
 
 
+def order_of(key: str) -> bytes:
+    """The content of an order; a crash accuses no content that ended well a moment ago, so each has its own."""
+    return f"order={key}".encode()
+
+
 def open_caller(address: str) -> http.client.HTTPConnection:
     """A caller's connection, which is kept between its requests."""
     host, port = address.rsplit(":", 1)
@@ -220,8 +225,7 @@
         return fleet
 
     def dispatch(self, entry: str, key: str, patience_s: float = 8.0) -> calls.Answer:
-        # NOTE: each order has a content of its own; a crash accuses no content that ended well a moment ago.
-        return calls.call(entry, "POST", "/dispatches?token=t", body=f"order={key}".encode(), patience_s=patience_s,
+        return calls.call(entry, "POST", "/dispatches?token=t", body=order_of(key), patience_s=patience_s,
                           headers={"Monsoonlift-Service": "squadre", "Idempotency-Key": key})
 
     def settle(self, fleet: Fleet, entry: str, key: str) -> calls.Answer:
@@ -505,7 +509,7 @@
         entry = fleet.daemons[1].caller
         self.settle(fleet, entry, "warm-up")
         fleet.daemons[0].process.signal(signal.SIGSTOP)
-        answer = calls.call(entry, "POST", "/dispatches?token=t", body=b"crew=7",
+        answer = calls.call(entry, "POST", "/dispatches?token=t", body=order_of("late"),
                             headers={"Monsoonlift-Service": "squadre", "Idempotency-Key": "late",
                                      "Monsoonlift-Timeout-Ms": "500"})
         fleet.daemons[0].process.signal(signal.SIGCONT)
--- a/src/gate/tests/rested_connection_tests.cpp
+++ b/src/gate/tests/rested_connection_tests.cpp
@@ -1,8 +1,8 @@
 // Backend servers that forget idle connections: what is sent on one next is lost with it.
+#include "core/system_clock.h"
 #include "gate/connection_rest.h"
 #include "gate/tests/gate_rig.h"
 #include "gate/tests/request_frame.h"
-#include "testing/manual_clock.h"
 
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -18,6 +18,23 @@
 
 const std::string whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright";
 
+/// Clocks that stand still until a test sets them ahead. NOTE: they begin at the machine's time, because
+/// deadlines set timers of the machine too.
+class standing_clock final : public core::clock {
+public:
+    [[nodiscard]] core::steady_time now() const override { return m_now; }
+    [[nodiscard]] core::wall_time wall_now() const override { return m_wall_now; }
+
+    void advance(std::chrono::milliseconds step) {
+        m_now += step;
+        m_wall_now += step;
+    }
+
+private:
+    core::steady_time m_now = core::system_clock().now();
+    core::wall_time m_wall_now = core::system_clock().wall_now();
+};
+
 /// A gate with one connection to its backend server that rests.
 struct rested_gate {
     explicit rested_gate(std::chrono::milliseconds rest) {
@@ -54,7 +71,7 @@
                std::holds_alternative<transport::response_head>(rig.sender.sent.front().payload);
     }
 
-    testing::manual_clock clock;
+    standing_clock clock;
     tests::gate_rig rig{clock};
     tcp::socket connection{rig.io};
     std::uint64_t calls = 0;
