Log each farewell, and what a heartbeat is compared with

An incident could not be explained: a farewell left no line, a late heartbeat didn't say what had overtaken it, and the lines that tell that a backend server comes and goes were left out on busy seconds. No logic is changed.

--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -98,7 +98,8 @@
     [[nodiscard]] platform::local_server_hooks local_hooks();
     void take_heartbeat(const platform::heartbeat& told);
     void take_deregistration(const std::string& id, std::uint64_t started_ms);
-    void leave_backend(const gate::departed_life& leaving);
+    void leave_backend(const gate::departed_life& leaving, const char* how);
+    void note_farewell(const gate::departed_life& leaving, const char* how, const char* outcome);
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
     void stop_gracefully();
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -10,6 +10,26 @@
 
 namespace monsoonlift::app {
 
+namespace {
+
+std::string text_of(const gate::announcement_mark& mark) {
+    return mark.id + "/" + std::to_string(mark.started_ms) + "/" + std::to_string(mark.sequence);
+}
+
+std::string text_of(const gate::departed_life& life) {
+    return life.id + "/" + std::to_string(life.started_ms);
+}
+
+template <class T> std::string text_of(const std::optional<T>& known) {
+    return known ? text_of(*known) : "none";
+}
+
+bool is_same_life(const std::optional<gate::announcement_mark>& newest, const gate::announcement_mark& mark) {
+    return newest && newest->id == mark.id && newest->started_ms == mark.started_ms;
+}
+
+} // namespace
+
 admin::admin_response daemon::announce(const admin::admin_request& request) {
     const auto parsed = admin::parse_announcement(request.body);
     if (const auto* wrong = std::get_if<admin::announcement_error>(&parsed)) {
@@ -69,13 +89,21 @@
     const gate::announcement_mark mark{told.id, told.started_ms, told.sequence};
     const bool comes_back = !told.draining && gate::has_left(m_departed_backend, mark);
     if (comes_back || gate::is_overtaken(m_newest_heartbeat, mark)) {
-        m_log.write(logging::event_id::heartbeat_late,
-                    {{"id", told.id}, {"sequence", std::to_string(told.sequence)}});
+        m_log.write(logging::event_id::heartbeat_late, {{"heartbeat", text_of(mark)},
+                                                        {"newest", text_of(m_newest_heartbeat)},
+                                                        {"left", text_of(m_departed_backend)}});
         return;
     }
+    const bool is_new_life =
+        !is_same_life(m_newest_heartbeat, mark) || (m_departed_backend && !told.draining);
+    if (is_new_life) {
+        m_log.write(logging::event_id::backend_life_heard, {{"heartbeat", text_of(mark)},
+                                                            {"newest", text_of(m_newest_heartbeat)},
+                                                            {"left", text_of(m_departed_backend)}});
+    }
     m_newest_heartbeat = mark;
     if (told.draining) {
-        leave_backend({told.id, told.started_ms});
+        leave_backend({told.id, told.started_ms}, "draining");
         return;
     }
     m_departed_backend.reset();
@@ -94,13 +122,26 @@
 
 void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms) {
     const gate::departed_life leaving{id, started_ms};
-    if (!gate::is_late_farewell(m_newest_heartbeat, leaving)) {
-        leave_backend(leaving);
+    if (gate::is_late_farewell(m_newest_heartbeat, leaving)) {
+        note_farewell(leaving, "deregistered", "of an earlier start, not used");
+        return;
     }
+    leave_backend(leaving, "deregistered");
 }
 
-void daemon::leave_backend(const gate::departed_life& leaving) {
+void daemon::note_farewell(const gate::departed_life& leaving, const char* how, const char* outcome) {
+    m_log.write(logging::event_id::backend_leaving, {{"life", text_of(leaving)},
+                                                     {"how", how},
+                                                     {"newest", text_of(m_newest_heartbeat)},
+                                                     {"left", text_of(m_departed_backend)},
+                                                     {"outcome", outcome}});
+}
+
+void daemon::leave_backend(const gate::departed_life& leaving, const char* how) {
     const bool is_known = m_departed_backend && m_departed_backend->id == leaving.id;
+    if (!is_known) {
+        note_farewell(leaving, how, "its service is withdrawn");
+    }
     m_departed_backend = leaving;
     if (!is_known) {
         begin_withdrawal();
