--- a/scripts/lib/soak/endpoint.py
+++ b/scripts/lib/soak/endpoint.py
@@ -107,12 +107,12 @@
         """Leaves and gives the instance and when that was acknowledged. It says first that it drains; if it is abrupt
         its first word is the farewell. A heartbeat from before comes late."""
         leaving = self.instance
-        delayed = self._next_heartbeat()
+        delayed = self.next_heartbeat()
         self._state = "left" if abrupt else "draining"
-        heard = self._say_farewell(leaving) if abrupt else self._post(self._next_heartbeat())
+        heard = self._say_farewell(leaving) if abrupt else self.post(self.next_heartbeat())
         acknowledged = time.monotonic() if heard else None
         time.sleep(DELAYED_S)
-        self._post(delayed)
+        self.post(delayed)
         time.sleep(SPARE_S - DELAYED_S)
         if not abrupt:
             self._say_farewell(leaving)
@@ -130,9 +130,9 @@
     def _beat(self) -> None:
         while not self._ended.wait(HEARTBEAT_S):
             if self._server is not None and self._state != "left":
-                self._post(self._next_heartbeat())
+                self.post(self.next_heartbeat())
 
-    def _next_heartbeat(self) -> tuple[str, dict[str, object]]:
+    def next_heartbeat(self) -> tuple[str, dict[str, object]]:
         """Path and body of the next heartbeat."""
         with self._lock:
             self._sequence += 1
@@ -141,7 +141,7 @@
                     "Sequence": self._sequence, "born": self._born_ms}
             return f"/api/Instances.Heartbeat/{self.instance}", told
 
-    def _post(self, heartbeat: tuple[str, dict[str, object]]) -> bool:
+    def post(self, heartbeat: tuple[str, dict[str, object]]) -> bool:
         """Sends a heartbeat; true if it was acknowledged."""
         path, told = heartbeat
         try:
