A farewell without start time shuts out the life that it names

Callers' requests were run by a backend server 2.28 s after its leaving was acknowledged (2.0 s is the bound). Cause: the platform's farewell (deregistration) has no body, so it tells no start time, and gate::has_left answered 'no' whenever a start time was missing.

Now a farewell without start is completed from the newest announcement of its name; where there is none, a life of that name that started before the farewell was heard is the one that left. What one process knows of the server's starts, and what each announcement changes, moved from the daemon into free functions (gate/backend_lives). daemon::leave_backend compared names only, has_left lives; both are one rule now.

Two rows of announcement_order_tests asserted the fault ('the start of the one that left isn't told', 'of the one offered': may come back). They are replaced by seven rows that assert both sides of the rule.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -67,6 +67,7 @@
     add_metrics();
     m_admin.start();
     if (m_local) {
+        static_cast<void>(gate::learn_past(m_lives, std::nullopt));
         m_local->start();
     }
     await_signals();
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -9,7 +9,7 @@
 #include "execution/crash_guard.h"
 #include "execution/execution_ledger.h"
 #include "execution/home_keeper.h"
-#include "gate/announcement_order.h"
+#include "gate/backend_lives.h"
 #include "gate/gate_service.h"
 #include "lifecycle/daemon_lifecycle.h"
 #include "lifecycle/drain_watch.h"
@@ -98,8 +98,11 @@
     [[nodiscard]] platform::local_server_hooks local_hooks();
     void take_heartbeat(const platform::heartbeat& told);
     void take_deregistration(const std::string& id, std::uint64_t started_ms);
-    void leave_backend(const gate::departed_life& leaving, const char* how);
-    void note_farewell(const gate::departed_life& leaving, const char* how, const char* outcome);
+    void note_heartbeat(const gate::backend_lives& before, const gate::announcement_mark& mark,
+                        gate::announcement_effect effect);
+    void serve_backend(const platform::heartbeat& told);
+    void leave_backend(const char* how);
+    void note_farewell(const core::departed_life& leaving, const char* how, const char* outcome);
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
     void stop_gracefully();
@@ -143,8 +146,7 @@
     std::unique_ptr<execution::home_keeper> m_homes;
     lifecycle::drain_watch m_drain_watch{m_clock};
     std::optional<platform::local_server> m_local; ///< Only on the users' platform.
-    std::optional<gate::announcement_mark> m_newest_heartbeat;
-    std::optional<gate::departed_life> m_departed_backend; ///< Said that it leaves; no other came since.
+    gate::backend_lives m_lives;                   ///< Of the platform's backend server beside this daemon.
     core::steady_time m_callers_until;
     core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <chrono>
 #include <utility>
 
 namespace monsoonlift::app {
@@ -16,7 +17,7 @@
     return mark.id + "/" + std::to_string(mark.started_ms) + "/" + std::to_string(mark.sequence);
 }
 
-std::string text_of(const gate::departed_life& life) {
+std::string text_of(const core::departed_life& life) {
     return life.id + "/" + std::to_string(life.started_ms);
 }
 
@@ -24,8 +25,10 @@
     return known ? text_of(*known) : "none";
 }
 
-bool is_same_life(const std::optional<gate::announcement_mark>& newest, const gate::announcement_mark& mark) {
-    return newest && newest->id == mark.id && newest->started_ms == mark.started_ms;
+std::uint64_t unix_ms(core::wall_time time) {
+    const auto since_epoch = time.time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
 }
 
 } // namespace
@@ -87,26 +90,31 @@
 
 void daemon::take_heartbeat(const platform::heartbeat& told) {
     const gate::announcement_mark mark{told.id, told.started_ms, told.sequence};
-    const bool comes_back = !told.draining && gate::has_left(m_departed_backend, mark);
-    if (comes_back || gate::is_overtaken(m_newest_heartbeat, mark)) {
-        m_log.write(logging::event_id::heartbeat_late, {{"heartbeat", text_of(mark)},
-                                                        {"newest", text_of(m_newest_heartbeat)},
-                                                        {"left", text_of(m_departed_backend)}});
-        return;
+    const auto before = m_lives;
+    const auto effect = told.draining ? gate::hear_draining(m_lives, mark, unix_ms(m_clock.wall_now()))
+                                      : gate::hear_ready(m_lives, mark, m_clock.now());
+    note_heartbeat(before, mark, effect);
+    if (effect == gate::announcement_effect::leaves) {
+        leave_backend("draining");
     }
-    const bool is_new_life =
-        !is_same_life(m_newest_heartbeat, mark) || (m_departed_backend && !told.draining);
-    if (is_new_life) {
-        m_log.write(logging::event_id::backend_life_heard, {{"heartbeat", text_of(mark)},
-                                                            {"newest", text_of(m_newest_heartbeat)},
-                                                            {"left", text_of(m_departed_backend)}});
+    if (!told.draining && m_lives.serves && effect != gate::announcement_effect::late) {
+        serve_backend(told);
     }
-    m_newest_heartbeat = mark;
-    if (told.draining) {
-        leave_backend({told.id, told.started_ms}, "draining");
-        return;
+}
+
+void daemon::note_heartbeat(const gate::backend_lives& before, const gate::announcement_mark& mark,
+                            gate::announcement_effect effect) {
+    const bool is_late = effect == gate::announcement_effect::late;
+    if (is_late || effect == gate::announcement_effect::opens) {
+        const auto event =
+            is_late ? logging::event_id::heartbeat_late : logging::event_id::backend_life_heard;
+        m_log.write(event, {{"heartbeat", text_of(mark)},
+                            {"newest", text_of(before.newest)},
+                            {"left", text_of(before.departed)}});
     }
-    m_departed_backend.reset();
+}
+
+void daemon::serve_backend(const platform::heartbeat& told) {
     const auto rules = m_configuration.current();
     const auto* service = rules ? configuration::find_service(*rules, told.service) : nullptr;
     gate::backend_server server;
@@ -121,31 +129,26 @@
 }
 
 void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms) {
-    const gate::departed_life leaving{id, started_ms};
-    if (gate::is_late_farewell(m_newest_heartbeat, leaving)) {
+    const core::departed_life leaving{id, started_ms, unix_ms(m_clock.wall_now())};
+    const auto effect = gate::hear_farewell(m_lives, leaving);
+    if (effect == gate::announcement_effect::late) {
         note_farewell(leaving, "deregistered", "of an earlier start, not used");
-        return;
     }
-    leave_backend(leaving, "deregistered");
+    if (effect == gate::announcement_effect::leaves) {
+        leave_backend("deregistered");
+    }
 }
 
-void daemon::note_farewell(const gate::departed_life& leaving, const char* how, const char* outcome) {
+void daemon::note_farewell(const core::departed_life& leaving, const char* how, const char* outcome) {
     m_log.write(logging::event_id::backend_leaving, {{"life", text_of(leaving)},
                                                      {"how", how},
-                                                     {"newest", text_of(m_newest_heartbeat)},
-                                                     {"left", text_of(m_departed_backend)},
+                                                     {"newest", text_of(m_lives.newest)},
                                                      {"outcome", outcome}});
 }
 
-void daemon::leave_backend(const gate::departed_life& leaving, const char* how) {
-    const bool is_known = m_departed_backend && m_departed_backend->id == leaving.id;
-    if (!is_known) {
-        note_farewell(leaving, how, "its service is withdrawn");
-    }
-    m_departed_backend = leaving;
-    if (!is_known) {
-        begin_withdrawal();
-    }
+void daemon::leave_backend(const char* how) {
+    note_farewell(*m_lives.departed, how, "its service is withdrawn");
+    begin_withdrawal();
 }
 
 } // namespace monsoonlift::app
--- a/src/gate/announcement_order.h
+++ b/src/gate/announcement_order.h
@@ -1,6 +1,8 @@
 /// Which announcements of a backend server are overtaken by later ones.
 #pragma once
 
+#include "core/types/departed_life.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,25 +16,25 @@
     std::uint64_t sequence = 0;   ///< Rises within one life.
 };
 
+/// Whether both are of one life.
+[[nodiscard]] bool is_same_life(const std::optional<announcement_mark>& known,
+                                const announcement_mark& offered);
+
 /// Whether `offered` was sent before `newest`: by an earlier life, or earlier in the same life. Answers
 /// heartbeats that a cut delayed and that arrive after their sender's successor has announced itself.
 [[nodiscard]] bool is_overtaken(const std::optional<announcement_mark>& newest,
                                 const announcement_mark& offered);
 
-/// A life that said that it leaves.
-struct departed_life {
-    std::string id;
-    std::uint64_t started_ms = 0; ///< Unix time of its start; 0 if it isn't told.
-};
-
 /// Whether `offered` comes from the life that leaves or from one before it. A life that leaves never comes
-/// back, whatever its sequence numbers say. Answers heartbeats that were delayed past the farewell, which
-/// bears no number, and daemons that were started anew and know of nothing earlier.
-[[nodiscard]] bool has_left(const std::optional<departed_life>& departed, const announcement_mark& offered);
+/// back, whatever its sequence numbers say. If the farewell told no start, a life of its name that started
+/// before the farewell was heard is the one that leaves. Answers heartbeats that were delayed past the
+/// farewell, which bears no number.
+[[nodiscard]] bool has_left(const std::optional<core::departed_life>& departed,
+                            const announcement_mark& offered);
 
 /// Whether a farewell comes from a life before that of `newest`, which it says nothing about. One of a later
 /// life, which has announced nothing yet, ends that of `newest` too: both had the same address.
 [[nodiscard]] bool is_late_farewell(const std::optional<announcement_mark>& newest,
-                                    const departed_life& leaving);
+                                    const core::departed_life& leaving);
 
 } // namespace monsoonlift::gate
--- a/src/gate/internal/announcement_order.cpp
+++ b/src/gate/internal/announcement_order.cpp
@@ -2,6 +2,10 @@
 
 namespace monsoonlift::gate {
 
+bool is_same_life(const std::optional<announcement_mark>& known, const announcement_mark& offered) {
+    return known && known->id == offered.id && known->started_ms == offered.started_ms;
+}
+
 bool is_overtaken(const std::optional<announcement_mark>& newest, const announcement_mark& offered) {
     if (!newest) {
         return false;
@@ -12,17 +16,21 @@
     return offered.id == newest->id && offered.sequence <= newest->sequence;
 }
 
-bool has_left(const std::optional<departed_life>& departed, const announcement_mark& offered) {
-    if (!departed || departed->started_ms == 0 || offered.started_ms == 0) {
+bool has_left(const std::optional<core::departed_life>& departed, const announcement_mark& offered) {
+    if (!departed) {
         return false;
     }
-    if (offered.started_ms != departed->started_ms) {
-        return offered.started_ms < departed->started_ms;
+    const bool both_told = departed->started_ms != 0 && offered.started_ms != 0;
+    if (departed->id != offered.id) {
+        return both_told && offered.started_ms < departed->started_ms;
+    }
+    if (both_told) {
+        return offered.started_ms <= departed->started_ms;
     }
-    return offered.id == departed->id;
+    return departed->heard_ms == 0 || offered.started_ms <= departed->heard_ms;
 }
 
-bool is_late_farewell(const std::optional<announcement_mark>& newest, const departed_life& leaving) {
+bool is_late_farewell(const std::optional<announcement_mark>& newest, const core::departed_life& leaving) {
     if (!newest) {
         return false;
     }
--- a/src/gate/tests/announcement_order_tests.cpp
+++ b/src/gate/tests/announcement_order_tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace monsoonlift::gate;
+using monsoonlift::core::departed_life;
 
 TEST_CASE("an announcement is overtaken by a later one of its life and by any of a later life",
           "[announcement_order]") {
@@ -43,8 +44,13 @@
         {"the next life", {"a", 100}, {"b", 200, 1}, false},
         {"the next life under the same name", {"a", 100}, {"a", 200, 1}, false},
         {"another one started at that time", {"a", 100}, {"b", 100, 1}, false},
-        {"the start of the one that left isn't told", {"a", 0}, {"a", 100, 1}, false},
-        {"the start of the one offered isn't told", {"a", 100}, {"a", 0, 1}, false},
+        {"the farewell told no start and came after this one's", {"a", 0, 500}, {"a", 100, 1}, true},
+        {"the farewell told no start and came before this one's", {"a", 0, 500}, {"a", 600, 1}, false},
+        {"the farewell told no start, another name", {"a", 0, 500}, {"b", 100, 1}, false},
+        {"the farewell told neither a start nor when it came", {"a", 0, 0}, {"a", 100, 1}, true},
+        {"the start of the one offered isn't told", {"a", 100}, {"a", 0, 1}, true},
+        {"the start of the one offered isn't told, another name", {"a", 100}, {"b", 0, 1}, false},
+        {"no start is told at all", {"a", 0, 500}, {"a", 0, 1}, true},
     };
     for (const auto& wanted : cases) {
         INFO(wanted.what);
--- /dev/null
+++ b/src/gate/tests/backend_lives_tests.cpp
@@ -0,0 +1,78 @@
+#include "gate/backend_lives.h"
+
+#include "testing/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace monsoonlift;
+using namespace monsoonlift::gate;
+using namespace std::chrono_literals;
+using effect = announcement_effect;
+
+namespace {
+
+constexpr std::uint64_t farewell_ms = 5000;
+
+/// A process that knows what earlier ones heard.
+backend_lives settled() {
+    backend_lives lives;
+    static_cast<void>(learn_past(lives, std::nullopt));
+    return lives;
+}
+
+} // namespace
+
+TEST_CASE("a late heartbeat after a farewell without start time opens no gate", "[backend_lives]") {
+    const testing::manual_clock clock;
+    auto lives = settled();
+    CHECK(hear_ready(lives, {"a", 100, 20}, clock.now()) == effect::opens);
+    CHECK(hear_farewell(lives, {"a", 0, farewell_ms}) == effect::leaves);
+    CHECK(lives.departed->started_ms == 100);
+    CHECK(hear_ready(lives, {"a", 100, 21}, clock.now()) == effect::late);
+    CHECK_FALSE(lives.serves);
+    CHECK(hear_farewell(lives, {"a", 0, farewell_ms + 10}) == effect::again);
+}
+
+TEST_CASE("a late heartbeat opens no gate of a process that was told only the farewell", "[backend_lives]") {
+    const testing::manual_clock clock;
+    auto lives = settled();
+    CHECK(hear_farewell(lives, {"a", 0, farewell_ms}) == effect::leaves);
+    CHECK(hear_ready(lives, {"a", 100, 21}, clock.now()) == effect::late);
+    CHECK_FALSE(lives.serves);
+}
+
+TEST_CASE("the next life serves after a farewell, also under the same name", "[backend_lives]") {
+    const testing::manual_clock clock;
+    for (const std::uint64_t told_start : {0, 100}) {
+        for (const std::string next : {"a", "b"}) {
+            INFO(told_start << " " << next);
+            auto lives = settled();
+            CHECK(hear_farewell(lives, {"a", told_start, farewell_ms}) == effect::leaves);
+            CHECK(hear_ready(lives, {next, farewell_ms + 1, 1}, clock.now()) == effect::opens);
+            CHECK(lives.serves);
+            CHECK(hear_ready(lives, {next, farewell_ms + 1, 2}, clock.now()) == effect::again);
+            CHECK(hear_ready(lives, {"a", 100, 22}, clock.now()) == effect::late);
+            CHECK(lives.serves);
+        }
+    }
+}
+
+TEST_CASE("a server that drains gets no work, and its farewell says nothing new", "[backend_lives]") {
+    const testing::manual_clock clock;
+    auto lives = settled();
+    CHECK(hear_ready(lives, {"a", 100, 1}, clock.now()) == effect::opens);
+    CHECK(hear_draining(lives, {"a", 100, 3}, farewell_ms) == effect::leaves);
+    CHECK(hear_ready(lives, {"a", 100, 2}, clock.now()) == effect::late);
+    CHECK(hear_draining(lives, {"a", 100, 4}, farewell_ms) == effect::again);
+    CHECK(hear_farewell(lives, {"a", 0, farewell_ms}) == effect::again);
+    CHECK_FALSE(lives.serves);
+}
+
+TEST_CASE("a farewell of an earlier life leaves the later one at work", "[backend_lives]") {
+    const testing::manual_clock clock;
+    auto lives = settled();
+    CHECK(hear_ready(lives, {"b", 200, 1}, clock.now()) == effect::opens);
+    CHECK(hear_farewell(lives, {"a", 100, farewell_ms}) == effect::late);
+    CHECK(hear_draining(lives, {"a", 100, 9}, farewell_ms) == effect::late);
+    CHECK(lives.serves);
+}
