A farewell outlives the process that heard it

Callers' requests were run by a backend server after its leaving was acknowledged, when the daemon's process ended in between: the next process was told nothing, and a heartbeat from before the farewell opened its gate. Cause: the acknowledgement is a promise, but what it rests on was in the memory of one process alone; it was even given before that process had looked at the farewell.

The farewell is written into the daemon's member object before it is acknowledged, the next process finds it by the conflict of the write that it makes anyway, and a planned stop leaves the object there. Admin routes may answer later. The member object's writes and its listings had one timer, so that a failed listing could drop the retry of a write; each has a pause of its own now, on a scheduler that tests move.

--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -29,6 +29,12 @@
 
 using admin_handler = std::function<admin_response(const admin_request&)>;
 
+/// Sends the answer of one request; called once, from any thread.
+using admin_reply = std::function<void(admin_response)>;
+
+/// Answers later; what it never answers keeps its connection until the caller leaves or the server ends.
+using deferred_handler = std::function<void(const admin_request&, admin_reply)>;
+
 /// Whether a route asks for the token.
 enum class access { open, token };
 
@@ -54,6 +60,10 @@
     /// Handlers may run on any thread.
     void route(const std::string& method, const std::string& path, access needed, admin_handler handler);
 
+    /// The same for a handler that answers later.
+    void route_deferred(const std::string& method, const std::string& path, access needed,
+                        deferred_handler handler);
+
     /// Begins to accept connections.
     void start();
 
--- a/src/admin/internal/admin_server.cpp
+++ b/src/admin/internal/admin_server.cpp
@@ -3,10 +3,12 @@
 #include "network/address_text.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/async_result.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -18,7 +20,9 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <utility>
+#include <variant>
 
 namespace monsoonlift::admin {
 
@@ -35,9 +39,25 @@
 
 struct route_entry {
     access needed = access::open;
-    admin_handler handler;
+    std::variant<admin_handler, deferred_handler> handler;
 };
 
+/// Waits for the answer of a handler that answers later; goes on where the coroutine runs.
+boost::asio::awaitable<admin_response> answer_of(const deferred_handler& handler,
+                                                 const admin_request& request) {
+    const auto start = [&](auto done) {
+        auto kept = std::make_shared<decltype(done)>(std::move(done));
+        handler(request, [kept](admin_response told) {
+            const auto executor = boost::asio::get_associated_executor(*kept);
+            boost::asio::post(
+                executor, [kept, told = std::move(told)]() mutable { std::move (*kept)(std::move(told)); });
+        });
+    };
+    using token = const boost::asio::use_awaitable_t<>&;
+    co_return co_await boost::asio::async_initiate<token, void(admin_response)>(start,
+                                                                                boost::asio::use_awaitable);
+}
+
 bool same_secret(std::string_view left, std::string_view right) {
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
@@ -57,8 +77,8 @@
     admin_state(network::listening_acceptor connections, std::string token, logging::event_log& log)
         : m_log(log), m_acceptor(std::move(connections)), m_token(std::move(token)) {}
 
-    void route(const std::string& method, const std::string& path, access needed, admin_handler handler) {
-        m_routes[path][method] = {needed, std::move(handler)};
+    void route(const std::string& method, const std::string& path, route_entry entry) {
+        m_routes[path][method] = std::move(entry);
     }
 
     void accept() {
@@ -108,19 +128,20 @@
             if (failure) {
                 co_return;
             }
-            auto response = answer(parser.get());
+            auto response = co_await answer(parser.get());
             go_on = response.keep_alive();
             const auto [broken, written] = co_await http::async_write(stream, response, to_tuple);
             go_on = go_on && !broken;
         }
     }
 
-    http::response<http::string_body> answer(http::request<http::string_body>& request) {
+    boost::asio::awaitable<http::response<http::string_body>>
+    answer(http::request<http::string_body>& request) {
         const std::string target(request.target());
         const auto authorization = request[http::field::authorization];
-        auto told = handle({std::string(request.method_string()), target.substr(0, target.find('?')),
-                            std::move(request.body())},
-                           {authorization.data(), authorization.size()});
+        const admin_request asked{std::string(request.method_string()), target.substr(0, target.find('?')),
+                                  std::move(request.body())};
+        auto told = co_await handle(asked, {authorization.data(), authorization.size()});
         http::response<http::string_body> response;
         response.version(request.version());
         response.result(told.status);
@@ -128,7 +149,7 @@
         response.body() = std::move(told.body);
         response.content_length(response.body().size());
         response.keep_alive(request.keep_alive());
-        return response;
+        co_return response;
     }
 
     [[nodiscard]] route_map::const_iterator find_route(const std::string& path) const {
@@ -140,21 +161,25 @@
         return m_routes.find(path.substr(0, last_slash + 1));
     }
 
-    admin_response handle(const admin_request& request, std::string_view authorization) const {
+    boost::asio::awaitable<admin_response> handle(const admin_request& request,
+                                                  std::string_view authorization) const {
         const auto found = find_route(request.path);
         if (found == m_routes.end()) {
-            return refusal(404, "No such path");
+            co_return refusal(404, "No such path");
         }
         const auto route = found->second.find(request.method);
         if (route == found->second.end()) {
-            return refusal(405, "Method not allowed here");
+            co_return refusal(405, "Method not allowed here");
         }
         const bool allowed = route->second.needed == access::open ||
                              (!m_token.empty() && same_secret(authorization, "Bearer " + m_token));
         if (!allowed) {
-            return refusal(401, "This change needs the token of the daemon's settings");
+            co_return refusal(401, "This change needs the token of the daemon's settings");
+        }
+        if (const auto* at_once = std::get_if<admin_handler>(&route->second.handler)) {
+            co_return (*at_once)(request);
         }
-        return route->second.handler(request);
+        co_return co_await answer_of(std::get<deferred_handler>(route->second.handler), request);
     }
 
     logging::event_log& m_log;
@@ -177,7 +202,12 @@
 
 void admin_server::route(const std::string& method, const std::string& path, access needed,
                          admin_handler handler) {
-    m_state->route(method, path, needed, std::move(handler));
+    m_state->route(method, path, {needed, std::move(handler)});
+}
+
+void admin_server::route_deferred(const std::string& method, const std::string& path, access needed,
+                                  deferred_handler handler) {
+    m_state->route(method, path, {needed, std::move(handler)});
 }
 
 void admin_server::start() {
--- a/src/admin/tests/admin_server_tests.cpp
+++ b/src/admin/tests/admin_server_tests.cpp
@@ -1,5 +1,6 @@
 #include "admin/admin_server.h"
 
+#include "network/address_text.h"
 #include "network/tcp_source.h"
 #include "network/testing/failing_source.h"
 #include "store/testing/manual_scheduler.h"
@@ -12,6 +13,9 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <map>
+#include <string>
+#include <utility>
 
 using namespace monsoonlift;
 using namespace std::chrono_literals;
@@ -76,3 +80,40 @@
     CHECK_THAT(answer, Catch::StartsWith("HTTP/1.0 200"));
     CHECK_THAT(answer, Catch::EndsWith("up"));
 }
+
+TEST_CASE("an answer that comes later goes to the one who asked", "[admin]") {
+    boost::asio::io_context io;
+    const testing::manual_clock clock;
+    testing::recording_log log;
+    admin::admin_server server(io, "127.0.0.1:0", "", clock, log);
+    std::map<std::string, admin::admin_reply> waiting;
+    server.route_deferred("POST", "/later/", admin::access::open,
+                          [&](const admin::admin_request& request, admin::admin_reply reply) {
+                              waiting[request.path] = std::move(reply);
+                          });
+    server.start();
+    const auto run_until = [&](const std::function<bool()>& reached) {
+        for (int turn = 0; turn < most_turns && !reached(); ++turn) {
+            io.run_one();
+        }
+        REQUIRE(reached());
+    };
+    const std::string paths[] = {"/later/first", "/later/second"};
+    tcp::socket callers[] = {tcp::socket(io), tcp::socket(io)};
+    std::string answers[2];
+    std::size_t ended = 0;
+    for (std::size_t index = 0; index < 2; ++index) {
+        callers[index].connect(network::parse_address(server.address()));
+        boost::asio::write(callers[index], boost::asio::buffer("POST " + paths[index] + " HTTP/1.0\r\n\r\n"));
+        boost::asio::async_read(callers[index], boost::asio::dynamic_buffer(answers[index]),
+                                [&](const boost::system::error_code&, std::size_t) { ++ended; });
+    }
+    run_until([&] { return waiting.size() == 2; });
+    CHECK(ended == 0);
+    waiting["/later/second"]({503, "text/plain", "second"});
+    run_until([&] { return ended == 1; });
+    CHECK_THAT(answers[1], Catch::StartsWith("HTTP/1.0 503") && Catch::EndsWith("second"));
+    waiting["/later/first"]({200, "text/plain", "first"});
+    run_until([&] { return ended == 2; });
+    CHECK_THAT(answers[0], Catch::StartsWith("HTTP/1.0 200") && Catch::EndsWith("first"));
+}
--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -67,7 +67,6 @@
     add_metrics();
     m_admin.start();
     if (m_local) {
-        static_cast<void>(gate::learn_past(m_lives, std::nullopt));
         m_local->start();
     }
     await_signals();
@@ -196,6 +195,9 @@
     hooks.on_rumor = [this](const membership::rumor& told) {
         m_crashes.take_rumor(told.topic, told.payload);
     };
+    hooks.on_past = [this](const std::optional<core::departed_life>& past) {
+        boost::asio::post(m_control, [this, past] { take_past(past); });
+    };
     return hooks;
 }
 
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -96,12 +96,21 @@
 
     /// What the platform's calls to this daemon lead to; used on the control strand.
     [[nodiscard]] platform::local_server_hooks local_hooks();
-    void take_heartbeat(const platform::heartbeat& told);
-    void take_deregistration(const std::string& id, std::uint64_t started_ms);
+    void take_heartbeat(const platform::heartbeat& told, const platform::acknowledgement& acknowledge);
+    void take_ready(const platform::heartbeat& told);
+    void take_draining(const platform::heartbeat& told, const platform::acknowledgement& acknowledge);
+    void take_deregistration(const std::string& id, std::uint64_t started_ms,
+                             const platform::acknowledgement& acknowledge);
+
+    /// What an earlier process of this daemon heard last.
+    void take_past(const std::optional<core::departed_life>& past);
     void note_heartbeat(const gate::backend_lives& before, const gate::announcement_mark& mark,
                         gate::announcement_effect effect);
     void serve_backend(const platform::heartbeat& told);
     void leave_backend(const char* how);
+
+    /// Acknowledges the leaving once the platform remembers it, and refuses to if that takes too long.
+    void acknowledge_leaving(const platform::acknowledgement& acknowledge);
     void note_farewell(const core::departed_life& leaving, const char* how, const char* outcome);
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
@@ -145,8 +154,9 @@
     std::unique_ptr<membership::membership_service> m_membership;
     std::unique_ptr<execution::home_keeper> m_homes;
     lifecycle::drain_watch m_drain_watch{m_clock};
-    std::optional<platform::local_server> m_local; ///< Only on the users' platform.
-    gate::backend_lives m_lives;                   ///< Of the platform's backend server beside this daemon.
+    std::optional<platform::local_server> m_local;   ///< Only on the users' platform.
+    gate::backend_lives m_lives;                     ///< Of the platform's backend server beside this daemon.
+    std::optional<platform::heartbeat> m_last_ready; ///< Latest heartbeat of the life that serves or waits.
     core::steady_time m_callers_until;
     core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -7,12 +7,18 @@
 #include <boost/asio/post.hpp>
 
 #include <chrono>
+#include <memory>
 #include <utility>
 
 namespace monsoonlift::app {
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/// The platform's backend servers wait a second for an answer.
+constexpr std::chrono::milliseconds acknowledgement_patience = 800ms;
+
 std::string text_of(const gate::announcement_mark& mark) {
     return mark.id + "/" + std::to_string(mark.started_ms) + "/" + std::to_string(mark.sequence);
 }
@@ -25,6 +31,10 @@
     return known ? text_of(*known) : "none";
 }
 
+gate::announcement_mark mark_of(const platform::heartbeat& told) {
+    return {told.id, told.started_ms, told.sequence};
+}
+
 std::uint64_t unix_ms(core::wall_time time) {
     const auto since_epoch = time.time_since_epoch();
     return static_cast<std::uint64_t>(
@@ -79,38 +89,69 @@
     hooks.is_ready = [this] {
         return m_phase == lifecycle::phase::serving;
     };
-    hooks.heard = [this](const platform::heartbeat& told) {
-        boost::asio::post(m_control, [this, told] { take_heartbeat(told); });
+    hooks.heard = [this](const platform::heartbeat& told, const platform::acknowledgement& acknowledge) {
+        boost::asio::post(m_control, [this, told, acknowledge] { take_heartbeat(told, acknowledge); });
     };
-    hooks.deregistered = [this](const std::string& id, std::uint64_t started_ms) {
-        boost::asio::post(m_control, [this, id, started_ms] { take_deregistration(id, started_ms); });
+    hooks.deregistered = [this](const std::string& id, std::uint64_t started_ms,
+                                const platform::acknowledgement& acknowledge) {
+        boost::asio::post(m_control, [this, id, started_ms, acknowledge] {
+            take_deregistration(id, started_ms, acknowledge);
+        });
     };
     return hooks;
 }
 
-void daemon::take_heartbeat(const platform::heartbeat& told) {
-    const gate::announcement_mark mark{told.id, told.started_ms, told.sequence};
+void daemon::take_heartbeat(const platform::heartbeat& told, const platform::acknowledgement& acknowledge) {
+    if (told.draining) {
+        take_draining(told, acknowledge);
+        return;
+    }
+    take_ready(told);
+    acknowledge(true);
+}
+
+void daemon::take_ready(const platform::heartbeat& told) {
+    const auto before = m_lives;
+    const auto effect = gate::hear_ready(m_lives, mark_of(told), m_clock.now());
+    note_heartbeat(before, mark_of(told), effect);
+    if (effect == gate::announcement_effect::late) {
+        return;
+    }
+    if (effect == gate::announcement_effect::opens) {
+        m_membership->forget_farewell();
+    }
+    m_last_ready = told;
+    if (m_lives.serves) {
+        serve_backend(told);
+    }
+}
+
+void daemon::take_draining(const platform::heartbeat& told, const platform::acknowledgement& acknowledge) {
     const auto before = m_lives;
-    const auto effect = told.draining ? gate::hear_draining(m_lives, mark, unix_ms(m_clock.wall_now()))
-                                      : gate::hear_ready(m_lives, mark, m_clock.now());
-    note_heartbeat(before, mark, effect);
+    const auto effect = gate::hear_draining(m_lives, mark_of(told), unix_ms(m_clock.wall_now()));
+    note_heartbeat(before, mark_of(told), effect);
     if (effect == gate::announcement_effect::leaves) {
         leave_backend("draining");
     }
-    if (!told.draining && m_lives.serves && effect != gate::announcement_effect::late) {
-        serve_backend(told);
+    if (gate::has_left(m_lives.departed, mark_of(told))) {
+        acknowledge_leaving(acknowledge);
+        return;
     }
+    acknowledge(true);
 }
 
 void daemon::note_heartbeat(const gate::backend_lives& before, const gate::announcement_mark& mark,
                             gate::announcement_effect effect) {
     const bool is_late = effect == gate::announcement_effect::late;
-    if (is_late || effect == gate::announcement_effect::opens) {
+    const bool is_new =
+        effect == gate::announcement_effect::opens || effect == gate::announcement_effect::waits;
+    if (is_late || is_new) {
         const auto event =
             is_late ? logging::event_id::heartbeat_late : logging::event_id::backend_life_heard;
         m_log.write(event, {{"heartbeat", text_of(mark)},
                             {"newest", text_of(before.newest)},
-                            {"left", text_of(before.departed)}});
+                            {"left", text_of(before.departed)},
+                            {"serves", m_lives.serves ? "yes" : "no"}});
     }
 }
 
@@ -128,15 +169,48 @@
     m_membership->announce(server.service);
 }
 
-void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms) {
+void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms,
+                                 const platform::acknowledgement& acknowledge) {
     const core::departed_life leaving{id, started_ms, unix_ms(m_clock.wall_now())};
     const auto effect = gate::hear_farewell(m_lives, leaving);
     if (effect == gate::announcement_effect::late) {
         note_farewell(leaving, "deregistered", "of an earlier start, not used");
+        acknowledge(true);
+        return;
     }
     if (effect == gate::announcement_effect::leaves) {
         leave_backend("deregistered");
     }
+    acknowledge_leaving(acknowledge);
+}
+
+void daemon::take_past(const std::optional<core::departed_life>& past) {
+    const auto effect = gate::learn_past(m_lives, past);
+    m_log.write(logging::event_id::past_farewell_known, {{"left", text_of(past)}});
+    if (effect == gate::announcement_effect::leaves) {
+        leave_backend("told to an earlier process");
+    }
+    if (effect == gate::announcement_effect::opens && m_last_ready) {
+        m_membership->forget_farewell();
+        serve_backend(*m_last_ready);
+    }
+}
+
+void daemon::acknowledge_leaving(const platform::acknowledgement& acknowledge) {
+    auto once = std::make_shared<platform::acknowledgement>(acknowledge);
+    const auto answer = [this, once, left = *m_lives.departed](bool is_kept) {
+        const auto waiting = std::exchange(*once, nullptr);
+        if (!waiting) {
+            return;
+        }
+        const auto event =
+            is_kept ? logging::event_id::farewell_acknowledged : logging::event_id::farewell_not_recorded;
+        m_log.write(event, {{"life", text_of(left)}});
+        waiting(is_kept);
+    };
+    m_membership->record_farewell(
+        *m_lives.departed, [this, answer] { boost::asio::post(m_control, [answer] { answer(true); }); });
+    m_scheduler.after(acknowledgement_patience, [answer] { answer(false); });
 }
 
 void daemon::note_farewell(const core::departed_life& leaving, const char* how, const char* outcome) {
--- a/src/app/monsoonliftd/tests/farewell_process_tests.py
+++ b/src/app/monsoonliftd/tests/farewell_process_tests.py
@@ -2,6 +2,7 @@
 
 Usage: farewell_process_tests.py ROOT_OF_THE_REPOSITORY
 """
+import itertools
 import json
 import pathlib
 import sys
@@ -23,6 +24,7 @@
 from soak.operator import Operator  # noqa: E402
 from soak.proxy import ProxyLoop  # noqa: E402
 
+VM_NUMBERS = itertools.count(0, 2)  # Even ones are of the map service; each test has addresses of its own.
 HEARTBEAT_HEARD = ("heartbeat_late", "backend_life_heard")
 
 
@@ -38,7 +40,7 @@
         carrier = ProxyLoop()
         self.addCleanup(carrier.close)
         Operator(self.platform.address).change()
-        self.vm = Vm(0, self.folder, self.platform.address, carrier, Facts(), 1)
+        self.vm = Vm(next(VM_NUMBERS), self.folder, self.platform.address, carrier, Facts(), 1)
         self.addCleanup(self.vm.close)
         self.vm.link.start()
         self.vm.store_link.start()
@@ -116,6 +118,14 @@
     def test_farewell_is_not_forgotten_when_the_process_is_stopped(self) -> None:
         self.check_farewell_outlives(self.vm.stop_daemon)
 
+    def test_farewell_that_nothing_would_remember_is_not_acknowledged(self) -> None:
+        late = self.serve()
+        self.platform.set_faults(outage=True)
+        self.assertEqual(self.farewell(), 503)
+        self.assert_takes_no_work_after(lambda: None, late)
+        self.platform.set_faults()
+        wait_for(lambda: self.farewell() == 200, "the farewell to be acknowledged")
+
     def check_farewell_outlives(self, end: Callable[[], None]) -> None:
         late = self.serve()
         self.assertEqual(self.farewell(), 200)
--- a/src/gate/tests/backend_lives_tests.cpp
+++ b/src/gate/tests/backend_lives_tests.cpp
@@ -76,3 +76,59 @@
     CHECK(hear_draining(lives, {"a", 100, 9}, farewell_ms) == effect::late);
     CHECK(lives.serves);
 }
+
+TEST_CASE("a farewell that an earlier process heard shuts out its late heartbeat", "[backend_lives]") {
+    const testing::manual_clock clock;
+    for (const bool past_comes_first : {true, false}) {
+        INFO("the past is known before the heartbeat: " << past_comes_first);
+        backend_lives lives;
+        if (past_comes_first) {
+            CHECK(learn_past(lives, core::departed_life{"a", 100, farewell_ms}) == effect::again);
+            CHECK(hear_ready(lives, {"a", 100, 21}, clock.now()) == effect::late);
+        } else {
+            CHECK(hear_ready(lives, {"a", 100, 21}, clock.now()) == effect::waits);
+            CHECK(learn_past(lives, core::departed_life{"a", 100, farewell_ms}) == effect::again);
+        }
+        CHECK_FALSE(lives.serves);
+        CHECK(hear_ready(lives, {"a", 100, 22}, clock.now()) == effect::late);
+        CHECK(hear_draining(lives, {"a", 100, 23}, farewell_ms) == effect::again);
+        CHECK(hear_ready(lives, {"b", 200, 1}, clock.now()) == effect::opens);
+    }
+}
+
+TEST_CASE("a life serves at once when the past tells of none or of an earlier one", "[backend_lives]") {
+    const testing::manual_clock clock;
+    for (const bool is_empty : {true, false}) {
+        INFO("there was no farewell: " << is_empty);
+        backend_lives lives;
+        CHECK(hear_ready(lives, {"b", 200, 5}, clock.now()) == effect::waits);
+        const core::departed_life earlier{"a", 100, farewell_ms};
+        CHECK(learn_past(lives, is_empty ? std::nullopt : std::optional(earlier)) == effect::opens);
+        CHECK(hear_ready(lives, {"b", 200, 6}, clock.now()) == effect::again);
+        CHECK(lives.serves);
+    }
+}
+
+TEST_CASE("a life serves without the platform once it has proved that it lives", "[backend_lives]") {
+    testing::manual_clock clock;
+    backend_lives lives;
+    CHECK(hear_ready(lives, {"a", 100, 5}, clock.now()) == effect::waits);
+    clock.advance(proof_of_life / 2);
+    CHECK(hear_ready(lives, {"a", 100, 6}, clock.now()) == effect::waits);
+    CHECK(hear_ready(lives, {"a", 100, 5}, clock.now()) == effect::late);
+    clock.advance(proof_of_life / 2);
+    CHECK(hear_ready(lives, {"a", 100, 7}, clock.now()) == effect::opens);
+    CHECK(lives.serves);
+    CHECK(hear_ready(lives, {"b", 200, 1}, clock.now()) == effect::opens);
+}
+
+TEST_CASE("the platform's word of a farewell shuts a gate that opened without it", "[backend_lives]") {
+    testing::manual_clock clock;
+    backend_lives lives;
+    CHECK(hear_ready(lives, {"a", 100, 20}, clock.now()) == effect::waits);
+    clock.advance(proof_of_life);
+    CHECK(hear_ready(lives, {"a", 100, 21}, clock.now()) == effect::opens);
+    CHECK(learn_past(lives, core::departed_life{"a", 100, farewell_ms}) == effect::leaves);
+    CHECK_FALSE(lives.serves);
+    CHECK(hear_ready(lives, {"a", 100, 22}, clock.now()) == effect::late);
+}
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -32,6 +32,9 @@
     settings_read_again = 1011,
     backend_life_heard = 1012,
     backend_leaving = 1013,
+    farewell_acknowledged = 1014,
+    farewell_not_recorded = 1015,
+    past_farewell_known = 1016,
 
     // 2000: entry
     callers_not_accepted = 2000,
@@ -136,9 +139,18 @@
     {event_id::settings_read_again, severity::notice, "settings_read_again",
      "SIGHUP: the settings file was read; what changed in it is in force from the next start."},
     {event_id::backend_life_heard, severity::notice, "backend_life_heard",
-     "The first heartbeat of a start of the backend server was taken: which, and what was known before."},
+     "A heartbeat of a start of the backend server that did not serve was taken: which, what was known "
+     "before, "
+     "and whether it serves now."},
     {event_id::backend_leaving, severity::notice, "backend_leaving",
      "The backend server said that it leaves: how, which start of it, and what follows."},
+    {event_id::farewell_acknowledged, severity::notice, "farewell_acknowledged",
+     "The platform holds the backend server's farewell; the backend server was told that it is known."},
+    {event_id::farewell_not_recorded, severity::warning, "farewell_not_recorded",
+     "The platform does not hold the backend server's farewell yet; the backend server was told to repeat "
+     "it."},
+    {event_id::past_farewell_known, severity::notice, "past_farewell_known",
+     "The platform told which farewell earlier processes of this daemon heard last."},
 
     // 2000: entry
     {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
--- a/src/membership/internal/member_object_keeper.cpp
+++ b/src/membership/internal/member_object_keeper.cpp
@@ -15,55 +15,89 @@
 constexpr milliseconds call_patience{2000};
 constexpr milliseconds shortest_pause{500};
 constexpr milliseconds longest_pause{30'000};
+
+/// While a farewell is to be written, or it isn't known whether there is one.
+constexpr milliseconds urgent_patience{500};
+constexpr milliseconds longest_urgent_pause{2000};
+
 constexpr char members_prefix[] = "members/";
 constexpr char membership_address_field[] = "membership_address";
 constexpr char incarnation_field[] = "incarnation";
+constexpr char farewell_field[] = "backend_left";
 
 std::string object_name(const member& self) {
     return members_prefix + self.id.address;
 }
 
-std::string object_value(const member& self) {
-    const boost::json::object value{{membership_address_field, self.membership_address},
-                                    {incarnation_field, self.id.life.value},
-                                    {"name", self.name},
-                                    {"data_centre", self.data_centre}};
+std::string object_value(const member& self, const std::optional<core::departed_life>& farewell) {
+    boost::json::object value{{membership_address_field, self.membership_address},
+                              {incarnation_field, self.id.life.value},
+                              {"name", self.name},
+                              {"data_centre", self.data_centre}};
+    if (farewell) {
+        value[farewell_field] = boost::json::object{
+            {"id", farewell->id}, {"started_ms", farewell->started_ms}, {"heard_ms", farewell->heard_ms}};
+    }
     return boost::json::serialize(value);
 }
 
+std::optional<std::uint64_t> find_number(const boost::json::object& fields, std::string_view name) {
+    const auto* found = fields.if_contains(name);
+    if (found == nullptr || !found->is_number()) {
+        return std::nullopt;
+    }
+    boost::system::error_code fault;
+    const auto number = found->to_number<std::uint64_t>(fault);
+    return fault ? std::nullopt : std::optional(number);
+}
+
+std::optional<std::string> find_text(const boost::json::object& fields, std::string_view name) {
+    const auto* found = fields.if_contains(name);
+    return found != nullptr && found->is_string() ? std::optional(std::string(found->as_string()))
+                                                  : std::nullopt;
+}
+
+std::optional<core::departed_life> read_farewell(const boost::json::object& fields) {
+    const auto* found = fields.if_contains(farewell_field);
+    const auto* told = found != nullptr ? found->if_object() : nullptr;
+    const auto id = told != nullptr ? find_text(*told, "id") : std::nullopt;
+    if (!id) {
+        return std::nullopt;
+    }
+    return core::departed_life{*id, find_number(*told, "started_ms").value_or(0),
+                               find_number(*told, "heard_ms").value_or(0)};
+}
+
 /// What an object says of the daemon that wrote it.
 struct object_content {
     std::string membership_address;
     core::incarnation life;
+    std::optional<core::departed_life> farewell;
 };
 
 std::optional<object_content> read_content(const std::string& text) {
     boost::system::error_code fault;
     const boost::json::value value = boost::json::parse(text, fault);
     const auto* fields = fault ? nullptr : value.if_object();
-    const auto* address = fields != nullptr ? fields->if_contains(membership_address_field) : nullptr;
-    if (address == nullptr || !address->is_string()) {
+    if (fields == nullptr) {
         return std::nullopt;
     }
-    const auto* life = fields->if_contains(incarnation_field);
-    if (life == nullptr || !life->is_number()) {
+    const auto address = find_text(*fields, membership_address_field);
+    const auto life = find_number(*fields, incarnation_field);
+    if (!address || !life) {
         return std::nullopt;
     }
-    const auto number = life->to_number<std::uint64_t>(fault);
-    if (fault) {
-        return std::nullopt;
-    }
-    return object_content{std::string(address->as_string()), {number}};
+    return object_content{*address, {*life}, read_farewell(*fields)};
 }
 
 } // namespace
 
 member_object_keeper::member_object_keeper(boost::asio::any_io_executor strand, store::object_api& platform,
-                                           member self, std::uint64_t random_seed, const core::clock& clock,
-                                           logging::event_log& log, hooks owner)
+                                           store::scheduler& timer, member self, std::uint64_t random_seed,
+                                           const core::clock& clock, logging::event_log& log, hooks owner)
     : m_strand(strand), m_platform(platform), m_self(std::move(self)), m_random(random_seed), m_clock(clock),
-      m_log(log), m_on_peers(std::move(owner.on_peers)),
-      m_cleaner(std::move(owner.belief), owner.gone_patience), m_timer(strand) {}
+      m_log(log), m_on_peers(std::move(owner.on_peers)), m_on_past(std::move(owner.on_past)),
+      m_cleaner(std::move(owner.belief), owner.gone_patience), m_timer(timer) {}
 
 template <class T, class OnValue, class OnError>
 store::object_api::handler<T> member_object_keeper::on_strand(OnValue on_value, OnError on_error) {
@@ -89,50 +123,123 @@
 }
 
 void member_object_keeper::publish() {
-    write(m_version);
+    begin_writing();
+}
+
+void member_object_keeper::begin_writing() {
+    if (!std::exchange(m_is_writing, true)) {
+        write(m_version);
+    }
 }
 
 void member_object_keeper::write(std::uint64_t expected_version) {
-    m_platform.update_if(
-        object_name(m_self), expected_version, object_value(m_self), call_patience,
-        on_strand<std::uint64_t>([this](std::uint64_t version) { written(version); },
-                                 [this](const core::error& failure) { write_failed(failure); }));
+    m_platform.update_if(object_name(m_self), expected_version, object_value(m_self, m_farewell), patience(),
+                         on_strand<std::uint64_t>(
+                             [this, held = m_farewell](std::uint64_t version) {
+                                 tell_past(std::nullopt);
+                                 written(version, held);
+                             },
+                             [this](const core::error& failure) { write_failed(failure); }));
 }
 
-void member_object_keeper::written(std::uint64_t version) {
+void member_object_keeper::written(std::uint64_t version, const departed& held) {
     m_version = version;
-    m_pause = milliseconds(0);
-    list();
+    m_held = held;
+    m_write_pause = milliseconds(0);
+    tell_kept();
+    if (m_farewell && m_farewell != m_held) {
+        write(version);
+        return;
+    }
+    m_is_writing = false;
+    if (!std::exchange(m_has_listed, true)) {
+        list();
+    }
 }
 
 void member_object_keeper::write_failed(const core::error& failure) {
-    if (failure.code == core::error_code::conflict) {
+    const bool has_changed =
+        failure.code == core::error_code::conflict || failure.code == core::error_code::not_found;
+    if (has_changed) {
         read_version();
         return;
     }
     m_log.write(logging::event_id::member_object_failed, {{"reason", failure.message}});
-    after_pause([this] { read_version(); });
+    after_pause(m_write_pause, is_urgent() ? longest_urgent_pause : longest_pause,
+                [this] { read_version(); });
 }
 
 void member_object_keeper::read_version() {
-    m_platform.get(object_name(m_self), call_patience,
+    m_platform.get(object_name(m_self), patience(),
                    on_strand<store::object>(
-                       [this](const store::object& found) {
-                           if (found.value == object_value(m_self)) {
-                               written(found.version);
-                               return;
-                           }
-                           write(found.version);
-                       },
+                       [this](const store::object& found) { take_own(found); },
                        [this](const core::error& failure) {
                            if (failure.code == core::error_code::not_found) {
                                write(0);
                                return;
                            }
-                           after_pause([this] { read_version(); });
+                           after_pause(m_write_pause, is_urgent() ? longest_urgent_pause : longest_pause,
+                                       [this] { read_version(); });
                        }));
 }
 
+void member_object_keeper::take_own(const store::object& found) {
+    const auto content = read_content(found.value);
+    tell_past(content ? content->farewell : std::nullopt);
+    if (found.value == object_value(m_self, m_farewell)) {
+        written(found.version, m_farewell);
+        return;
+    }
+    write(found.version);
+}
+
+void member_object_keeper::tell_past(const departed& past) {
+    if (std::exchange(m_is_past_told, true)) {
+        return;
+    }
+    if (!m_farewell) {
+        m_farewell = past;
+    }
+    if (m_on_past) {
+        m_on_past(past);
+    }
+}
+
+void member_object_keeper::record_farewell(const core::departed_life& left, std::function<void()> kept) {
+    m_farewell = left;
+    m_waiting.push_back({left, std::move(kept)});
+    if (m_farewell == m_held) {
+        tell_kept();
+        return;
+    }
+    begin_writing();
+}
+
+void member_object_keeper::tell_kept() {
+    std::vector<waiting_record> told;
+    std::vector<waiting_record> others;
+    for (auto& each : m_waiting) {
+        (each.left == m_held ? told : others).push_back(std::move(each));
+    }
+    m_waiting = std::move(others);
+    for (const auto& each : told) {
+        each.kept();
+    }
+}
+
+void member_object_keeper::forget_farewell() {
+    m_farewell.reset();
+    m_waiting.clear();
+}
+
+bool member_object_keeper::is_urgent() const {
+    return !m_is_past_told || (m_farewell && m_farewell != m_held);
+}
+
+milliseconds member_object_keeper::patience() const {
+    return is_urgent() && m_farewell ? urgent_patience : call_patience;
+}
+
 void member_object_keeper::list() {
     m_platform.list(
         members_prefix, call_patience,
@@ -171,7 +278,8 @@
                    on_strand<store::object>([](const store::object&) {},
                                             [this](const core::error& failure) {
                                                 const bool gone = failure.code == core::error_code::not_found;
-                                                if (gone && !m_leaving) {
+                                                if (gone && !m_leaving && !m_is_writing) {
+                                                    m_is_writing = true;
                                                     write(0);
                                                 }
                                             }));
@@ -191,12 +299,12 @@
 }
 
 void member_object_keeper::list_again() {
-    after_pause([this] { list(); });
+    after_pause(m_list_pause, longest_pause, [this] { list(); });
 }
 
 void member_object_keeper::remove(std::function<void()> done) {
     m_leaving = true;
-    if (m_version == 0) {
+    if (m_version == 0 || m_farewell) {
         done();
         return;
     }
@@ -205,22 +313,20 @@
         on_strand<std::uint64_t>([done](std::uint64_t) { done(); }, [done](const core::error&) { done(); }));
 }
 
-void member_object_keeper::after_pause(std::function<void()> step) {
-    m_pause = std::clamp(m_pause * 2, shortest_pause, longest_pause);
-    std::uniform_int_distribution<std::int64_t> jitter(m_pause.count() / 2, m_pause.count());
-    m_timer.expires_after(milliseconds(jitter(m_random)));
-    m_timer.async_wait(
-        [weak = weak_from_this(), step = std::move(step)](const boost::system::error_code& fault) {
-            const auto self = weak.lock();
-            if (self && !self->m_stopped && !fault) {
-                step();
-            }
-        });
+void member_object_keeper::after_pause(milliseconds& pause, milliseconds longest,
+                                       std::function<void()> step) {
+    pause = std::clamp(pause * 2, shortest_pause, longest);
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+    m_timer.after(milliseconds(jitter(m_random)), [weak = weak_from_this(), step = std::move(step)] {
+        const auto self = weak.lock();
+        if (self && !self->m_stopped) {
+            step();
+        }
+    });
 }
 
 void member_object_keeper::stop() {
     m_stopped = true;
-    m_timer.cancel();
 }
 
 } // namespace monsoonlift::membership::internal
--- a/src/membership/internal/member_object_keeper.h
+++ b/src/membership/internal/member_object_keeper.h
@@ -1,18 +1,20 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/types/departed_life.h"
 #include "logging/event_log.h"
 #include "membership/internal/member_object_cleaner.h"
 #include "membership/types/member.h"
 #include "store/object_api.h"
+#include "store/scheduler.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,24 +22,30 @@
 namespace monsoonlift::membership::internal {
 
 /// This daemon's object `members/<transport address>`: written on joining, removed on leaving, and in between
-/// written again only if another daemon has removed it. The objects of the others are listed until one of
-/// them has answered; each listing may remove one of a daemon that is gone. Not thread-safe: used on one
-/// strand.
+/// written again only if another daemon has removed it or the backend server beside it leaves. That farewell
+/// stands in it for the daemon's next process, and then the object stays on leaving too. The objects of the
+/// others are listed until one of them has answered; each listing may remove one of a daemon that is gone.
+/// Not thread-safe: used on one strand.
 class member_object_keeper : public std::enable_shared_from_this<member_object_keeper> {
 public:
     /// Gives the membership addresses of the other objects; empty if there are none.
     using peers_handler = std::function<void(const std::vector<std::string>&)>;
 
+    /// Gives the farewell that an earlier process of this daemon recorded, if there is one.
+    using past_handler = std::function<void(const std::optional<core::departed_life>&)>;
+
     /// What the keeper tells and asks its owner.
     struct hooks {
         peers_handler on_peers;
+        past_handler on_past; ///< Called once, when the platform has told.
         member_object_cleaner::belief_source belief;
         std::chrono::milliseconds gone_patience = member_object_cleaner::patience;
     };
 
-    member_object_keeper(boost::asio::any_io_executor strand, store::object_api& platform, member self,
-                         std::uint64_t random_seed, const core::clock& clock, logging::event_log& log,
-                         hooks owner);
+    /// `timer` runs its tasks on the strand.
+    member_object_keeper(boost::asio::any_io_executor strand, store::object_api& platform,
+                         store::scheduler& timer, member self, std::uint64_t random_seed,
+                         const core::clock& clock, logging::event_log& log, hooks owner);
 
     /// Writes the object, then lists the others; both are repeated until they succeed.
     void publish();
@@ -54,20 +62,44 @@
     /// Tells that this process runs; call it every second at least.
     void awake();
 
-    /// Removes the object and calls `done`, whether it worked or not.
+    /// Writes the farewell of the backend server into the object until that has succeeded; then `kept` is
+    /// called.
+    void record_farewell(const core::departed_life& left, std::function<void()> kept);
+
+    /// A later life of the backend server is at work: the farewell need not outlive this process.
+    void forget_farewell();
+
+    /// Removes the object unless it holds a farewell, and calls `done`, whether it worked or not.
     void remove(std::function<void()> done);
 
     /// Ends all repetition.
     void stop();
 
 private:
+    using departed = std::optional<core::departed_life>;
+
+    /// Somebody waits until the platform holds that farewell.
+    struct waiting_record {
+        core::departed_life left;
+        std::function<void()> kept;
+    };
+
+    void begin_writing();
     void write(std::uint64_t expected_version);
-    void written(std::uint64_t version);
+    void written(std::uint64_t version, const departed& held);
     void write_failed(const core::error& failure);
     void read_version();
+    void take_own(const store::object& found);
+    void tell_past(const departed& past);
+    void tell_kept();
     void take_list(const store::object_list& found);
     void remove_one(const std::vector<listed_member_object>& others);
-    void after_pause(std::function<void()> step);
+    [[nodiscard]] bool is_urgent() const;
+    [[nodiscard]] std::chrono::milliseconds patience() const;
+
+    /// Runs `step` after a pause, which doubles up to `longest` with each failure.
+    void after_pause(std::chrono::milliseconds& pause, std::chrono::milliseconds longest,
+                     std::function<void()> step);
     template <class T, class OnValue, class OnError>
     store::object_api::handler<T> on_strand(OnValue on_value, OnError on_error);
 
@@ -78,10 +110,18 @@
     const core::clock& m_clock;
     logging::event_log& m_log;
     peers_handler m_on_peers;
+    past_handler m_on_past;
     member_object_cleaner m_cleaner;
-    boost::asio::steady_timer m_timer;
-    std::chrono::milliseconds m_pause{0};
+    store::scheduler& m_timer;
+    std::chrono::milliseconds m_write_pause{0};
+    std::chrono::milliseconds m_list_pause{0};
     std::uint64_t m_version = 0;
+    departed m_farewell; ///< To stand in the object.
+    departed m_held;     ///< Stands in the object, as the platform has acknowledged.
+    std::vector<waiting_record> m_waiting;
+    bool m_is_writing = false; ///< Until the object is as it should be.
+    bool m_is_past_told = false;
+    bool m_has_listed = false;
     bool m_leaving = false;
     bool m_stopped = false;
 };
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -45,8 +45,9 @@
                                        store::object_api* platform, membership_options options,
                                        membership_hooks hooks)
     : m_strand(boost::asio::make_strand(executor)), m_clock(clock), m_directory(directory), m_log(log),
-      m_platform(platform), m_options(std::move(options)), m_hooks(std::move(hooks)), m_socket(m_strand),
-      m_timer(m_strand), m_other_fleet(clock), m_backend_silence(m_options.backend_patience) {}
+      m_platform(platform), m_scheduler(m_strand), m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_socket(m_strand), m_timer(m_strand), m_other_fleet(clock),
+      m_backend_silence(m_options.backend_patience) {}
 
 core::result<void> membership_runtime::start() {
     const std::optional<udp::endpoint> wanted = parse_endpoint(m_options.self.membership_address);
@@ -88,9 +89,12 @@
     m_log.write(event_id::membership_started, {{"address", m_options.self.membership_address}});
     m_waiting_told = m_clock.now();
     if (m_platform != nullptr) {
-        m_object = std::make_shared<member_object_keeper>(
-            m_strand, *m_platform, m_state.self, m_options.random_seed, m_clock, m_log, object_hooks());
+        m_object =
+            std::make_shared<member_object_keeper>(m_strand, *m_platform, m_scheduler, m_state.self,
+                                                   m_options.random_seed, m_clock, m_log, object_hooks());
         m_object->publish();
+    } else if (m_hooks.on_past) {
+        m_hooks.on_past(std::nullopt);
     }
     receive_next();
     on_tick();
@@ -104,6 +108,7 @@
             self->take_peers(peers);
         }
     };
+    hooks.on_past = m_hooks.on_past;
     hooks.belief = [weak = weak_from_this()](const std::string& address) -> std::optional<member_belief> {
         const auto self = weak.lock();
         return self ? self->belief_of(address) : std::nullopt;
@@ -347,6 +352,20 @@
     store_self();
 }
 
+void membership_runtime::record_farewell(const core::departed_life& left, const std::function<void()>& kept) {
+    if (m_object == nullptr) {
+        kept();
+        return;
+    }
+    m_object->record_farewell(left, kept);
+}
+
+void membership_runtime::forget_farewell() {
+    if (m_object != nullptr) {
+        m_object->forget_farewell();
+    }
+}
+
 void membership_runtime::drain() {
     send(announce_self(m_state, m_state.self.service, true, m_state.self.status));
     store_self();
--- a/src/membership/internal/membership_runtime.h
+++ b/src/membership/internal/membership_runtime.h
@@ -5,6 +5,7 @@
 
 #include "core/silence_watch.h"
 #include "logging/event_throttle.h"
+#include "store/asio_scheduler.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -36,6 +37,8 @@
     // The rest runs on the strand.
     void announce(const std::string& service);
     void withdraw();
+    void record_farewell(const core::departed_life& left, const std::function<void()>& kept);
+    void forget_farewell();
     void drain();
     void leave(std::function<void()> done);
     void spread(const rumor& told);
@@ -76,6 +79,7 @@
     member_directory& m_directory;
     logging::event_log& m_log;
     store::object_api* m_platform;
+    store::asio_scheduler m_scheduler;
     membership_options m_options;
     membership_hooks m_hooks;
     boost::asio::ip::udp::socket m_socket;
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/types/departed_life.h"
 #include "logging/event_log.h"
 #include "membership/member_directory.h"
 #include "membership/swim.h"
@@ -17,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +53,9 @@
     std::function<void()> on_superseded;
     /// A rumor of another daemon or of this one; each comes once.
     std::function<void(const rumor&)> on_rumor;
+    /// The backend server's farewell that an earlier process of this daemon recorded, or that there is none;
+    /// called once, when the platform has told.
+    std::function<void(const std::optional<core::departed_life>&)> on_past;
 };
 
 /// Bytes of datagrams with their IP and UDP headers.
@@ -88,6 +93,13 @@
     /// The local backend server leaves.
     void withdraw();
 
+    /// Keeps the backend server's farewell where the next process of this daemon finds it; `kept` is called
+    /// once the platform holds it, on the service's strand, and never if a later life is at work before.
+    void record_farewell(core::departed_life left, std::function<void()> kept);
+
+    /// A later life of the backend server is at work.
+    void forget_farewell();
+
     /// This daemon takes no new work; peers are told at once.
     void drain();
 
--- a/src/platform/internal/local_server.cpp
+++ b/src/platform/internal/local_server.cpp
@@ -8,18 +8,33 @@
 namespace monsoonlift::platform {
 
 using admin::access;
+using admin::admin_reply;
 using admin::admin_request;
 using admin::admin_response;
 
+namespace {
+
+acknowledgement acknowledge_by(const admin_reply& reply) {
+    return [reply](bool is_kept) {
+        reply(is_kept ? admin_response{200, "application/json", "{}"}
+                      : admin_response{503, "text/plain", "this could not be recorded yet; say it again\n"});
+    };
+}
+
+} // namespace
+
 local_server::local_server(boost::asio::io_context& io, const std::string& heartbeat_address,
                            const std::string& ready_address, local_server_hooks hooks,
                            const core::clock& clock, logging::event_log& log)
     : m_hooks(std::move(hooks)), m_log(log), m_heartbeats(io, heartbeat_address, "", clock, log),
       m_ready(io, ready_address, "", clock, log) {
-    m_heartbeats.route("POST", std::string(wire::heartbeat_path), access::open,
-                       [this](const admin_request& request) { return take_heartbeat(request); });
-    m_heartbeats.route("POST", std::string(wire::deregister_path), access::open,
-                       [this](const admin_request& request) { return take_deregistration(request); });
+    m_heartbeats.route_deferred(
+        "POST", std::string(wire::heartbeat_path), access::open,
+        [this](const admin_request& request, const admin_reply& reply) { take_heartbeat(request, reply); });
+    m_heartbeats.route_deferred("POST", std::string(wire::deregister_path), access::open,
+                                [this](const admin_request& request, const admin_reply& reply) {
+                                    take_deregistration(request, reply);
+                                });
     m_ready.route("GET", std::string(wire::ready_path), access::open,
                   [this](const admin_request&) { return ready(); });
 }
@@ -29,21 +44,20 @@
     m_ready.start();
 }
 
-admin_response local_server::take_heartbeat(const admin_request& request) {
+void local_server::take_heartbeat(const admin_request& request, const admin_reply& reply) {
     const auto id = request.path.substr(wire::heartbeat_path.size());
     const auto decoded = decode_heartbeat(id, request.body);
     if (const auto* fault = std::get_if<heartbeat_fault>(&decoded)) {
         m_log.write(logging::event_id::heartbeat_refused, {{"id", id}, {"reason", fault->reason}});
-        return {400, "text/plain", fault->reason + "\n"};
+        reply({400, "text/plain", fault->reason + "\n"});
+        return;
     }
-    m_hooks.heard(std::get<heartbeat>(decoded));
-    return {200, "application/json", "{}"};
+    m_hooks.heard(std::get<heartbeat>(decoded), acknowledge_by(reply));
 }
 
-admin_response local_server::take_deregistration(const admin_request& request) {
+void local_server::take_deregistration(const admin_request& request, const admin_reply& reply) {
     const auto id = request.path.substr(wire::deregister_path.size());
-    m_hooks.deregistered(id, decode_deregistered_life(request.body));
-    return {200, "application/json", "{}"};
+    m_hooks.deregistered(id, decode_deregistered_life(request.body), acknowledge_by(reply));
 }
 
 admin_response local_server::ready() const {
--- a/src/platform/local_server.h
+++ b/src/platform/local_server.h
@@ -13,11 +13,15 @@
 
 namespace monsoonlift::platform {
 
+/// Answers a heartbeat or a deregistration; called once, from any thread. Without `is_kept` the backend
+/// server is told to say it again, as nothing would remember it if this process ended.
+using acknowledgement = std::function<void(bool is_kept)>;
+
 /// What a local server asks and tells its owner; the handlers may be called on any thread.
 struct local_server_hooks {
     std::function<bool()> is_ready;
-    std::function<void(const heartbeat&)> heard;
-    std::function<void(const std::string& id, std::uint64_t started_ms)> deregistered;
+    std::function<void(const heartbeat&, acknowledgement)> heard;
+    std::function<void(const std::string& id, std::uint64_t started_ms, acknowledgement)> deregistered;
 };
 
 /// Serves both addresses that the platform's settings name.
@@ -32,8 +36,8 @@
     void start();
 
 private:
-    [[nodiscard]] admin::admin_response take_heartbeat(const admin::admin_request& request);
-    [[nodiscard]] admin::admin_response take_deregistration(const admin::admin_request& request);
+    void take_heartbeat(const admin::admin_request& request, const admin::admin_reply& reply);
+    void take_deregistration(const admin::admin_request& request, const admin::admin_reply& reply);
     [[nodiscard]] admin::admin_response ready() const;
 
     local_server_hooks m_hooks;
