Look once more whether the backend server has left before a request is sent to it

A request could reach a backend server later than the bound after its farewell though nothing had opened the gate anew: it was admitted before, and its connection came seconds later, or the timer that withdraws the server fired late because the process had been paused. Cause: gate_call::may_still_begin, the last look before the effect, looked at the deadline and the fence alone, and the end of the leaving lived in a timer of the daemon.

The gate knows until when the server takes work. Each arrival and the last look before a send compare it with the clock; the timer only cleans up. So the daemon's timer is gone, and with it its own fault: set while no server was known, it withdrew one that announced itself since.

leaving_backend_tests: 4 cases.

--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -49,9 +49,11 @@
         return {400, "text/plain", wrong->detail + "\n"};
     }
     const auto& server = std::get<gate::backend_server>(parsed);
-    m_gate.announce(server);
-    m_membership->announce(server.service);
-    serve_homes();
+    const bool is_taken = m_gate.announce(server);
+    if (is_taken) {
+        m_membership->announce(server.service);
+        serve_homes();
+    }
     return {200, "application/json", "{}"};
 }
 
@@ -69,19 +71,8 @@
 }
 
 void daemon::begin_withdrawal() {
-    m_gate.expect_withdrawal();
+    m_gate.leave(m_clock.now() + drain_grace_of(m_settings));
     m_membership->withdraw();
-    boost::asio::post(m_control, [this, leaving = m_gate.backend()] {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_control, drain_grace_of(m_settings));
-        timer->async_wait([this, timer, leaving](const boost::system::error_code&) {
-            const auto now = m_gate.backend();
-            const bool is_replaced =
-                now && leaving && (now->id != leaving->id || now->instance != leaving->instance);
-            if (!is_replaced) {
-                m_gate.withdraw();
-            }
-        });
-    });
 }
 
 platform::local_server_hooks daemon::local_hooks() {
@@ -165,8 +156,10 @@
     server.connections = service != nullptr ? service->connections : told.slots;
     server.instance = told.id + "/" + std::to_string(told.started_ms);
     server.id = told.id;
-    m_gate.announce(server);
-    m_membership->announce(server.service);
+    const bool is_taken = m_gate.announce(server);
+    if (is_taken) {
+        m_membership->announce(server.service);
+    }
 }
 
 void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms,
--- a/src/gate/gate_service.h
+++ b/src/gate/gate_service.h
@@ -69,14 +69,13 @@
     /// A frame of this attempt could not be sent.
     void unsent(const core::attempt_id& attempt);
 
-    /// The backend server announced itself; true if what is known of it changed.
+    /// The backend server announced itself; false if that start of it was replaced or said that it leaves, so
+    /// that the announcement comes too late.
     bool announce(const backend_server& server);
 
-    /// The backend server said that it will leave; if it is gone soon, it has not crashed.
-    void expect_withdrawal();
-
-    /// The backend server is gone.
-    void withdraw();
+    /// The backend server said that it leaves: nothing new reaches it from `at` on, and if it is gone sooner
+    /// it has not crashed.
+    void leave(core::steady_time at);
 
     /// Refuses new work from now on.
     void drain();
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -38,6 +38,15 @@
     /// A backend server announced itself; true if it is a new one or changed what it says.
     bool announce(const backend_server& server, core::steady_time now);
 
+    /// The backend server leaves: nothing new reaches it from `at` on.
+    void leave_at(core::steady_time at);
+
+    /// Whether the backend server said that it leaves, and its time is over.
+    [[nodiscard]] bool is_left(core::steady_time now) const;
+
+    /// Whether a request may be handed to that start of the backend server now.
+    [[nodiscard]] bool may_reach(const backend_server& server, core::steady_time now) const;
+
     /// The backend server left or is silent; those that wait are refused.
     [[nodiscard]] gate_changes withdraw();
 
@@ -71,8 +80,8 @@
     [[nodiscard]] bool is_draining() const;
 
 private:
-    [[nodiscard]] std::optional<transport::end_reason> reason_to_refuse(const std::string& service,
-                                                                        const core::call_context& context);
+    [[nodiscard]] std::optional<transport::end_reason>
+    reason_to_refuse(const std::string& service, const core::call_context& context, core::steady_time now);
     void take_outcome(const admission::queue_outcome& outcome, gate_changes& changes);
     void start_waiting(gate_changes& changes, core::steady_time now);
     void start_in_order(gate_changes& changes);
@@ -81,6 +90,7 @@
     bool m_decisions_on;
     mutable std::mutex m_mutex;
     std::optional<backend_server> m_backend;
+    core::steady_time m_leaves_at = core::steady_time::max();
     bool m_draining = false;
     admission::overload_state m_overload;
     admission::call_queue m_queue;
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -182,9 +182,13 @@
 
 bool gate_call::may_still_begin() {
     // NOTE: the process may have been paused; this is the last look at the clock before the effect.
-    if (!m_stopped && m_env.clock.now() >= m_head.context.deadline) {
+    const auto now = m_env.clock.now();
+    if (!m_stopped && now >= m_head.context.deadline) {
         m_stopped = end_reason::deadline;
     }
+    if (!m_stopped && !m_env.table.may_reach(m_backend, now)) {
+        m_stopped = end_reason::no_backend;
+    }
     if (!m_stopped && m_execution_begun && !m_env.ledger.mark_sent(m_key)) {
         m_stopped = end_reason::deadline;
     }
--- a/src/gate/internal/gate_service.cpp
+++ b/src/gate/internal/gate_service.cpp
@@ -40,12 +40,8 @@
     return m_state->announce(server);
 }
 
-void gate_service::expect_withdrawal() {
-    m_state->expect_withdrawal();
-}
-
-void gate_service::withdraw() {
-    m_state->withdraw();
+void gate_service::leave(core::steady_time at) {
+    m_state->leave(at);
 }
 
 void gate_service::drain() {
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -193,7 +193,6 @@
 
 bool gate_service::state::announce(const backend_server& server) {
     bool crashed = false;
-    bool changed = false;
     {
         // NOTE: announcements that waited for a paused daemon are read by several threads, in any order.
         const std::scoped_lock lock(m_announce_mutex);
@@ -208,12 +207,12 @@
         const auto now = m_clock.now();
         m_backend_silence.heard(now);
         m_withdrawn = false;
-        changed = m_table.announce(server, now);
+        static_cast<void>(m_table.announce(server, now));
     }
     if (crashed) {
         m_env.crashes.backend_died();
     }
-    return changed;
+    return true;
 }
 
 void gate_service::state::probe_backend(unsigned probes) {
@@ -254,8 +253,10 @@
     apply(m_table.withdraw());
 }
 
-void gate_service::state::expect_withdrawal() {
+void gate_service::state::leave(core::steady_time at) {
+    const std::scoped_lock lock(m_announce_mutex);
     m_withdrawn = true;
+    m_table.leave_at(at);
 }
 
 void gate_service::state::drain() {
@@ -279,6 +280,9 @@
 
 void gate_service::state::tick() {
     const auto now = m_clock.now();
+    if (m_table.is_left(now)) {
+        withdraw();
+    }
     apply(m_table.tick(now));
     m_events.load_changed(m_load_watch.look(m_table.report(), now), m_classes);
     if (now >= m_next_cleaning) {
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -29,8 +29,7 @@
     void received(transport::frame message);
     void unsent(const core::attempt_id& attempt);
     bool announce(const backend_server& server);
-    void withdraw();
-    void expect_withdrawal();
+    void leave(core::steady_time at);
     void drain();
     [[nodiscard]] gate_counters counters() const;
     [[nodiscard]] routing::load_report report() const { return m_table.report(); }
@@ -54,6 +53,7 @@
     void cancelled(const transport::frame& message);
     void apply(const gate_changes& changes);
     void start_run(std::uint64_t run);
+    void withdraw();
     void refuse_run(const refusal& refused);
     void ended(std::uint64_t run, const internal::run_report& report);
     [[nodiscard]] call find(const core::attempt_id& attempt) const;
@@ -78,7 +78,7 @@
     std::atomic<bool> m_withdrawn = false;
     std::atomic<bool> m_probing = false;
     std::mutex m_announce_mutex;   ///< Taken before that of the table.
-    std::string m_former_instance; ///< Of the backend server; what it still says comes too late.
+    std::string m_former_instance; ///< It was replaced or leaves; what it still says comes too late.
 
     mutable std::mutex m_calls_mutex;
     std::unordered_map<std::uint64_t, call> m_calls;
--- a/src/gate/internal/gate_table.cpp
+++ b/src/gate/internal/gate_table.cpp
@@ -16,6 +16,10 @@
     return {std::max(server.slots, 1U), std::max(server.connections, 1U)};
 }
 
+bool is_one_start(const std::optional<backend_server>& known, const backend_server& server) {
+    return known && known->address == server.address && known->instance == server.instance;
+}
+
 } // namespace
 
 gate_table::gate_table(bool decisions_on) : m_decisions_on(decisions_on) {}
@@ -25,19 +29,34 @@
     if (m_backend == server) {
         return false;
     }
-    const bool same_life =
-        m_backend && m_backend->address == server.address && m_backend->instance == server.instance;
+    const bool same_life = is_one_start(m_backend, server);
     const auto running = m_limit.running;
     if (same_life) {
         m_limit.bounds = bounds_of(server);
     } else {
         m_limit = concurrency::cold_start(bounds_of(server), now);
         m_limit.running = running;
+        m_leaves_at = core::steady_time::max();
     }
     m_backend = server;
     return true;
 }
 
+void gate_table::leave_at(core::steady_time at) {
+    const std::scoped_lock lock(m_mutex);
+    m_leaves_at = std::min(m_leaves_at, at);
+}
+
+bool gate_table::is_left(core::steady_time now) const {
+    const std::scoped_lock lock(m_mutex);
+    return m_backend && now >= m_leaves_at;
+}
+
+bool gate_table::may_reach(const backend_server& server, core::steady_time now) const {
+    const std::scoped_lock lock(m_mutex);
+    return is_one_start(m_backend, server) && now < m_leaves_at;
+}
+
 gate_changes gate_table::withdraw() {
     const std::scoped_lock lock(m_mutex);
     m_backend.reset();
@@ -65,7 +84,7 @@
                                 const core::call_context& context, core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     gate_changes changes;
-    const auto reason = reason_to_refuse(service, context);
+    const auto reason = reason_to_refuse(service, context, now);
     if (m_decisions_on) {
         admission::record_arrival(m_overload, context, !reason);
     }
@@ -145,11 +164,12 @@
 }
 
 std::optional<end_reason> gate_table::reason_to_refuse(const std::string& service,
-                                                       const core::call_context& context) {
+                                                       const core::call_context& context,
+                                                       core::steady_time now) {
     if (m_draining) {
         return end_reason::draining;
     }
-    if (!m_backend) {
+    if (!m_backend || now >= m_leaves_at) {
         return end_reason::no_backend;
     }
     if (m_backend->service != service) {
--- /dev/null
+++ b/src/gate/tests/leaving_backend_tests.cpp
@@ -0,0 +1,79 @@
+// Requests, announcements and timers that are late when the backend server has said that it leaves.
+#include "gate/gate_table.h"
+#include "gate/tests/gate_rig.h"
+#include "gate/tests/request_frame.h"
+#include "testing/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <variant>
+
+using namespace monsoonlift;
+using namespace monsoonlift::gate;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How the gate ended an attempt; nothing if it sent no end.
+std::optional<transport::attempt_end> end_of(const tests::gate_rig& rig) {
+    for (const auto& frame : rig.sender.sent) {
+        if (const auto* end = std::get_if<transport::attempt_end>(&frame.payload)) {
+            return *end;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("a request whose connection comes late doesn't reach a server that has left", "[leaving_backend]") {
+    testing::manual_clock clock;
+    tests::gate_rig rig(clock);
+    rig.announce("first");
+    rig.service.received(tests::request_frame(1, clock.now() + 60s));
+    rig.service.leave(clock.now() + 1s);
+    clock.advance(1s);
+    auto connection = rig.accept();
+    REQUIRE(rig.run_until([&] { return end_of(rig).has_value(); }));
+    CHECK(end_of(rig)->run == core::verdict::not_run);
+    CHECK(end_of(rig)->reason == transport::end_reason::no_backend);
+    CHECK_FALSE(rig.read_request(connection));
+}
+
+TEST_CASE("a request that comes before the leaving server's time is over is served", "[leaving_backend]") {
+    testing::manual_clock clock;
+    tests::gate_rig rig(clock);
+    rig.announce("first");
+    rig.service.leave(clock.now() + 1s);
+    clock.advance(999ms);
+    rig.service.received(tests::request_frame(1, clock.now() + 60s));
+    auto connection = rig.accept();
+    CHECK(rig.read_request(connection));
+    connection.close();
+    CHECK(rig.run_until_idle());
+}
+
+TEST_CASE("a request that comes after the leaving server's time is refused, however late the timer",
+          "[leaving_backend]") {
+    testing::manual_clock clock;
+    tests::gate_rig rig(clock);
+    rig.announce("first");
+    rig.service.leave(clock.now() + 1s);
+    clock.advance(1s);
+    rig.service.received(tests::request_frame(1, clock.now() + 60s));
+    REQUIRE(end_of(rig));
+    CHECK(end_of(rig)->reason == transport::end_reason::no_backend);
+}
+
+TEST_CASE("the leaving of a server that nobody knew leaves the next one at work", "[leaving_backend]") {
+    testing::manual_clock clock;
+    tests::gate_rig rig(clock);
+    rig.service.leave(clock.now() + 1s);
+    rig.announce("second");
+    clock.advance(2s);
+    rig.service.received(tests::request_frame(1, clock.now() + 60s));
+    auto connection = rig.accept();
+    CHECK(rig.read_request(connection));
+    connection.close();
+    CHECK(rig.run_until_idle());
+}
