A late announcement or withdrawal of one start says nothing about another

The daemon had what it takes to tell, the 'instance' in the body, and didn't look at it.

An instance that withdrew does not come back, and a withdrawal that names another instance changes nothing. Two cases in leaving_backend_tests; without each guard its case fails (2 checks each).

--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -91,8 +91,10 @@
     void take_unsent(const transport::unsent_frame& unsent);
     void member_changed(const membership::member& changed);
     [[nodiscard]] admin::admin_response announce(const admin::admin_request& request);
-    [[nodiscard]] admin::admin_response withdraw();
-    void begin_withdrawal();
+    [[nodiscard]] admin::admin_response withdraw(const admin::admin_request& request);
+
+    /// Withdraws that start of the backend server; an empty name stands for the one that is known.
+    void begin_withdrawal(const std::string& instance);
 
     /// What the platform's calls to this daemon lead to; used on the control strand.
     [[nodiscard]] platform::local_server_hooks local_hooks();
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -65,14 +65,19 @@
     }
 }
 
-admin::admin_response daemon::withdraw() {
-    begin_withdrawal();
+admin::admin_response daemon::withdraw(const admin::admin_request& request) {
+    // NOTE: who names no start of itself, or sends no body, means the one that is known.
+    const auto parsed = admin::parse_announcement(request.body);
+    const auto* server = std::get_if<gate::backend_server>(&parsed);
+    begin_withdrawal(server != nullptr ? server->instance : std::string());
     return {200, "application/json", "{}"};
 }
 
-void daemon::begin_withdrawal() {
-    m_gate.leave(m_clock.now() + drain_grace_of(m_settings));
-    m_membership->withdraw();
+void daemon::begin_withdrawal(const std::string& instance) {
+    const bool leaves = m_gate.leave(instance, m_clock.now() + drain_grace_of(m_settings));
+    if (leaves) {
+        m_membership->withdraw();
+    }
 }
 
 platform::local_server_hooks daemon::local_hooks() {
@@ -215,7 +220,7 @@
 
 void daemon::leave_backend(const char* how) {
     note_farewell(*m_lives.departed, how, "its service is withdrawn");
-    begin_withdrawal();
+    begin_withdrawal({});
 }
 
 } // namespace monsoonlift::app
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -88,7 +88,8 @@
     });
     m_admin.route("POST", "/announce", access::open,
                   [this](const admin_request& request) { return announce(request); });
-    m_admin.route("POST", "/withdraw", access::open, [this](const admin_request&) { return withdraw(); });
+    m_admin.route("POST", "/withdraw", access::open,
+                  [this](const admin_request& request) { return withdraw(request); });
     m_admin.route("GET", "/quarantine", access::open, [this](const admin_request&) {
         return admin_response{200, "application/json", quarantined()};
     });
--- a/src/gate/gate_service.h
+++ b/src/gate/gate_service.h
@@ -74,8 +74,9 @@
     bool announce(const backend_server& server);
 
     /// The backend server said that it leaves: nothing new reaches it from `at` on, and if it is gone sooner
-    /// it has not crashed.
-    void leave(core::steady_time at);
+    /// it has not crashed. Does nothing if `instance` is not empty and names another start than the one
+    /// known. True if it does something.
+    bool leave(const std::string& instance, core::steady_time at);
 
     /// Refuses new work from now on.
     void drain();
--- a/src/gate/internal/gate_service.cpp
+++ b/src/gate/internal/gate_service.cpp
@@ -40,8 +40,8 @@
     return m_state->announce(server);
 }
 
-void gate_service::leave(core::steady_time at) {
-    m_state->leave(at);
+bool gate_service::leave(const std::string& instance, core::steady_time at) {
+    return m_state->leave(instance, at);
 }
 
 void gate_service::drain() {
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -253,10 +253,19 @@
     apply(m_table.withdraw());
 }
 
-void gate_service::state::leave(core::steady_time at) {
+bool gate_service::state::leave(const std::string& instance, core::steady_time at) {
     const std::scoped_lock lock(m_announce_mutex);
+    const auto known = m_table.backend();
+    const bool is_other = known && !known->instance.empty() && known->instance != instance;
+    if (!instance.empty() && is_other) {
+        return false;
+    }
     m_withdrawn = true;
+    if (known && !known->instance.empty()) {
+        m_former_instance = known->instance;
+    }
     m_table.leave_at(at);
+    return true;
 }
 
 void gate_service::state::drain() {
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -29,7 +29,7 @@
     void received(transport::frame message);
     void unsent(const core::attempt_id& attempt);
     bool announce(const backend_server& server);
-    void leave(core::steady_time at);
+    bool leave(const std::string& instance, core::steady_time at);
     void drain();
     [[nodiscard]] gate_counters counters() const;
     [[nodiscard]] routing::load_report report() const { return m_table.report(); }
--- a/src/gate/tests/backend_restart_tests.cpp
+++ b/src/gate/tests/backend_restart_tests.cpp
@@ -65,7 +65,7 @@
         gate.rig.announce(wanted.before);
         gate.begin_request();
         if (wanted.expected) {
-            gate.rig.service.leave(gate.clock.now() + 1h);
+            gate.rig.service.leave(wanted.before, gate.clock.now() + 1h);
         }
         gate.rig.announce(wanted.after);
         REQUIRE(gate.rig.reports.size() == wanted.reports);
--- a/src/gate/tests/leaving_backend_tests.cpp
+++ b/src/gate/tests/leaving_backend_tests.cpp
@@ -31,7 +31,7 @@
     tests::gate_rig rig(clock);
     rig.announce("first");
     rig.service.received(tests::request_frame(1, clock.now() + 60s));
-    rig.service.leave(clock.now() + 1s);
+    CHECK(rig.service.leave("first", clock.now() + 1s));
     clock.advance(1s);
     auto connection = rig.accept();
     REQUIRE(rig.run_until([&] { return end_of(rig).has_value(); }));
@@ -44,7 +44,7 @@
     testing::manual_clock clock;
     tests::gate_rig rig(clock);
     rig.announce("first");
-    rig.service.leave(clock.now() + 1s);
+    CHECK(rig.service.leave("first", clock.now() + 1s));
     clock.advance(999ms);
     rig.service.received(tests::request_frame(1, clock.now() + 60s));
     auto connection = rig.accept();
@@ -58,7 +58,7 @@
     testing::manual_clock clock;
     tests::gate_rig rig(clock);
     rig.announce("first");
-    rig.service.leave(clock.now() + 1s);
+    CHECK(rig.service.leave("first", clock.now() + 1s));
     clock.advance(1s);
     rig.service.received(tests::request_frame(1, clock.now() + 60s));
     REQUIRE(end_of(rig));
@@ -68,7 +68,7 @@
 TEST_CASE("the leaving of a server that nobody knew leaves the next one at work", "[leaving_backend]") {
     testing::manual_clock clock;
     tests::gate_rig rig(clock);
-    rig.service.leave(clock.now() + 1s);
+    CHECK(rig.service.leave("", clock.now() + 1s));
     rig.announce("second");
     clock.advance(2s);
     rig.service.received(tests::request_frame(1, clock.now() + 60s));
@@ -77,3 +77,34 @@
     connection.close();
     CHECK(rig.run_until_idle());
 }
+
+TEST_CASE("a late announcement of the server that leaves doesn't keep it at work", "[leaving_backend]") {
+    testing::manual_clock clock;
+    tests::gate_rig rig(clock);
+    const auto port = std::to_string(rig.backend.local_endpoint().port());
+    const auto announce = [&](const std::string& instance) {
+        return rig.service.announce({"mappa", "127.0.0.1:" + port, 4, 8, instance});
+    };
+    CHECK(announce("first"));
+    CHECK(rig.service.leave("first", clock.now() + 1s));
+    CHECK_FALSE(announce("first"));
+    clock.advance(1s);
+    rig.service.received(tests::request_frame(1, clock.now() + 60s));
+    REQUIRE(end_of(rig));
+    CHECK_FALSE(announce("first"));
+    CHECK(announce("second"));
+    CHECK(rig.service.backend()->instance == "second");
+}
+
+TEST_CASE("a late withdrawal by the instance before leaves the later one at work", "[leaving_backend]") {
+    testing::manual_clock clock;
+    tests::gate_rig rig(clock);
+    rig.announce("first");
+    rig.announce("second");
+    CHECK_FALSE(rig.service.leave("first", clock.now()));
+    rig.service.received(tests::request_frame(1, clock.now() + 60s));
+    auto connection = rig.accept();
+    CHECK(rig.read_request(connection));
+    connection.close();
+    CHECK(rig.run_until_idle());
+}
