Don't take an answer without a name for that of a request on a used connection

Report of other operators: a backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. A copy that names the earlier request was passed over already, and a connection on which a request was refused is closed, so the same request sent again can't meet its own refusal.

Now an answer that names nobody counts only as the first one of its connection; otherwise the attempt may have run, and the connection ends. Protocols whose answers repeat nothing are as before.

The scripted gate of backend_answer_tests moved to a file of its own.

--- a/src/gate/internal/backend_pool.cpp
+++ b/src/gate/internal/backend_pool.cpp
@@ -53,6 +53,7 @@
 
 void backend_pool::give_back(connection idle, std::size_t max_idle, core::steady_time now) {
     idle->idle_since = now;
+    idle->has_answered = true;
     const std::scoped_lock lock(m_mutex);
     if (m_idle.size() < max_idle) {
         m_idle.push_back(std::move(idle));
--- a/src/gate/internal/backend_pool.h
+++ b/src/gate/internal/backend_pool.h
@@ -22,6 +22,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::string address;
+    bool has_answered = false;    ///< An answer was read from it; what comes next may be a copy.
     core::steady_time idle_since; ///< While it is in a pool.
 };
 
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -120,6 +120,9 @@
     /// Whether the answer whose head was read is that of this request, and not a late one of another.
     [[nodiscard]] bool answers_this_request() const;
 
+    /// Whether the answer whose head was read says to which request it belongs.
+    [[nodiscard]] bool is_named() const;
+
     /// Reads an answer of another request to its end; false if that can't be found.
     awaitable<bool> pass_over_answer();
     [[nodiscard]] bool was_refused_by_backend() const;
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -199,21 +199,27 @@
         if (answers_this_request()) {
             co_return true;
         }
-        const bool passed_over = co_await pass_over_answer();
+        const bool passed_over = is_named() && co_await pass_over_answer();
         if (!passed_over) {
             co_return false;
         }
     }
 }
 
-bool gate_call::answers_this_request() const {
+bool gate_call::is_named() const {
     const auto name = m_env.options.protocol.echoed_id_header;
     const auto& answer = m_parser->get();
-    const auto echoed = name.empty() ? answer.end() : answer.find({name.data(), name.size()});
-    if (echoed == answer.end()) {
+    return !name.empty() && answer.find({name.data(), name.size()}) != answer.end();
+}
+
+bool gate_call::answers_this_request() const {
+    const auto name = m_env.options.protocol.echoed_id_header;
+    if (name.empty() || m_name.empty()) {
         return true;
     }
-    return m_name.empty() || view(echoed->value()) == m_name;
+    // NOTE: on a connection's first answer nothing else can be meant.
+    const auto echoed = m_parser->get().find({name.data(), name.size()});
+    return is_named() ? view(echoed->value()) == m_name : !m_connection->has_answered;
 }
 
 boost::asio::awaitable<bool> gate_call::pass_over_answer() {
@@ -229,6 +235,7 @@
             co_return false;
         }
     }
+    m_connection->has_answered = true;
     co_return true;
 }
 
--- a/src/gate/tests/backend_answer_tests.cpp
+++ b/src/gate/tests/backend_answer_tests.cpp
@@ -1,109 +1,16 @@
 // What a gate makes of answers that are late, of another request, cut short, or end with their connection.
-#include "core/system_clock.h"
-#include "gate/tests/gate_rig.h"
-#include "gate/tests/request_frame.h"
+#include "gate/tests/scripted_gate.h"
 
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <optional>
 #include <string>
-#include <vector>
 
 using namespace monsoonlift;
 using namespace monsoonlift::gate;
-using namespace std::chrono_literals;
-using boost::asio::ip::tcp;
+using namespace monsoonlift::gate::tests;
 
 namespace {
 
-backend_protocol echoing_protocol() {
-    backend_protocol protocol;
-    protocol.echoed_id_header = "Request-Name";
-    protocol.answers_may_end_with_connection = true;
-    protocol.is_refusal = [](unsigned status, const boost::beast::http::fields&) {
-        return status == 421;
-    };
-    return protocol;
-}
-
-/// How the scripted backend server ends its connection.
-enum class ending { stays_open, closed, reset };
-
-/// What a gate told the entry.
-struct told {
-    std::optional<unsigned> status;
-    std::string body;
-    bool whole = false;
-    std::optional<transport::attempt_end> failure;
-};
-
-/// One request at a gate whose backend server answers with prescribed bytes.
-class scripted_gate {
-public:
-    scripted_gate() { m_rig.announce("first"); }
-
-    told answer_with(const std::vector<std::string>& pieces, ending last) {
-        begin_request();
-        auto connection = m_rig.accept();
-        REQUIRE(m_rig.read_request(connection));
-        for (const auto& piece : pieces) {
-            boost::asio::write(connection, boost::asio::buffer(piece));
-            m_rig.io.run_for(pause_between_pieces);
-        }
-        end(connection, last);
-        REQUIRE(m_rig.run_until_idle());
-        return collect();
-    }
-
-private:
-    static constexpr auto pause_between_pieces = 20ms;
-
-    static gate_options options() {
-        gate_options chosen;
-        chosen.protocol = echoing_protocol();
-        return chosen;
-    }
-
-    void begin_request() {
-        auto message = tests::request_frame(1, m_clock.now() + 60s, {{"Request-Name", "mine"}});
-        m_rig.service.received(message);
-        // NOTE: a streamed answer needs credit, which an entry grants with the answer's head.
-        message.payload = transport::credit{16};
-        m_rig.service.received(message);
-    }
-
-    static void end(tcp::socket& connection, ending last) {
-        if (last == ending::reset) {
-            connection.set_option(boost::asio::socket_base::linger(true, 0));
-        }
-        if (last != ending::stays_open) {
-            connection.close();
-        }
-    }
-
-    told collect() const {
-        told result;
-        for (const auto& message : m_rig.sender.sent) {
-            if (const auto* head = std::get_if<transport::response_head>(&message.payload)) {
-                result.status = head->status;
-                result.body = head->body;
-                result.whole = head->total.has_value();
-            } else if (const auto* chunk = std::get_if<transport::body_chunk>(&message.payload)) {
-                result.body += chunk->data;
-            } else if (std::holds_alternative<transport::body_end>(message.payload)) {
-                result.whole = true;
-            } else if (const auto* failed = std::get_if<transport::attempt_end>(&message.payload)) {
-                result.failure = *failed;
-            }
-        }
-        return result;
-    }
-
-    core::system_clock m_clock;
-    tests::gate_rig m_rig{m_clock, options()};
-};
-
 const std::string own_head = "HTTP/1.1 200 OK\r\nRequest-Name: mine\r\n";
 
 } // namespace
