Give up on bytes without end that are no answer

Report of other operators: a faulty backend server may write bytes that are no answer without end, in a head or in a body, until its caller closes. faulty_backend_tests showed: interim answers without end kept the request and its slot until its deadline (20 s and more in the test), and so would answers of other requests, their bodies, and the extension of a chunk, which the gate also gathered in memory without bound. No HTTP, a reason, one field and many fields without end were refused already.

A request's own answer may be preceded by 16 heads and 4 MB of others' bodies, and 256 KB at most are held before they are understood. What goes beyond ends the connection; the request may have run. An endless body of the own answer goes to its caller under credit as before and ends with the caller.

--- a/src/gate/internal/backend_pool.h
+++ b/src/gate/internal/backend_pool.h
@@ -15,12 +15,15 @@
 
 namespace monsoonlift::gate::internal {
 
+/// What an answer may take at once before any of it is understood: its head, or the head of a chunk.
+inline constexpr std::size_t most_unread_bytes = 256 * 1024;
+
 /// One keep-alive connection to the backend server.
 struct backend_connection {
     explicit backend_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{most_unread_bytes};
     std::string address;
     bool has_answered = false;    ///< An answer was read from it; what comes next may be a copy.
     core::steady_time idle_since; ///< While it is in a pool.
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -25,6 +25,11 @@
 constexpr std::size_t inline_body_bytes = 16 * 1024;
 constexpr unsigned first_final_status = 200;
 
+/// Interim answers and answers of other requests that may precede a request's own, and the bytes of their
+/// bodies.
+constexpr unsigned most_heads_before_answer = 16;
+constexpr std::size_t most_bytes_before_answer = 4 * 1024 * 1024;
+
 constexpr auto to_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
 std::string_view view(boost::beast::string_view text) {
@@ -183,7 +188,7 @@
 }
 
 boost::asio::awaitable<bool> gate_call::read_head() {
-    while (true) {
+    for (unsigned heads = 0; heads < most_heads_before_answer; ++heads) {
         m_parser.emplace();
         m_parser->header_limit(answer_header_limit);
         m_parser->body_limit(boost::none);
@@ -204,6 +209,7 @@
             co_return false;
         }
     }
+    co_return false;
 }
 
 bool gate_call::is_named() const {
@@ -229,9 +235,11 @@
         co_return false;
     }
     std::string discarded;
+    std::size_t bytes = 0;
     while (!m_parser->is_done()) {
         const bool read = co_await read_body(discarded, inline_body_bytes, false);
-        if (!read) {
+        bytes += discarded.size();
+        if (!read || bytes > most_bytes_before_answer) {
             co_return false;
         }
     }
--- a/src/gate/tests/faulty_backend_tests.cpp
+++ b/src/gate/tests/faulty_backend_tests.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+constexpr std::size_t most_bytes_read_in_vain = 16 * 1024 * 1024;
+constexpr std::size_t piece_bytes = 4096;
+
 const std::string own_head = "HTTP/1.1 200 OK\r\nRequest-Name: mine\r\n";
 const std::string own_answer = own_head + "Content-Length: 5\r\n\r\nright";
 
@@ -70,3 +73,43 @@
         }
     }
 }
+
+TEST_CASE("bytes without end within a head end the connection", "[faulty_backend]") {
+    struct endless_case {
+        const char* what;
+        std::string beginning;
+        std::string repeated;
+    };
+    const std::string other_in_chunks =
+        "HTTP/1.1 200 OK\r\nRequest-Name: other\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const endless_case cases[] = {
+        {"no HTTP", "", std::string(piece_bytes, 'x')},
+        {"a reason", "HTTP/1.1 200 ", std::string(piece_bytes, 'x')},
+        {"one field", own_head + "Filling: ", std::string(piece_bytes, 'x')},
+        {"many fields", own_head, "Filling: x\r\n"},
+        {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"answers of another request", "", answer_of("other")},
+        {"the body of another request's answer", other_in_chunks, "5\r\nwrong\r\n"},
+        {"a chunk's extension", other_in_chunks + "5;", std::string(piece_bytes, 'x')},
+    };
+    for (const auto& wanted : cases) {
+        INFO(wanted.what);
+        scripted_gate gate;
+        CHECK(gate.answer_endlessly(wanted.beginning, wanted.repeated) < most_bytes_read_in_vain);
+        CHECK(gate.is_idle());
+        CHECK_FALSE(gate.collect().status);
+        REQUIRE(gate.collect().failure);
+        CHECK(gate.collect().failure->run == core::verdict::may_have_run);
+    }
+}
+
+TEST_CASE("a body without end stops when its caller takes no more or leaves", "[faulty_backend]") {
+    const std::string endings[] = {own_head + "\r\n", own_head + "Transfer-Encoding: chunked\r\n\r\n"};
+    for (const auto& head : endings) {
+        INFO(head);
+        scripted_gate gate;
+        gate.cancel_after = most_bytes_read_in_vain / 16;
+        CHECK(gate.answer_endlessly(head, "5\r\nright\r\n") < most_bytes_read_in_vain);
+        CHECK_FALSE(gate.collect().whole);
+    }
+}
