The soak: a server leaves and its daemon's process ends right after it has acknowledged that

Now half of the farewells have no body, the delayed heartbeat comes 0.3 to 3.0 s after, and each run has one leaving after which the daemon is killed, or stopped.

--- a/scripts/lib/harness/quiet_server.py
+++ b/scripts/lib/harness/quiet_server.py
@@ -3,12 +3,12 @@
 
 import http.server
 import socket
-import struct
 import threading
 from collections.abc import Callable
 
+from harness.sockets import reset_at_close
+
 POLL_S = 0.02
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 Answerer = Callable[[http.server.BaseHTTPRequestHandler], None]
 
@@ -56,7 +56,7 @@
         self.server_close()
         for connection in list(self._open):
             try:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                reset_at_close(connection)
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass  # NOTE: it has ended by itself.
--- a/scripts/lib/soak/endpoint.py
+++ b/scripts/lib/soak/endpoint.py
@@ -4,8 +4,6 @@
 import http.server
 import json
 import random
-import socket
-import struct
 import threading
 import time
 from collections.abc import Callable
@@ -13,6 +11,7 @@
 
 from harness import http as calls
 from harness.quiet_server import QuietServer
+from harness.sockets import reset_at_close
 from soak.checker import Attempt, Run
 
 HEARTBEAT_S = 0.3
@@ -23,9 +22,9 @@
 CALL_SHARE = 0.2  # Of the dispatches; each of these asks the map service while it runs.
 LARGE_SHARE = 0.05
 LARGE_BYTES = 300_000
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 SPARE_S = 3.5  # A leaving server serves on for this long after the acknowledgement.
-DELAYED_S = 1.5  # A heartbeat from before its leaving arrives this long after.
+DELAYED_S = (0.3, 3.0)  # A heartbeat from before its leaving arrives this long after.
+START_TOLD_SHARE = 0.5  # Of the farewells; the others have no body.
 
 
 @dataclass
@@ -103,17 +102,20 @@
         self._ended.set()
         self.shut()
 
-    def drain(self, abrupt: bool) -> tuple[str, float | None]:
+    def drain(self, abrupt: bool, then: Callable[[], None] = lambda: None) -> tuple[str, float | None]:
         """Leaves and gives the instance and when that was acknowledged. It says first that it drains; if it is abrupt
-        its first word is the farewell. A heartbeat from before comes late."""
+        its first word is the farewell. `then` happens right after, and a heartbeat from before comes late."""
         leaving = self.instance
         delayed = self.next_heartbeat()
         self._state = "left" if abrupt else "draining"
         heard = self._say_farewell(leaving) if abrupt else self.post(self.next_heartbeat())
         acknowledged = time.monotonic() if heard else None
-        time.sleep(DELAYED_S)
+        began = time.monotonic()
+        delay_s = self._draw.uniform(*DELAYED_S)
+        then()
+        time.sleep(max(0.0, began + delay_s - time.monotonic()))
         self.post(delayed)
-        time.sleep(SPARE_S - DELAYED_S)
+        time.sleep(max(0.0, began + SPARE_S - time.monotonic()))
         if not abrupt:
             self._say_farewell(leaving)
         self.shut()
@@ -121,11 +123,8 @@
 
     def _say_farewell(self, leaving: str) -> bool:
         """Says that an instance leaves; a server that isn't heard leaves all the same."""
-        try:
-            told = calls.post_json(self._control, f"/api/Instances.Deregister/{leaving}", {"born": self._born_ms})
-            return told.status == 200
-        except (OSError, calls.http.client.HTTPException):
-            return False
+        told = {"born": self._born_ms} if self._draw.random() < START_TOLD_SHARE else None
+        return self.post((f"/api/Instances.Deregister/{leaving}", told))
 
     def _beat(self) -> None:
         while not self._ended.wait(HEARTBEAT_S):
@@ -141,11 +140,11 @@
                     "Sequence": self._sequence, "born": self._born_ms}
             return f"/api/Instances.Heartbeat/{self.instance}", told
 
-    def post(self, heartbeat: tuple[str, dict[str, object]]) -> bool:
-        """Sends a heartbeat; true if it was acknowledged."""
-        path, told = heartbeat
+    def post(self, message: tuple[str, dict[str, object] | None]) -> bool:
+        """Sends a heartbeat or a farewell to the daemon; true if it was acknowledged."""
+        path, told = message
         try:
-            return calls.call(self._control, "POST", path, body=json.dumps(told).encode(),
+            return calls.call(self._control, "POST", path, body=json.dumps(told).encode() if told else b"",
                               headers={"Content-Type": "application/json"},
                               patience_s=HEARTBEAT_PATIENCE_S).status == 200
         except (OSError, calls.http.client.HTTPException):
@@ -210,5 +209,5 @@
 def reset(handler: http.server.BaseHTTPRequestHandler) -> None:
     """Resets the connection without another byte."""
     handler.close_connection = True
-    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    reset_at_close(handler.connection)
     handler.connection.close()
--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -59,8 +59,8 @@
     def at(self, port: str) -> str:
         return f"{self.ip}:{PORTS[port]}"
 
-    def sender(self, caller_service: str = "") -> Sender:
-        return Sender(self.number, caller_service or self.service, self.at("caller"))
+    def sender(self) -> Sender:
+        return Sender(self.number, self.service, self.at("caller"))
 
     def ask(self, name: str) -> Attempt:
         """The backend server's own call to the map service, through the daemon beside it."""
--- a/scripts/lib/soak/plan.py
+++ b/scripts/lib/soak/plan.py
@@ -32,9 +32,14 @@
     SERVER_DRAIN = "server drain"  # it says that it leaves, leaves, and another instance starts
     SERVER_FAREWELL = "server farewell"  # the same without saying before that it leaves
     CONFIGURATION = "configuration"
+    LEAVING_AT_KILL = "server leaves, daemon killed"  # right after it has acknowledged the leaving
+    LEAVING_AT_STOP = "server leaves, daemon stopped"  # the same in order
 
 
-PLANNED = frozenset({Kind.STOP, Kind.RELOAD, Kind.SERVER_DRAIN, Kind.SERVER_FAREWELL, Kind.CONFIGURATION})
+PLANNED = frozenset({Kind.STOP, Kind.RELOAD, Kind.SERVER_DRAIN, Kind.SERVER_FAREWELL, Kind.CONFIGURATION,
+                     Kind.LEAVING_AT_STOP})
+# Each run has one of these besides; drawn apart, so that the rest of a seed's plan stays as it was.
+LEAVINGS = (Kind.LEAVING_AT_KILL, Kind.LEAVING_AT_STOP)
 ALL_VMS = frozenset({Kind.HERD_KILL, Kind.STORE_DOWN, Kind.STORE_SLOW, Kind.STORE_LOSES_ANSWERS, Kind.CONFIGURATION})
 LONGEST_S = 4.0
 SHORTEST_S = 0.3
@@ -66,9 +71,12 @@
     plan: list[Fault] = []
     while len(plan) < count:
         at = draw.uniform(QUIET_HEAD_S, length_s)
-        fault = Fault(at, draw.choice(list(Kind)), draw.randrange(vms), draw.uniform(SHORTEST_S, LONGEST_S))
+        fault = Fault(at, draw.choice([kind for kind in Kind if kind not in LEAVINGS]), draw.randrange(vms), draw.uniform(SHORTEST_S, LONGEST_S))
         plan.append(fault)
         if draw.random() < SERIES_SHARE:
             again = fault.end + draw.uniform(0.1, 1.0)
             plan.append(Fault(again, fault.kind, fault.vm, draw.uniform(SHORTEST_S, LONGEST_S)))
+    apart = random.Random(f"{seed}/leaving")
+    plan.append(Fault(apart.uniform(QUIET_HEAD_S, length_s), apart.choice(LEAVINGS), apart.randrange(vms),
+                      apart.uniform(SHORTEST_S, LONGEST_S)))
     return sorted(plan, key=lambda fault: fault.at)
--- a/scripts/lib/soak/proxy.py
+++ b/scripts/lib/soak/proxy.py
@@ -3,14 +3,14 @@
 
 import asyncio
 import socket
-import struct
 import threading
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
+from harness.sockets import reset_at_close
+
 PIECE_BYTES = 64 * 1024
 LOOK_S = 0.02
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass
@@ -78,7 +78,7 @@
         for writer in list(self._writers):
             held = writer.get_extra_info("socket")
             if held is not None:
-                held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                reset_at_close(held)
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/scripts/lib/soak/run.py
+++ b/scripts/lib/soak/run.py
@@ -112,6 +112,8 @@
             Kind.SERVER_DRAIN: lambda: self._drain_server(vm, fault.duration, abrupt=False),
             Kind.SERVER_FAREWELL: lambda: self._drain_server(vm, fault.duration, abrupt=True),
             Kind.CONFIGURATION: self.operator.change,
+            Kind.LEAVING_AT_KILL: lambda: self._drain_server(vm, fault.duration, fault.vm % 2 == 0, lambda: self._kill([vm], 0.0)),
+            Kind.LEAVING_AT_STOP: lambda: self._drain_server(vm, fault.duration, fault.vm % 2 == 0, lambda: self._stop(vm)),
         }
         effects[fault.kind]()
         if fault.kind not in PLANNED:
@@ -168,9 +170,9 @@
             time.sleep(down_s)
             vm.endpoint.open()
 
-    def _drain_server(self, vm: Vm, down_s: float, abrupt: bool) -> None:
+    def _drain_server(self, vm: Vm, down_s: float, abrupt: bool, then: Callable[[], None] = lambda: None) -> None:
         with vm.server_lock:
-            instance, acknowledged = vm.endpoint.drain(abrupt)
+            instance, acknowledged = vm.endpoint.drain(abrupt, then)
             if acknowledged is not None:
                 self.facts.drained[instance] = acknowledged
             time.sleep(down_s)
