Remember a farewell of a life that had announced nothing yet

Without a start time nobody can tell an earlier life from a later one. So such a farewell changes nothing for the newest life, as before, and is remembered by its name; a daemon keeps the last four, here and for its next process.

--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -104,12 +104,12 @@
     void take_deregistration(const std::string& id, std::uint64_t started_ms,
                              const platform::acknowledgement& acknowledge);
 
-    /// What an earlier process of this daemon heard last.
-    void take_past(const std::optional<core::departed_life>& past);
+    /// The farewells that earlier processes of this daemon heard.
+    void take_past(const std::vector<core::departed_life>& past);
     void note_heartbeat(const gate::backend_lives& before, const gate::announcement_mark& mark,
                         gate::announcement_effect effect);
     void serve_backend(const platform::heartbeat& told);
-    void leave_backend(const char* how);
+    void leave_backend(const core::departed_life& leaving, const char* how);
 
     /// Acknowledges the leaving once the platform remembers it, and refuses to if that takes too long.
     void acknowledge_leaving(const platform::acknowledgement& acknowledge);
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -27,10 +27,18 @@
     return life.id + "/" + std::to_string(life.started_ms);
 }
 
-template <class T> std::string text_of(const std::optional<T>& known) {
+std::string text_of(const std::optional<gate::announcement_mark>& known) {
     return known ? text_of(*known) : "none";
 }
 
+std::string text_of(const std::vector<core::departed_life>& lives) {
+    std::string text;
+    for (const auto& life : lives) {
+        text += (text.empty() ? "" : " ") + text_of(life);
+    }
+    return text.empty() ? "none" : text;
+}
+
 gate::announcement_mark mark_of(const platform::heartbeat& told) {
     return {told.id, told.started_ms, told.sequence};
 }
@@ -114,7 +122,7 @@
         return;
     }
     if (effect == gate::announcement_effect::opens) {
-        m_membership->forget_farewell();
+        m_membership->forget_farewells();
     }
     m_last_ready = told;
     if (m_lives.serves) {
@@ -127,7 +135,7 @@
     const auto effect = gate::hear_draining(m_lives, mark_of(told), unix_ms(m_clock.wall_now()));
     note_heartbeat(before, mark_of(told), effect);
     if (effect == gate::announcement_effect::leaves) {
-        leave_backend("draining");
+        leave_backend({told.id, told.started_ms}, "draining");
     }
     if (gate::has_left(m_lives.departed, mark_of(told))) {
         acknowledge_leaving(acknowledge);
@@ -172,42 +180,40 @@
     const core::departed_life leaving{id, started_ms, unix_ms(m_clock.wall_now())};
     const auto effect = gate::hear_farewell(m_lives, leaving);
     if (effect == gate::announcement_effect::late) {
-        note_farewell(leaving, "deregistered", "of an earlier start, not used");
-        acknowledge(true);
-        return;
+        note_farewell(leaving, "deregistered", "not of the newest start: remembered");
     }
     if (effect == gate::announcement_effect::leaves) {
-        leave_backend("deregistered");
+        leave_backend(leaving, "deregistered");
     }
     acknowledge_leaving(acknowledge);
 }
 
-void daemon::take_past(const std::optional<core::departed_life>& past) {
+void daemon::take_past(const std::vector<core::departed_life>& past) {
     const auto effect = gate::learn_past(m_lives, past);
     m_log.write(logging::event_id::past_farewell_known, {{"left", text_of(past)}});
     if (effect == gate::announcement_effect::leaves) {
-        leave_backend("told to an earlier process");
+        leave_backend({m_lives.newest->id, m_lives.newest->started_ms}, "told to an earlier process");
     }
     if (effect == gate::announcement_effect::opens && m_last_ready) {
-        m_membership->forget_farewell();
+        m_membership->forget_farewells();
         serve_backend(*m_last_ready);
     }
 }
 
 void daemon::acknowledge_leaving(const platform::acknowledgement& acknowledge) {
     auto once = std::make_shared<platform::acknowledgement>(acknowledge);
-    const auto answer = [this, once, left = *m_lives.departed](bool is_kept) {
+    const auto answer = [this, once, left = text_of(m_lives.departed)](bool is_kept) {
         const auto waiting = std::exchange(*once, nullptr);
         if (!waiting) {
             return;
         }
         const auto event =
             is_kept ? logging::event_id::farewell_acknowledged : logging::event_id::farewell_not_recorded;
-        m_log.write(event, {{"life", text_of(left)}});
+        m_log.write(event, {{"left", left}});
         waiting(is_kept);
     };
-    m_membership->record_farewell(
-        *m_lives.departed, [this, answer] { boost::asio::post(m_control, [answer] { answer(true); }); });
+    m_membership->record_farewells(
+        m_lives.departed, [this, answer] { boost::asio::post(m_control, [answer] { answer(true); }); });
     m_scheduler.after(acknowledgement_patience, [answer] { answer(false); });
 }
 
@@ -218,8 +224,8 @@
                                                      {"outcome", outcome}});
 }
 
-void daemon::leave_backend(const char* how) {
-    note_farewell(*m_lives.departed, how, "its service is withdrawn");
+void daemon::leave_backend(const core::departed_life& leaving, const char* how) {
+    note_farewell(leaving, how, "its service is withdrawn");
     begin_withdrawal({});
 }
 
--- a/src/gate/announcement_order.h
+++ b/src/gate/announcement_order.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace monsoonlift::gate {
 
@@ -25,11 +26,11 @@
 [[nodiscard]] bool is_overtaken(const std::optional<announcement_mark>& newest,
                                 const announcement_mark& offered);
 
-/// Whether `offered` comes from the life that leaves or from one before it. A life that leaves never comes
+/// Whether `offered` comes from a life that left or from one before it. A life that leaves never comes
 /// back, whatever its sequence numbers say. If the farewell told no start, a life of its name that started
 /// before the farewell was heard is the one that leaves. Answers heartbeats that were delayed past the
 /// farewell, which bears no number.
-[[nodiscard]] bool has_left(const std::optional<core::departed_life>& departed,
+[[nodiscard]] bool has_left(const std::vector<core::departed_life>& departed,
                             const announcement_mark& offered);
 
 /// Whether a farewell comes from a life before that of `newest`, which it says nothing about. One of a later
--- a/src/gate/backend_lives.h
+++ b/src/gate/backend_lives.h
@@ -9,14 +9,15 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace monsoonlift::gate {
 
 /// What one process of the daemon knows of the backend server's starts.
 struct backend_lives {
-    std::optional<announcement_mark> newest;     ///< Latest announcement heard.
-    std::optional<core::departed_life> departed; ///< Said that it leaves; no later one has served since.
-    bool serves = false;                         ///< The life of `newest` may get work.
+    std::optional<announcement_mark> newest;   ///< Latest announcement heard.
+    std::vector<core::departed_life> departed; ///< Said that they leave; the latest, one of each name.
+    bool serves = false;                       ///< The life of `newest` may get work.
     bool is_past_settled =
         false; ///< What earlier processes heard is known, or a life has shown that it lives.
     std::optional<core::steady_time>
@@ -29,7 +30,7 @@
 
 /// What an announcement changes.
 enum class announcement_effect : std::uint8_t {
-    late,   ///< Nothing: it was overtaken.
+    late,   ///< Nothing for the life that serves or waits: it was overtaken.
     again,  ///< Nothing new: the life goes on, or its leaving is known.
     opens,  ///< The life may get work from now on.
     waits,  ///< The life gets work once it has proved that it lives, or the past is known.
@@ -44,11 +45,12 @@
 [[nodiscard]] announcement_effect hear_draining(backend_lives& lives, const announcement_mark& offered,
                                                 std::uint64_t heard_ms);
 
-/// A farewell, which bears no sequence number and may tell no start.
+/// A farewell, which bears no sequence number and may tell no start. One of a life that is not the newest is
+/// remembered, as its late heartbeats may come, and changes nothing for the newest.
 [[nodiscard]] announcement_effect hear_farewell(backend_lives& lives, const core::departed_life& leaving);
 
-/// The last farewell that earlier processes of the daemon heard, if there was one.
+/// The farewells that earlier processes of the daemon remembered.
 [[nodiscard]] announcement_effect learn_past(backend_lives& lives,
-                                             const std::optional<core::departed_life>& departed);
+                                             const std::vector<core::departed_life>& departed);
 
 } // namespace monsoonlift::gate
--- a/src/gate/internal/backend_lives.cpp
+++ b/src/gate/internal/backend_lives.cpp
@@ -1,18 +1,21 @@
 #include "gate/backend_lives.h"
 
+#include <algorithm>
+
 namespace monsoonlift::gate {
 
 namespace {
 
+/// Leavings at one address are seconds apart, and heartbeats are seconds late.
+constexpr std::size_t most_remembered = 4;
+
 void serve(backend_lives& lives) {
-    lives.departed.reset();
     lives.waits_since.reset();
     lives.serves = true;
     lives.is_past_settled = true;
 }
 
-void shut(backend_lives& lives, const core::departed_life& leaving) {
-    lives.departed = leaving;
+void shut(backend_lives& lives) {
     lives.waits_since.reset();
     lives.serves = false;
 }
@@ -21,13 +24,38 @@
     return lives.waits_since && now - *lives.waits_since >= proof_of_life;
 }
 
-/// The farewell with all that is known of its life's start.
-core::departed_life completed(const backend_lives& lives, core::departed_life leaving) {
+std::vector<core::departed_life>::iterator find_name(backend_lives& lives, const std::string& id) {
+    return std::find_if(lives.departed.begin(), lives.departed.end(),
+                        [&](const core::departed_life& left) { return left.id == id; });
+}
+
+/// The start of the life that a farewell names; 0 if it tells none and none is known.
+std::uint64_t start_of(backend_lives& lives, const core::departed_life& leaving) {
     if (leaving.started_ms == 0 && lives.newest && lives.newest->id == leaving.id) {
-        leaving.started_ms = lives.newest->started_ms;
+        return lives.newest->started_ms;
+    }
+    return leaving.started_ms;
+}
+
+bool says_more(const core::departed_life& told, const core::departed_life& known) {
+    const bool neither_tells = told.started_ms == 0 && known.started_ms == 0;
+    return neither_tells ? told.heard_ms > known.heard_ms : told.started_ms > known.started_ms;
+}
+
+/// Keeps the farewell; false if it says nothing that isn't known.
+bool remember(backend_lives& lives, const core::departed_life& leaving) {
+    const auto known = find_name(lives, leaving.id);
+    if (known != lives.departed.end() && !says_more(leaving, *known)) {
+        return false;
     }
-    const bool is_known = lives.departed && lives.departed->id == leaving.id;
-    return is_known && leaving.started_ms == 0 ? *lives.departed : leaving;
+    if (known != lives.departed.end()) {
+        lives.departed.erase(known);
+    }
+    lives.departed.push_back(leaving);
+    if (lives.departed.size() > most_remembered) {
+        lives.departed.erase(lives.departed.begin());
+    }
+    return true;
 }
 
 } // namespace
@@ -63,28 +91,26 @@
 }
 
 announcement_effect hear_farewell(backend_lives& lives, const core::departed_life& leaving) {
-    if (is_late_farewell(lives.newest, leaving)) {
+    const core::departed_life known{leaving.id, start_of(lives, leaving), leaving.heard_ms};
+    const bool is_news = remember(lives, known);
+    if (is_late_farewell(lives.newest, known)) {
         return announcement_effect::late;
     }
-    const auto known = completed(lives, leaving);
-    const bool is_repeated =
-        lives.departed && lives.departed->id == known.id && lives.departed->started_ms == known.started_ms;
-    if (is_repeated) {
+    if (!is_news) {
         return announcement_effect::again;
     }
-    shut(lives, known);
+    shut(lives);
     return announcement_effect::leaves;
 }
 
-announcement_effect learn_past(backend_lives& lives, const std::optional<core::departed_life>& departed) {
+announcement_effect learn_past(backend_lives& lives, const std::vector<core::departed_life>& departed) {
     lives.is_past_settled = true;
-    if (lives.departed) {
-        return announcement_effect::again;
+    for (const auto& left : departed) {
+        static_cast<void>(remember(lives, left));
     }
-    const bool tells_of_newest = departed && lives.newest && has_left(departed, *lives.newest);
-    if (departed && (!lives.newest || tells_of_newest)) {
+    if (lives.newest && has_left(lives.departed, *lives.newest)) {
         const bool served = lives.serves;
-        shut(lives, *departed);
+        shut(lives);
         return served ? announcement_effect::leaves : announcement_effect::again;
     }
     if (lives.waits_since) {
--- a/src/gate/tests/announcement_order_tests.cpp
+++ b/src/gate/tests/announcement_order_tests.cpp
@@ -54,9 +54,9 @@
     };
     for (const auto& wanted : cases) {
         INFO(wanted.what);
-        CHECK(has_left(wanted.departed, wanted.offered) == wanted.left);
+        CHECK(has_left({wanted.departed}, wanted.offered) == wanted.left);
     }
-    CHECK_FALSE(has_left(std::nullopt, {"a", 100, 1}));
+    CHECK_FALSE(has_left({}, {"a", 100, 1}));
 }
 
 TEST_CASE("a farewell of an earlier life says nothing about the later one", "[announcement_order]") {
--- a/src/membership/internal/member_object_keeper.cpp
+++ b/src/membership/internal/member_object_keeper.cpp
@@ -23,20 +23,23 @@
 constexpr char members_prefix[] = "members/";
 constexpr char membership_address_field[] = "membership_address";
 constexpr char incarnation_field[] = "incarnation";
-constexpr char farewell_field[] = "backend_left";
+constexpr char farewells_field[] = "backends_left";
 
 std::string object_name(const member& self) {
     return members_prefix + self.id.address;
 }
 
-std::string object_value(const member& self, const std::optional<core::departed_life>& farewell) {
+std::string object_value(const member& self, const std::vector<core::departed_life>& farewells) {
     boost::json::object value{{membership_address_field, self.membership_address},
                               {incarnation_field, self.id.life.value},
                               {"name", self.name},
                               {"data_centre", self.data_centre}};
-    if (farewell) {
-        value[farewell_field] = boost::json::object{
-            {"id", farewell->id}, {"started_ms", farewell->started_ms}, {"heard_ms", farewell->heard_ms}};
+    boost::json::array left;
+    for (const auto& each : farewells) {
+        left.push_back({{"id", each.id}, {"started_ms", each.started_ms}, {"heard_ms", each.heard_ms}});
+    }
+    if (!left.empty()) {
+        value[farewells_field] = std::move(left);
     }
     return boost::json::serialize(value);
 }
@@ -57,22 +60,29 @@
                                                   : std::nullopt;
 }
 
-std::optional<core::departed_life> read_farewell(const boost::json::object& fields) {
-    const auto* found = fields.if_contains(farewell_field);
-    const auto* told = found != nullptr ? found->if_object() : nullptr;
-    const auto id = told != nullptr ? find_text(*told, "id") : std::nullopt;
-    if (!id) {
-        return std::nullopt;
+std::vector<core::departed_life> read_farewells(const boost::json::object& fields) {
+    const auto* found = fields.if_contains(farewells_field);
+    const auto* told = found != nullptr ? found->if_array() : nullptr;
+    std::vector<core::departed_life> farewells;
+    if (told == nullptr) {
+        return farewells;
+    }
+    for (const auto& each : *told) {
+        const auto* left = each.if_object();
+        const auto id = left != nullptr ? find_text(*left, "id") : std::nullopt;
+        if (id) {
+            farewells.push_back({*id, find_number(*left, "started_ms").value_or(0),
+                                 find_number(*left, "heard_ms").value_or(0)});
+        }
     }
-    return core::departed_life{*id, find_number(*told, "started_ms").value_or(0),
-                               find_number(*told, "heard_ms").value_or(0)};
+    return farewells;
 }
 
 /// What an object says of the daemon that wrote it.
 struct object_content {
     std::string membership_address;
     core::incarnation life;
-    std::optional<core::departed_life> farewell;
+    std::vector<core::departed_life> farewells;
 };
 
 std::optional<object_content> read_content(const std::string& text) {
@@ -87,7 +97,7 @@
     if (!address || !life) {
         return std::nullopt;
     }
-    return object_content{*address, {*life}, read_farewell(*fields)};
+    return object_content{*address, {*life}, read_farewells(*fields)};
 }
 
 } // namespace
@@ -133,10 +143,10 @@
 }
 
 void member_object_keeper::write(std::uint64_t expected_version) {
-    m_platform.update_if(object_name(m_self), expected_version, object_value(m_self, m_farewell), patience(),
+    m_platform.update_if(object_name(m_self), expected_version, object_value(m_self, m_farewells), patience(),
                          on_strand<std::uint64_t>(
-                             [this, held = m_farewell](std::uint64_t version) {
-                                 tell_past(std::nullopt);
+                             [this, held = m_farewells](std::uint64_t version) {
+                                 tell_past({});
                                  written(version, held);
                              },
                              [this](const core::error& failure) { write_failed(failure); }));
@@ -147,7 +157,7 @@
     m_held = held;
     m_write_pause = milliseconds(0);
     tell_kept();
-    if (m_farewell && m_farewell != m_held) {
+    if (!m_farewells.empty() && m_farewells != m_held) {
         write(version);
         return;
     }
@@ -185,9 +195,9 @@
 
 void member_object_keeper::take_own(const store::object& found) {
     const auto content = read_content(found.value);
-    tell_past(content ? content->farewell : std::nullopt);
-    if (found.value == object_value(m_self, m_farewell)) {
-        written(found.version, m_farewell);
+    tell_past(content ? content->farewells : departed());
+    if (found.value == object_value(m_self, m_farewells)) {
+        written(found.version, m_farewells);
         return;
     }
     write(found.version);
@@ -197,18 +207,19 @@
     if (std::exchange(m_is_past_told, true)) {
         return;
     }
-    if (!m_farewell) {
-        m_farewell = past;
+    if (m_farewells.empty()) {
+        m_farewells = past;
     }
     if (m_on_past) {
         m_on_past(past);
     }
 }
 
-void member_object_keeper::record_farewell(const core::departed_life& left, std::function<void()> kept) {
-    m_farewell = left;
+void member_object_keeper::record_farewells(const std::vector<core::departed_life>& left,
+                                            std::function<void()> kept) {
+    m_farewells = left;
     m_waiting.push_back({left, std::move(kept)});
-    if (m_farewell == m_held) {
+    if (m_farewells == m_held) {
         tell_kept();
         return;
     }
@@ -227,17 +238,17 @@
     }
 }
 
-void member_object_keeper::forget_farewell() {
-    m_farewell.reset();
+void member_object_keeper::forget_farewells() {
+    m_farewells.clear();
     m_waiting.clear();
 }
 
 bool member_object_keeper::is_urgent() const {
-    return !m_is_past_told || (m_farewell && m_farewell != m_held);
+    return !m_is_past_told || (!m_farewells.empty() && m_farewells != m_held);
 }
 
 milliseconds member_object_keeper::patience() const {
-    return is_urgent() && m_farewell ? urgent_patience : call_patience;
+    return is_urgent() && !m_farewells.empty() ? urgent_patience : call_patience;
 }
 
 void member_object_keeper::list() {
@@ -304,7 +315,7 @@
 
 void member_object_keeper::remove(std::function<void()> done) {
     m_leaving = true;
-    if (m_version == 0 || m_farewell) {
+    if (m_version == 0 || !m_farewells.empty()) {
         done();
         return;
     }
--- a/src/membership/internal/member_object_keeper.h
+++ b/src/membership/internal/member_object_keeper.h
@@ -32,7 +32,7 @@
     using peers_handler = std::function<void(const std::vector<std::string>&)>;
 
     /// Gives the farewell that an earlier process of this daemon recorded, if there is one.
-    using past_handler = std::function<void(const std::optional<core::departed_life>&)>;
+    using past_handler = std::function<void(const std::vector<core::departed_life>&)>;
 
     /// What the keeper tells and asks its owner.
     struct hooks {
@@ -64,10 +64,10 @@
 
     /// Writes the farewell of the backend server into the object until that has succeeded; then `kept` is
     /// called.
-    void record_farewell(const core::departed_life& left, std::function<void()> kept);
+    void record_farewells(const std::vector<core::departed_life>& left, std::function<void()> kept);
 
     /// A later life of the backend server is at work: the farewell need not outlive this process.
-    void forget_farewell();
+    void forget_farewells();
 
     /// Removes the object unless it holds a farewell, and calls `done`, whether it worked or not.
     void remove(std::function<void()> done);
@@ -76,11 +76,11 @@
     void stop();
 
 private:
-    using departed = std::optional<core::departed_life>;
+    using departed = std::vector<core::departed_life>;
 
     /// Somebody waits until the platform holds that farewell.
     struct waiting_record {
-        core::departed_life left;
+        departed left;
         std::function<void()> kept;
     };
 
@@ -116,8 +116,8 @@
     std::chrono::milliseconds m_write_pause{0};
     std::chrono::milliseconds m_list_pause{0};
     std::uint64_t m_version = 0;
-    departed m_farewell; ///< To stand in the object.
-    departed m_held;     ///< Stands in the object, as the platform has acknowledged.
+    departed m_farewells; ///< To stand in the object.
+    departed m_held;      ///< Stands in the object, as the platform has acknowledged.
     std::vector<waiting_record> m_waiting;
     bool m_is_writing = false; ///< Until the object is as it should be.
     bool m_is_past_told = false;
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -94,7 +94,7 @@
                                                    m_options.random_seed, m_clock, m_log, object_hooks());
         m_object->publish();
     } else if (m_hooks.on_past) {
-        m_hooks.on_past(std::nullopt);
+        m_hooks.on_past({});
     }
     receive_next();
     on_tick();
@@ -352,17 +352,18 @@
     store_self();
 }
 
-void membership_runtime::record_farewell(const core::departed_life& left, const std::function<void()>& kept) {
+void membership_runtime::record_farewells(const std::vector<core::departed_life>& left,
+                                          const std::function<void()>& kept) {
     if (m_object == nullptr) {
         kept();
         return;
     }
-    m_object->record_farewell(left, kept);
+    m_object->record_farewells(left, kept);
 }
 
-void membership_runtime::forget_farewell() {
+void membership_runtime::forget_farewells() {
     if (m_object != nullptr) {
-        m_object->forget_farewell();
+        m_object->forget_farewells();
     }
 }
 
--- a/src/membership/internal/membership_runtime.h
+++ b/src/membership/internal/membership_runtime.h
@@ -37,8 +37,8 @@
     // The rest runs on the strand.
     void announce(const std::string& service);
     void withdraw();
-    void record_farewell(const core::departed_life& left, const std::function<void()>& kept);
-    void forget_farewell();
+    void record_farewells(const std::vector<core::departed_life>& left, const std::function<void()>& kept);
+    void forget_farewells();
     void drain();
     void leave(std::function<void()> done);
     void spread(const rumor& told);
--- a/src/membership/internal/membership_service.cpp
+++ b/src/membership/internal/membership_service.cpp
@@ -41,14 +41,14 @@
     m_runtime->post([](membership_runtime& self) { self.withdraw(); });
 }
 
-void membership_service::record_farewell(core::departed_life left, std::function<void()> kept) {
+void membership_service::record_farewells(std::vector<core::departed_life> left, std::function<void()> kept) {
     m_runtime->post([left = std::move(left), kept = std::move(kept)](membership_runtime& self) {
-        self.record_farewell(left, kept);
+        self.record_farewells(left, kept);
     });
 }
 
-void membership_service::forget_farewell() {
-    m_runtime->post([](membership_runtime& self) { self.forget_farewell(); });
+void membership_service::forget_farewells() {
+    m_runtime->post([](membership_runtime& self) { self.forget_farewells(); });
 }
 
 void membership_service::drain() {
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -55,7 +55,7 @@
     std::function<void(const rumor&)> on_rumor;
     /// The backend server's farewell that an earlier process of this daemon recorded, or that there is none;
     /// called once, when the platform has told.
-    std::function<void(const std::optional<core::departed_life>&)> on_past;
+    std::function<void(const std::vector<core::departed_life>&)> on_past;
 };
 
 /// Bytes of datagrams with their IP and UDP headers.
@@ -95,10 +95,10 @@
 
     /// Keeps the backend server's farewell where the next process of this daemon finds it; `kept` is called
     /// once the platform holds it, on the service's strand, and never if a later life is at work before.
-    void record_farewell(core::departed_life left, std::function<void()> kept);
+    void record_farewells(std::vector<core::departed_life> left, std::function<void()> kept);
 
     /// A later life of the backend server is at work.
-    void forget_farewell();
+    void forget_farewells();
 
     /// This daemon takes no new work; peers are told at once.
     void drain();
--- a/src/membership/tests/member_object_tests.cpp
+++ b/src/membership/tests/member_object_tests.cpp
@@ -43,7 +43,7 @@
         hooks.on_peers = [this](const std::vector<std::string>& peers) {
             last_peers = peers;
         };
-        hooks.on_past = [this](const std::optional<core::departed_life>& past) {
+        hooks.on_past = [this](const std::vector<core::departed_life>& past) {
             pasts.push_back(past);
         };
         hooks.belief = [this](const std::string& address) -> std::optional<member_belief> {
@@ -70,9 +70,9 @@
     }
 
     /// Records a farewell; whether the platform has it before `run` is over.
-    bool record(const core::departed_life& left) {
+    bool record(const std::vector<core::departed_life>& left) {
         const auto is_kept = std::make_shared<bool>(false);
-        keeper->record_farewell(left, [is_kept] { *is_kept = true; });
+        keeper->record_farewells(left, [is_kept] { *is_kept = true; });
         run();
         return *is_kept;
     }
@@ -111,7 +111,7 @@
     testing::silent_log log;
     std::map<std::string, member_belief> beliefs;
     std::vector<std::string> last_peers;
-    std::vector<std::optional<core::departed_life>> pasts; ///< What each process was told of its past.
+    std::vector<std::vector<core::departed_life>> pasts; ///< What each process was told of its past.
     std::uint64_t next_life = 50;
     std::shared_ptr<member_object_keeper> keeper;
     bool is_ticking = false; ///< The owner tells that it runs.
@@ -337,12 +337,12 @@
 }
 
 TEST_CASE("a recorded farewell is known to the next process, however this one ends", "[member_object]") {
-    const core::departed_life left{"i-1", 100, 5000};
+    const std::vector<core::departed_life> left{{"i-1", 100, 5000}, {"i-2", 0, 6000}};
     for (const bool in_order : {true, false}) {
         INFO("ended in order: " << in_order);
         keeper_fixture fleet;
         REQUIRE(fleet.pasts.size() == 1);
-        CHECK_FALSE(fleet.pasts.back());
+        CHECK(fleet.pasts.back().empty());
         CHECK(fleet.record(left));
         CHECK(fleet.record(left));
         fleet.restart(in_order);
@@ -354,14 +354,14 @@
 }
 
 TEST_CASE("a farewell is told as kept only once the platform holds it", "[member_object]") {
-    const core::departed_life left{"i-1", 0, 5000};
+    const std::vector<core::departed_life> left{{"i-1", 0, 5000}};
     for (const auto fate :
          {write_fate::answer_lost, write_fate::request_lost, write_fate::effect_late, write_fate::refused}) {
         INFO("fate " << static_cast<int>(fate));
         keeper_fixture fleet;
         bool is_kept = false;
         fleet.api.set_write_fates({fate});
-        fleet.keeper->record_farewell(left, [&] {
+        fleet.keeper->record_farewells(left, [&] {
             is_kept = true;
             const auto own = fleet.store.get("members/10.0.0.1:7000");
             REQUIRE(own);
@@ -382,10 +382,10 @@
 }
 
 TEST_CASE("the later of two farewells stays", "[member_object]") {
-    const core::departed_life first{"i-1", 100, 5000};
-    const core::departed_life second{"i-2", 200, 9000};
+    const std::vector<core::departed_life> first{{"i-1", 100, 5000}};
+    const std::vector<core::departed_life> second{{"i-1", 100, 5000}, {"i-2", 200, 9000}};
     keeper_fixture fleet;
-    fleet.keeper->record_farewell(first, [] {});
+    fleet.keeper->record_farewells(first, [] {});
     CHECK(fleet.record(second));
     fleet.restart(false);
     CHECK(fleet.pasts.back() == second);
@@ -394,15 +394,15 @@
 TEST_CASE("a farewell that a later life has overtaken doesn't keep the object on leaving",
           "[member_object]") {
     keeper_fixture fleet;
-    CHECK(fleet.record({"i-1", 100, 5000}));
-    fleet.keeper->forget_farewell();
+    CHECK(fleet.record({{"i-1", 100, 5000}}));
+    fleet.keeper->forget_farewells();
     fleet.keeper->remove([] {});
     fleet.run();
     CHECK_FALSE(fleet.has("10.0.0.1:7000"));
 }
 
 TEST_CASE("the past is told when the platform is there again, and soon", "[member_object]") {
-    const core::departed_life left{"i-1", 100, 5000};
+    const std::vector<core::departed_life> left{{"i-1", 100, 5000}, {"i-2", 0, 6000}};
     keeper_fixture fleet;
     CHECK(fleet.record(left));
     fleet.api.set_outage(true);
@@ -420,7 +420,7 @@
 TEST_CASE("the object of a daemon whose farewell is malformed still names a peer", "[member_object]") {
     keeper_fixture fleet;
     auto value = value_of("10.0.0.2:7000", 2);
-    value.insert(value.size() - 1, R"(,"backend_left":{"id":7,"started_ms":"x"})");
+    value.insert(value.size() - 1, R"(,"backends_left":[7,{"id":7,"started_ms":"x"}])");
     static_cast<void>(fleet.store.update_if("members/10.0.0.2:7000", 0, value));
     fleet.list();
     CHECK(fleet.last_peers == std::vector<std::string>{"10.0.0.2:7000"});
