Refuse a farewell whose id can't be kept; lives of a backend server read easier

Found by reading the diff: the id of a deregistration was taken from the path unchecked, and now goes into the member object. An id that is no text (other writers may send bytes that can't be read) would have made the store refuse the whole object, again and again. A deregistration's id is checked like a heartbeat's; the case 'a deregistration whose id can't be kept is refused' can't hold on the code before, which had no way to refuse. Its body may be anything, as before.

--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -101,7 +101,7 @@
     void take_heartbeat(const platform::heartbeat& told, const platform::acknowledgement& acknowledge);
     void take_ready(const platform::heartbeat& told);
     void take_draining(const platform::heartbeat& told, const platform::acknowledgement& acknowledge);
-    void take_deregistration(const std::string& id, std::uint64_t started_ms,
+    void take_deregistration(const platform::deregistration& told,
                              const platform::acknowledgement& acknowledge);
 
     /// The farewells that earlier processes of this daemon heard.
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -96,11 +96,9 @@
     hooks.heard = [this](const platform::heartbeat& told, const platform::acknowledgement& acknowledge) {
         boost::asio::post(m_control, [this, told, acknowledge] { take_heartbeat(told, acknowledge); });
     };
-    hooks.deregistered = [this](const std::string& id, std::uint64_t started_ms,
+    hooks.deregistered = [this](const platform::deregistration& told,
                                 const platform::acknowledgement& acknowledge) {
-        boost::asio::post(m_control, [this, id, started_ms, acknowledge] {
-            take_deregistration(id, started_ms, acknowledge);
-        });
+        boost::asio::post(m_control, [this, told, acknowledge] { take_deregistration(told, acknowledge); });
     };
     return hooks;
 }
@@ -175,9 +173,9 @@
     }
 }
 
-void daemon::take_deregistration(const std::string& id, std::uint64_t started_ms,
+void daemon::take_deregistration(const platform::deregistration& told,
                                  const platform::acknowledgement& acknowledge) {
-    const core::departed_life leaving{id, started_ms, unix_ms(m_clock.wall_now())};
+    const core::departed_life leaving{told.id, told.started_ms, unix_ms(m_clock.wall_now())};
     const auto effect = gate::hear_farewell(m_lives, leaving);
     if (effect == gate::announcement_effect::late) {
         note_farewell(leaving, "deregistered", "not of the newest start: remembered");
--- a/src/gate/backend_lives.h
+++ b/src/gate/backend_lives.h
@@ -15,13 +15,11 @@
 
 /// What one process of the daemon knows of the backend server's starts.
 struct backend_lives {
-    std::optional<announcement_mark> newest;   ///< Latest announcement heard.
-    std::vector<core::departed_life> departed; ///< Said that they leave; the latest, one of each name.
-    bool serves = false;                       ///< The life of `newest` may get work.
-    bool is_past_settled =
-        false; ///< What earlier processes heard is known, or a life has shown that it lives.
-    std::optional<core::steady_time>
-        waits_since; ///< When the life of `newest`, which waits, was first heard.
+    std::optional<announcement_mark> newest;      ///< Latest announcement heard.
+    std::vector<core::departed_life> departed;    ///< Said that they leave; the latest, one of each name.
+    bool serves = false;                          ///< The life of `newest` may get work.
+    bool is_past_settled = false;                 ///< No farewell that an earlier process heard is unknown.
+    std::optional<core::steady_time> waits_since; ///< When the life of `newest` was first heard, if it waits.
 };
 
 /// A life whose past isn't known serves once it was heard twice, this far apart. Answers a heartbeat that was
--- a/src/gate/internal/backend_lives.cpp
+++ b/src/gate/internal/backend_lives.cpp
@@ -24,13 +24,8 @@
     return lives.waits_since && now - *lives.waits_since >= proof_of_life;
 }
 
-std::vector<core::departed_life>::iterator find_name(backend_lives& lives, const std::string& id) {
-    return std::find_if(lives.departed.begin(), lives.departed.end(),
-                        [&](const core::departed_life& left) { return left.id == id; });
-}
-
 /// The start of the life that a farewell names; 0 if it tells none and none is known.
-std::uint64_t start_of(backend_lives& lives, const core::departed_life& leaving) {
+std::uint64_t start_of(const backend_lives& lives, const core::departed_life& leaving) {
     if (leaving.started_ms == 0 && lives.newest && lives.newest->id == leaving.id) {
         return lives.newest->started_ms;
     }
@@ -44,17 +39,18 @@
 
 /// Keeps the farewell; false if it says nothing that isn't known.
 bool remember(backend_lives& lives, const core::departed_life& leaving) {
-    const auto known = find_name(lives, leaving.id);
-    if (known != lives.departed.end() && !says_more(leaving, *known)) {
+    auto& departed = lives.departed;
+    const auto known = std::find_if(departed.begin(), departed.end(),
+                                    [&](const core::departed_life& left) { return left.id == leaving.id; });
+    if (known != departed.end() && !says_more(leaving, *known)) {
         return false;
     }
-    if (known != lives.departed.end()) {
-        lives.departed.erase(known);
-    }
-    lives.departed.push_back(leaving);
-    if (lives.departed.size() > most_remembered) {
-        lives.departed.erase(lives.departed.begin());
+    if (known != departed.end()) {
+        departed.erase(known);
+    } else if (departed.size() == most_remembered) {
+        departed.erase(departed.begin());
     }
+    departed.push_back(leaving);
     return true;
 }
 
--- a/src/platform/heartbeat_codec.h
+++ b/src/platform/heartbeat_codec.h
@@ -29,7 +29,14 @@
 [[nodiscard]] std::variant<heartbeat, heartbeat_fault> decode_heartbeat(std::string_view id,
                                                                         std::string_view body);
 
-/// The life that a deregistration names: Unix milliseconds of its start, 0 if the body doesn't say.
-[[nodiscard]] std::uint64_t decode_deregistered_life(std::string_view body);
+/// A deregistration that could be read.
+struct deregistration {
+    std::string id;               ///< From the path.
+    std::uint64_t started_ms = 0; ///< `born`: Unix time of the start; 0 if it doesn't say, as most don't.
+};
+
+/// Reads the deregistration of the backend server `id`; its body may be anything.
+[[nodiscard]] std::variant<deregistration, heartbeat_fault> decode_deregistration(std::string_view id,
+                                                                                  std::string_view body);
 
 } // namespace monsoonlift::platform
--- a/src/platform/internal/heartbeat_codec.cpp
+++ b/src/platform/internal/heartbeat_codec.cpp
@@ -17,11 +17,15 @@
            std::all_of(text.begin(), text.end(), [](char letter) { return letter > ' ' && letter < 127; });
 }
 
+heartbeat_fault bad_id() {
+    return {"the id in the path must be 1 to 128 visible ASCII characters"};
+}
+
 } // namespace
 
 std::variant<heartbeat, heartbeat_fault> decode_heartbeat(std::string_view id, std::string_view body) {
     if (!is_id(id)) {
-        return heartbeat_fault{"the id in the path must be 1 to 128 visible ASCII characters"};
+        return bad_id();
     }
     const auto map = internal::parse_map(body);
     if (!map) {
@@ -55,9 +59,14 @@
     return read;
 }
 
-std::uint64_t decode_deregistered_life(std::string_view body) {
+std::variant<deregistration, heartbeat_fault> decode_deregistration(std::string_view id,
+                                                                    std::string_view body) {
+    if (!is_id(id)) {
+        return bad_id();
+    }
     const auto map = internal::parse_map(body);
-    return map ? internal::find_number(*map, "born").value_or(0) : 0;
+    const auto started_ms = map ? internal::find_number(*map, "born") : std::nullopt;
+    return deregistration{std::string(id), started_ms.value_or(0)};
 }
 
 } // namespace monsoonlift::platform
--- a/src/platform/internal/local_server.cpp
+++ b/src/platform/internal/local_server.cpp
@@ -48,8 +48,7 @@
     const auto id = request.path.substr(wire::heartbeat_path.size());
     const auto decoded = decode_heartbeat(id, request.body);
     if (const auto* fault = std::get_if<heartbeat_fault>(&decoded)) {
-        m_log.write(logging::event_id::heartbeat_refused, {{"id", id}, {"reason", fault->reason}});
-        reply({400, "text/plain", fault->reason + "\n"});
+        refuse(id, *fault, reply);
         return;
     }
     m_hooks.heard(std::get<heartbeat>(decoded), acknowledge_by(reply));
@@ -57,7 +56,17 @@
 
 void local_server::take_deregistration(const admin_request& request, const admin_reply& reply) {
     const auto id = request.path.substr(wire::deregister_path.size());
-    m_hooks.deregistered(id, decode_deregistered_life(request.body), acknowledge_by(reply));
+    const auto decoded = decode_deregistration(id, request.body);
+    if (const auto* fault = std::get_if<heartbeat_fault>(&decoded)) {
+        refuse(id, *fault, reply);
+        return;
+    }
+    m_hooks.deregistered(std::get<deregistration>(decoded), acknowledge_by(reply));
+}
+
+void local_server::refuse(const std::string& id, const heartbeat_fault& fault, const admin_reply& reply) {
+    m_log.write(logging::event_id::heartbeat_refused, {{"id", id}, {"reason", fault.reason}});
+    reply({400, "text/plain", fault.reason + "\n"});
 }
 
 admin_response local_server::ready() const {
--- a/src/platform/local_server.h
+++ b/src/platform/local_server.h
@@ -21,7 +21,7 @@
 struct local_server_hooks {
     std::function<bool()> is_ready;
     std::function<void(const heartbeat&, acknowledgement)> heard;
-    std::function<void(const std::string& id, std::uint64_t started_ms, acknowledgement)> deregistered;
+    std::function<void(const deregistration&, acknowledgement)> deregistered;
 };
 
 /// Serves both addresses that the platform's settings name.
@@ -38,6 +38,7 @@
 private:
     void take_heartbeat(const admin::admin_request& request, const admin::admin_reply& reply);
     void take_deregistration(const admin::admin_request& request, const admin::admin_reply& reply);
+    void refuse(const std::string& id, const heartbeat_fault& fault, const admin::admin_reply& reply);
     [[nodiscard]] admin::admin_response ready() const;
 
     local_server_hooks m_hooks;
--- a/src/platform/tests/decoder_fuzz_tests.cpp
+++ b/src/platform/tests/decoder_fuzz_tests.cpp
@@ -59,7 +59,7 @@
         static_cast<void>(decode_page(damaged(page, random)));
         static_cast<void>(decode_changes(damaged(changes, random)));
         static_cast<void>(decode_heartbeat("i-1", damaged(beat, random)));
-        static_cast<void>(decode_deregistered_life(damaged(beat, random)));
+        static_cast<void>(decode_deregistration("i-1", damaged(beat, random)));
         if (const auto read = decode_object(damaged(object, random))) {
             static_cast<void>(decode_configuration(read->content));
             ++configurations;
--- a/src/platform/tests/heartbeat_codec_tests.cpp
+++ b/src/platform/tests/heartbeat_codec_tests.cpp
@@ -60,7 +60,21 @@
 }
 
 TEST_CASE("a deregistration may name its life", "[platform]") {
-    CHECK(decode_deregistered_life(R"({"born":1770000000123})") == 1770000000123);
-    CHECK(decode_deregistered_life("") == 0);
-    CHECK(decode_deregistered_life("{\"born\":\"x\"}") == 0);
+    const auto start_in = [](const std::string& text) {
+        return std::get<deregistration>(decode_deregistration("i-1", text)).started_ms;
+    };
+    CHECK(start_in(R"({"born":1770000000123})") == 1770000000123);
+    CHECK(start_in("") == 0);
+    CHECK(start_in("{\"born\":\"x\"}") == 0);
+    CHECK(std::get<deregistration>(decode_deregistration("i-1", "")).id == "i-1");
+}
+
+TEST_CASE("a deregistration whose id can't be kept is refused", "[platform]") {
+    const std::string ids[] = {"", "i 1", "i-\xff\xfe", "i-\n", std::string(500, 'i')};
+    for (const auto& id : ids) {
+        INFO(id);
+        const auto decoded = decode_deregistration(id, "");
+        REQUIRE(std::holds_alternative<heartbeat_fault>(decoded));
+        CHECK_FALSE(std::get<heartbeat_fault>(decoded).reason.empty());
+    }
 }
