Withdraw a server that left in one step with the look whether it has

Found by reading the diff: the tick looked whether the leaving server's time was over and withdrew what was there in a second step, so with two workers a server that announced itself in between would have been withdrawn until its next heartbeat. One step under the table's lock now. leaving_backend_tests 'the time of a server that left withdraws it and not the one that came since' asserts the rule at the table; the race itself was not shown.

--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -41,8 +41,8 @@
     /// The backend server leaves: nothing new reaches it from `at` on.
     void leave_at(core::steady_time at);
 
-    /// Whether the backend server said that it leaves, and its time is over.
-    [[nodiscard]] bool is_left(core::steady_time now) const;
+    /// Withdraws the backend server if it said that it leaves and its time is over.
+    [[nodiscard]] gate_changes drop_left(core::steady_time now);
 
     /// Whether a request may be handed to that start of the backend server now.
     [[nodiscard]] bool may_reach(const backend_server& server, core::steady_time now) const;
@@ -82,6 +82,7 @@
 private:
     [[nodiscard]] std::optional<transport::end_reason>
     reason_to_refuse(const std::string& service, const core::call_context& context, core::steady_time now);
+    [[nodiscard]] gate_changes drop_backend();
     void take_outcome(const admission::queue_outcome& outcome, gate_changes& changes);
     void start_waiting(gate_changes& changes, core::steady_time now);
     void start_in_order(gate_changes& changes);
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -289,9 +289,7 @@
 
 void gate_service::state::tick() {
     const auto now = m_clock.now();
-    if (m_table.is_left(now)) {
-        withdraw();
-    }
+    apply(m_table.drop_left(now));
     apply(m_table.tick(now));
     m_events.load_changed(m_load_watch.look(m_table.report(), now), m_classes);
     if (now >= m_next_cleaning) {
--- a/src/gate/internal/gate_table.cpp
+++ b/src/gate/internal/gate_table.cpp
@@ -47,9 +47,9 @@
     m_leaves_at = std::min(m_leaves_at, at);
 }
 
-bool gate_table::is_left(core::steady_time now) const {
+gate_changes gate_table::drop_left(core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    return m_backend && now >= m_leaves_at;
+    return m_backend && now >= m_leaves_at ? drop_backend() : gate_changes();
 }
 
 bool gate_table::may_reach(const backend_server& server, core::steady_time now) const {
@@ -59,6 +59,10 @@
 
 gate_changes gate_table::withdraw() {
     const std::scoped_lock lock(m_mutex);
+    return drop_backend();
+}
+
+gate_changes gate_table::drop_backend() {
     m_backend.reset();
     gate_changes changes;
     for (const auto& calls : m_queue.by_rank) {
--- a/src/gate/tests/leaving_backend_tests.cpp
+++ b/src/gate/tests/leaving_backend_tests.cpp
@@ -78,6 +78,24 @@
     CHECK(rig.run_until_idle());
 }
 
+TEST_CASE("the time of a server that left withdraws it and not the one that came since",
+          "[leaving_backend]") {
+    testing::manual_clock clock;
+    gate_table table(true);
+    table.announce({"mappa", "127.0.0.1:1", 4, 8, "first"}, clock.now());
+    table.leave_at(clock.now() + 1s);
+    static_cast<void>(table.drop_left(clock.now()));
+    CHECK(table.backend());
+    clock.advance(1s);
+    table.announce({"mappa", "127.0.0.1:1", 4, 8, "second"}, clock.now());
+    static_cast<void>(table.drop_left(clock.now()));
+    REQUIRE(table.backend());
+    CHECK(table.backend()->instance == "second");
+    table.leave_at(clock.now());
+    static_cast<void>(table.drop_left(clock.now()));
+    CHECK_FALSE(table.backend());
+}
+
 TEST_CASE("a late announcement of the server that leaves doesn't keep it at work", "[leaving_backend]") {
     testing::manual_clock clock;
     tests::gate_rig rig(clock);
