Let the entries' calls end before a fleet of the frame tests is taken apart

Cause: wired_fleet::is_settled waits until no gate has work, not until no entry has; a call whose caller has its answer or has left may still end at its entry when the fleet goes. The fleet now also waits for the entries, so a call that never ended would fail the test where it went unseen before.

--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -204,7 +204,8 @@
         const auto totals = one->totals();
         passed += one->frames().passed();
         ended += totals.received + totals.unsent;
-        if (one->frames().pending() > 0 || one->gate_totals().in_flight > 0) {
+        const auto in_flight = one->gate_totals().in_flight + one->entry().counters().in_flight;
+        if (one->frames().pending() > 0 || in_flight > 0) {
             return false;
         }
     }
