--- a/src/gate/tests/leaving_backend_tests.cpp
+++ b/src/gate/tests/leaving_backend_tests.cpp
@@ -24,6 +24,16 @@
     return std::nullopt;
 }
 
+/// Whether a request that comes now is handed to the backend server, which breaks it off.
+bool reaches_backend(tests::gate_rig& rig) {
+    rig.service.received(tests::request_frame(1, rig.clock.now() + 60s));
+    auto connection = rig.accept();
+    const bool is_read = rig.read_request(connection);
+    connection.close();
+    REQUIRE(rig.run_until_idle());
+    return is_read;
+}
+
 } // namespace
 
 TEST_CASE("a request whose connection comes late doesn't reach a server that has left", "[leaving_backend]") {
@@ -46,11 +56,7 @@
     rig.announce("first");
     CHECK(rig.service.leave("first", clock.now() + 1s));
     clock.advance(999ms);
-    rig.service.received(tests::request_frame(1, clock.now() + 60s));
-    auto connection = rig.accept();
-    CHECK(rig.read_request(connection));
-    connection.close();
-    CHECK(rig.run_until_idle());
+    CHECK(reaches_backend(rig));
 }
 
 TEST_CASE("a request that comes after the leaving server's time is refused, however late the timer",
@@ -71,11 +77,7 @@
     CHECK(rig.service.leave("", clock.now() + 1s));
     rig.announce("second");
     clock.advance(2s);
-    rig.service.received(tests::request_frame(1, clock.now() + 60s));
-    auto connection = rig.accept();
-    CHECK(rig.read_request(connection));
-    connection.close();
-    CHECK(rig.run_until_idle());
+    CHECK(reaches_backend(rig));
 }
 
 TEST_CASE("the time of a server that left withdraws it and not the one that came since",
@@ -120,9 +122,5 @@
     rig.announce("first");
     rig.announce("second");
     CHECK_FALSE(rig.service.leave("first", clock.now()));
-    rig.service.received(tests::request_frame(1, clock.now() + 60s));
-    auto connection = rig.accept();
-    CHECK(rig.read_request(connection));
-    connection.close();
-    CHECK(rig.run_until_idle());
+    CHECK(reaches_backend(rig));
 }
--- a/src/membership/internal/member_object_keeper.cpp
+++ b/src/membership/internal/member_object_keeper.cpp
@@ -157,7 +157,7 @@
     m_held = held;
     m_write_pause = milliseconds(0);
     tell_kept();
-    if (!m_farewells.empty() && m_farewells != m_held) {
+    if (is_record_due()) {
         write(version);
         return;
     }
@@ -175,22 +175,20 @@
         return;
     }
     m_log.write(logging::event_id::member_object_failed, {{"reason", failure.message}});
-    after_pause(m_write_pause, is_urgent() ? longest_urgent_pause : longest_pause,
-                [this] { read_version(); });
+    after_pause(m_write_pause, longest_write_pause(), [this] { read_version(); });
 }
 
 void member_object_keeper::read_version() {
     m_platform.get(object_name(m_self), patience(),
-                   on_strand<store::object>(
-                       [this](const store::object& found) { take_own(found); },
-                       [this](const core::error& failure) {
-                           if (failure.code == core::error_code::not_found) {
-                               write(0);
-                               return;
-                           }
-                           after_pause(m_write_pause, is_urgent() ? longest_urgent_pause : longest_pause,
-                                       [this] { read_version(); });
-                       }));
+                   on_strand<store::object>([this](const store::object& found) { take_own(found); },
+                                            [this](const core::error& failure) {
+                                                if (failure.code == core::error_code::not_found) {
+                                                    write(0);
+                                                    return;
+                                                }
+                                                after_pause(m_write_pause, longest_write_pause(),
+                                                            [this] { read_version(); });
+                                            }));
 }
 
 void member_object_keeper::take_own(const store::object& found) {
@@ -243,12 +241,16 @@
     m_waiting.clear();
 }
 
-bool member_object_keeper::is_urgent() const {
-    return !m_is_past_told || (!m_farewells.empty() && m_farewells != m_held);
+bool member_object_keeper::is_record_due() const {
+    return !m_farewells.empty() && m_farewells != m_held;
 }
 
 milliseconds member_object_keeper::patience() const {
-    return is_urgent() && !m_farewells.empty() ? urgent_patience : call_patience;
+    return is_record_due() ? urgent_patience : call_patience;
+}
+
+milliseconds member_object_keeper::longest_write_pause() const {
+    return is_record_due() || !m_is_past_told ? longest_urgent_pause : longest_pause;
 }
 
 void member_object_keeper::list() {
--- a/src/membership/internal/member_object_keeper.h
+++ b/src/membership/internal/member_object_keeper.h
@@ -94,8 +94,11 @@
     void tell_kept();
     void take_list(const store::object_list& found);
     void remove_one(const std::vector<listed_member_object>& others);
-    [[nodiscard]] bool is_urgent() const;
+
+    /// A farewell is to stand in the object and, as far as is known, doesn't.
+    [[nodiscard]] bool is_record_due() const;
     [[nodiscard]] std::chrono::milliseconds patience() const;
+    [[nodiscard]] std::chrono::milliseconds longest_write_pause() const;
 
     /// Runs `step` after a pause, which doubles up to `longest` with each failure.
     void after_pause(std::chrono::milliseconds& pause, std::chrono::milliseconds longest,
--- /dev/null
+++ b/src/membership/internal/membership_objects.cpp
@@ -0,0 +1,114 @@
+// The part of membership_runtime that keeps the daemon's object in the platform.
+#include "membership/internal/membership_runtime.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace monsoonlift::membership::internal {
+
+namespace {
+
+/// Between two looks of the fleet at the platform's list for members that its table lacks.
+constexpr std::chrono::seconds group_check_interval{10};
+
+} // namespace
+
+member_object_keeper::hooks membership_runtime::object_hooks() {
+    member_object_keeper::hooks hooks;
+    hooks.gone_patience = m_options.gone_object_patience;
+    hooks.on_peers = [weak = weak_from_this()](const std::vector<std::string>& peers) {
+        if (const auto self = weak.lock()) {
+            self->take_peers(peers);
+        }
+    };
+    hooks.on_past = m_hooks.on_past;
+    hooks.belief = [weak = weak_from_this()](const std::string& address) -> std::optional<member_belief> {
+        const auto self = weak.lock();
+        return self ? self->belief_of(address) : std::nullopt;
+    };
+    return hooks;
+}
+
+std::optional<member_belief> membership_runtime::belief_of(const std::string& address) const {
+    const auto found = m_state.members.find(address);
+    if (found == m_state.members.end()) {
+        return std::nullopt;
+    }
+    const auto& known = found->second;
+    return member_belief{known.value.id.life, known.value.status, known.since};
+}
+
+void membership_runtime::take_peers(const std::vector<std::string>& peers) {
+    add_seeds(m_state, peers);
+    if (peers.empty() && m_options.seed_peers.empty()) {
+        m_state.join.joined = true;
+    }
+    if (!m_state.join.joined) {
+        m_object->list_again();
+        return;
+    }
+    send(contact_unknown(m_state, peers));
+}
+
+void membership_runtime::check_groups() {
+    const auto now = m_clock.now();
+    if (!m_joined || m_object == nullptr || now < m_next_group_check) {
+        return;
+    }
+    // NOTE: one daemon of the whole fleet lists in each interval, whatever its size; each lists once after
+    // joining.
+    const bool is_first_check = m_next_group_check == core::steady_time{};
+    m_next_group_check = now + group_check_interval;
+    std::bernoulli_distribution is_turn(1.0 / static_cast<double>(m_state.members.size() + 1));
+    if (is_first_check || is_turn(m_state.random)) {
+        m_object->list();
+    }
+}
+
+void membership_runtime::note_own_death(const swim_message& message) {
+    const auto says_so = [this](const member& news) {
+        return news.id == m_state.self.id && news.status == member_status::dead;
+    };
+    const bool is_news = std::any_of(message.news.begin(), message.news.end(), says_so);
+    if (!is_news || m_object == nullptr || m_object_check) {
+        return;
+    }
+    // NOTE: once others take this daemon for alive again nobody removes its object any more; and after a cut
+    // that made many doubt each other they don't all read at once.
+    const auto pause = m_options.object_check_pause;
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count(), pause.count() * 4);
+    m_object_check = m_clock.now() + std::chrono::milliseconds(jitter(m_state.random));
+}
+
+void membership_runtime::check_object() {
+    if (m_object_check && m_clock.now() >= *m_object_check) {
+        m_object_check.reset();
+        m_object->check_own();
+    }
+}
+
+void membership_runtime::record_farewells(const std::vector<core::departed_life>& left,
+                                          const std::function<void()>& kept) {
+    if (m_object == nullptr) {
+        kept();
+        return;
+    }
+    m_object->record_farewells(left, kept);
+}
+
+void membership_runtime::forget_farewells() {
+    if (m_object != nullptr) {
+        m_object->forget_farewells();
+    }
+}
+
+void membership_runtime::leave_object(std::function<void()> done) {
+    if (m_object == nullptr) {
+        done();
+        return;
+    }
+    m_object->remove(std::move(done));
+}
+
+} // namespace monsoonlift::membership::internal
