Let an upload whose attempt has ended touch its call no more

A caller sees nothing; a daemon that serves such callers keeps each of these calls, with up to 400 KB of its body here, until it ends.

Cause: call_exchange::upload may wait for a piece of the caller's body when the call ends otherwise (deadline, an early answer). If the rest of the body comes then, it goes on and calls watch_caller(): the connection holds the call and the call the connection, for ever.

Evidence: LeakSanitizer's blocks hang on the handler set at call_exchange.cpp:267, in upload.

Why it works: the channel of an attempt is closed when it ends, on the same strand, and after a piece of the body went out no attempt follows; so an upload that finds its channel closed has nothing left to do.

--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -253,6 +253,10 @@
         m_replayable = false;
         transport::body_chunk chunk{digest.length(), {}};
         const bool read = co_await m_connection->read_body(chunk.data, m_shared.options.body_chunk_bytes);
+        const bool has_ended = channel->events.is_closed();
+        if (has_ended) {
+            co_return;
+        }
         if (!read) {
             channel->events.push(local_event::caller_gone);
             co_return;
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -149,6 +149,7 @@
 wired_fleet::wired_fleet(const frame_faults& faults, std::uint64_t seed,
                          const acceptor_maker& make_acceptor) {
     const auto rules = make_rules();
+    m_rules = rules;
     const std::string names[] = {"east", "west"};
     for (std::uint64_t index = 0; index < std::size(names); ++index) {
         const core::incarnation life{index + 1};
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -109,6 +109,9 @@
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
     [[nodiscard]] wired_daemon& daemon(std::size_t index) { return *m_daemons[index]; }
 
+    /// The rules of both daemons, which their entries and calls hold.
+    [[nodiscard]] std::weak_ptr<const configuration::document> rules() const { return m_rules; }
+
     /// Makes a call through an entry and hands over what the caller got.
     void call(std::size_t entry, caller_request request, std::function<void(caller_answer)> done);
 
@@ -132,6 +135,7 @@
     void introduce();
 
     boost::asio::io_context m_io;
+    std::weak_ptr<const configuration::document> m_rules;
     std::vector<std::unique_ptr<wired_daemon>> m_daemons;
 };
 
