Give a watch up after half of the bound of a change

Cause: the store falls silent to a watch without closing its connection, and the watch was given up only after the whole bound and one second. Ruled out: that the cut is heard and waited after (scratch log lines: the watch fails by its timeout, 3.02 s after it began), and the way between daemons (0.5 s).

Event 5006 tells of a failed call.

New test, 2 bounds, changes at steps of 300 ms over two bounds: 16 checks fail before (2.2 to 3.2 s against 2 s), none after.

--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -1,5 +1,6 @@
 #include "app/monsoonliftd/daemon_options.h"
 
+#include "configuration/follower_rules.h"
 #include "platform/backend_protocol.h"
 #include "platform/caller_protocol.h"
 #include "platform/platform_store.h"
@@ -54,21 +55,11 @@
 }
 
 configuration::follower_rule follower_rule_of(const settings::daemon_settings& chosen) {
-    configuration::follower_rule rule;
     if (!chosen.deployment) {
-        return rule;
+        return {};
     }
-    const auto bound = chosen.deployment->configuration_bound;
+    auto rule = configuration::rule_within(chosen.deployment->configuration_bound);
     rule.watchers_per_data_centre = platform_watchers_per_data_centre;
-    // NOTE: a watch whose connection has fallen silent is noticed when it should have ended.
-    rule.watch_patience = bound;
-    rule.call_patience = bound / 2;
-    rule.role_check = bound / 2;
-    rule.store_check = bound * 10;
-    rule.start_check = bound / 2;
-    rule.pull_jitter = bound / 10;
-    rule.stuck_after = bound / 2;
-    rule.store_backoff = {bound / 20, bound / 4};
     return rule;
 }
 
--- a/src/configuration/follower_rules.h
+++ b/src/configuration/follower_rules.h
@@ -1,6 +1,7 @@
 /// Decisions of a daemon that follows the configuration, as functions over its state.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace monsoonlift::configuration {
 
+/// A rule by which a change is in force within `bound`, also if a watch falls silent just before the change.
+[[nodiscard]] follower_rule rule_within(std::chrono::milliseconds bound);
+
 /// Whether the daemon at `address` is among the watchers of its data centre: those with the highest scores
 /// of a hash over the live members, so that all daemons with the same list agree.
 [[nodiscard]] bool is_watcher(const std::string& address, const std::string& data_centre,
--- a/src/configuration/internal/configuration_follower.cpp
+++ b/src/configuration/internal/configuration_follower.cpp
@@ -158,6 +158,10 @@
     m_state.store_busy = false;
     auto answer = store::settle_result(std::move(answered));
     if (!answer.value) {
+        m_parts.log.write(logging::event_id::platform_call_failed,
+                          {{"reason", answer.failure.message},
+                           {"in_force", std::to_string(current_revision())},
+                           {"failures", std::to_string(m_state.store_failures + 1)}});
         record_store_failure(m_state, m_rule, m_random, m_parts.clock.now());
     }
     return std::move(answer.value);
--- a/src/configuration/internal/follower_rules.cpp
+++ b/src/configuration/internal/follower_rules.cpp
@@ -43,6 +43,20 @@
 
 } // namespace
 
+follower_rule rule_within(std::chrono::milliseconds bound) {
+    follower_rule rule;
+    // NOTE: with its grace, a watch that has fallen silent is given up after half of the bound.
+    rule.watch_patience = bound / 3;
+    rule.call_patience = bound / 2;
+    rule.role_check = bound / 2;
+    rule.store_check = bound * 10;
+    rule.start_check = bound / 2;
+    rule.pull_jitter = bound / 10;
+    rule.stuck_after = bound / 2;
+    rule.store_backoff = {bound / 20, bound / 4};
+    return rule;
+}
+
 bool is_watcher(const std::string& address, const std::string& data_centre,
                 const std::vector<membership::member>& members, std::size_t watchers) {
     const auto own = score_of(address);
--- a/src/configuration/tests/follower_tests.cpp
+++ b/src/configuration/tests/follower_tests.cpp
@@ -304,3 +304,22 @@
     record_list(state, 560, 7, rule, random, later);
     CHECK(next_store_call(state, 7, rule, later) == store_call::watch);
 }
+
+TEST_CASE("a change as watches fall silent is not in force later than its bound", "[configuration]") {
+    for (const std::chrono::milliseconds bound : {2000ms, 2500ms}) {
+        small_fleet fleet(6, 3, rule_within(bound));
+        std::uint64_t revision = 1;
+        fleet.accept(revision);
+        fleet.start();
+        for (auto since_start = 10s + 0ms; since_start < 10s + 2 * bound; since_start += 300ms) {
+            INFO("bound " << bound.count() << " ms, change at " << since_start.count() << " ms");
+            fleet.run_for(since_start);
+            REQUIRE(fleet.count_at(revision) == fleet.daemons.size());
+            fleet.set_outage(true, true);
+            fleet.run_for(small_fleet::probe_round);
+            fleet.accept(++revision);
+            fleet.set_outage(false);
+            CHECK(fleet.spread(revision) <= bound);
+        }
+    }
+}
--- a/src/configuration/tests/small_fleet.h
+++ b/src/configuration/tests/small_fleet.h
@@ -52,11 +52,11 @@
     daemon_under_test(store::testing::memory_store& store, store::testing::manual_scheduler& timer,
                       const core::clock& clock, fake_peers& peers,
                       const membership::member_directory& directory, const std::string& name,
-                      const std::string& data_centre, std::uint64_t seed)
+                      const std::string& data_centre, std::uint64_t seed, const follower_rule& rule)
         : address(name), api(store, timer), holder(log),
           follower(std::make_shared<configuration_follower>(
               follower_parts{api, peers, timer, clock, directory, holder, log},
-              follower_identity{name, data_centre, seed}, follower_rule{})) {}
+              follower_identity{name, data_centre, seed}, rule)) {}
 
     std::string address;
     store::testing::fake_object_api api;
@@ -79,7 +79,8 @@
 
 /// Daemons that follow one platform in memory, on manual time.
 struct small_fleet {
-    explicit small_fleet(std::size_t count, std::size_t centres = 3) {
+    explicit small_fleet(std::size_t count, std::size_t centres = 3, const follower_rule& chosen = {})
+        : rule(chosen) {
         for (std::size_t at = 0; at < count; ++at) {
             add("10.0." + std::to_string(at / 256) + "." + std::to_string(at % 256),
                 "centre-" + std::to_string(at % centres));
@@ -88,7 +89,7 @@
 
     daemon_under_test& add(const std::string& address, const std::string& data_centre) {
         daemons.push_back(std::make_unique<daemon_under_test>(store, timer, clock, peers, directory, address,
-                                                              data_centre, daemons.size() + 1));
+                                                              data_centre, daemons.size() + 1, rule));
         auto& added = *daemons.back();
         peers.answers["admin of " + address] = [&added] {
             return added.holder.peer_copy();
@@ -158,6 +159,7 @@
         }
     }
 
+    follower_rule rule;
     static constexpr std::chrono::milliseconds probe_round{200};
     static constexpr std::size_t rounds_per_second = 5;
     monsoonlift::testing::manual_clock clock;
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -97,6 +97,7 @@
     configuration_missing = 5003,
     platform_unreachable = 5004,
     platform_reachable = 5005,
+    platform_call_failed = 5006,
 
     // 6000: transport and transfer
     frame_corrupt = 6000,
@@ -262,6 +263,8 @@
     {event_id::platform_unreachable, severity::warning, "platform_unreachable",
      "Calls to the platform fail; none is sent for a while."},
     {event_id::platform_reachable, severity::info, "platform_reachable", "The platform answers again."},
+    {event_id::platform_call_failed, severity::notice, "platform_call_failed",
+     "The platform did not tell of the configuration; it is asked for the whole again."},
 
     // 6000: transport and transfer
     {event_id::frame_corrupt, severity::warning, "frame_corrupt",
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -6,6 +6,7 @@
 #include "platform/types/wire_names.h"
 #include "store/http_target.h"
 #include "store/reply_reading.h"
+#include "store/watch_grace.h"
 
 #include <optional>
 #include <string_view>
@@ -18,9 +19,6 @@
 
 using store::http_reply;
 
-/// Time that an answer to a watch may take beyond the time that the watch itself waits.
-constexpr std::chrono::milliseconds watch_grace{1000};
-
 constexpr std::string_view configuration_prefix = "configuration/";
 
 bool is_configuration(std::string_view name) {
@@ -215,8 +213,8 @@
         const auto told = decode_changes(text);
         return told ? std::optional(translate(prefix, *told, m_log)) : std::nullopt;
     };
-    call<store::watch_result>({"GET", std::move(target), {}, {}}, patience + watch_grace, parse,
-                              std::move(done));
+    call<store::watch_result>({"GET", std::move(target), {}, {}}, patience + store::watch_grace(patience),
+                              parse, std::move(done));
 }
 
 } // namespace monsoonlift::platform
--- a/src/store/internal/http_object_api.cpp
+++ b/src/store/internal/http_object_api.cpp
@@ -5,14 +5,12 @@
 #include "store/http_target.h"
 #include "store/object_wire.h"
 #include "store/reply_reading.h"
+#include "store/watch_grace.h"
 
 namespace monsoonlift::store {
 
 namespace {
 
-/// Time that an answer to a watch may take beyond the time that the watch itself waits.
-constexpr std::chrono::milliseconds watch_grace{2000};
-
 std::string object_target(const std::string& name) {
     return "/objects/" + percent_encode(name);
 }
@@ -57,7 +55,8 @@
                             std::chrono::milliseconds patience, handler<watch_result> done) {
     auto target = "/watch?prefix=" + percent_encode(prefix) + "&revision=" + std::to_string(revision) +
                   "&patience_ms=" + std::to_string(patience.count());
-    call({"GET", std::move(target), {}, {}}, patience + watch_grace, parse_watch_result, std::move(done));
+    call({"GET", std::move(target), {}, {}}, patience + watch_grace(patience), parse_watch_result,
+         std::move(done));
 }
 
 } // namespace monsoonlift::store
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -63,7 +63,7 @@
                            std::chrono::milliseconds patience, handler<std::uint64_t> done) = 0;
 
     /// Waits for changes under `prefix` after `revision`, at most `patience`; an empty result says that none
-    /// came.
+    /// came. Without an answer it fails watch_grace() later.
     virtual void watch(const std::string& prefix, std::uint64_t revision, std::chrono::milliseconds patience,
                        handler<watch_result> done) = 0;
 };
--- a/src/store/testing/fake_object_api.cpp
+++ b/src/store/testing/fake_object_api.cpp
@@ -1,5 +1,7 @@
 #include "store/testing/fake_object_api.h"
 
+#include "store/watch_grace.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -132,24 +134,24 @@
 void fake_object_api::watch(const std::string& prefix, std::uint64_t revision,
                             std::chrono::milliseconds patience, handler<watch_result> done) {
     ++m_calls;
-    look_for_changes(prefix, revision, patience, std::move(done));
+    look_for_changes(prefix, revision, {patience, watch_grace(patience)}, std::move(done));
 }
 
 void fake_object_api::look_for_changes(const std::string& prefix, std::uint64_t revision,
-                                       std::chrono::milliseconds patience, handler<watch_result> done) {
+                                       watch_patience patience, handler<watch_result> done) {
     if (m_outage) {
-        fail(patience, std::move(done));
+        fail(patience.left + patience.grace, std::move(done));
         return;
     }
     auto changes = m_store.changes_since(prefix, revision);
     const bool empty = changes.changed.empty() && changes.removed.empty();
-    if (!empty || patience.count() <= 0) {
+    if (!empty || patience.left.count() <= 0) {
         m_timer.after(m_delay, [done = std::move(done), changes] { done(changes); });
         return;
     }
-    const auto step = std::min(watch_step, patience);
+    const auto step = std::min(watch_step, patience.left);
     m_timer.after(step, [this, prefix, revision, patience, step, done = std::move(done)] {
-        look_for_changes(prefix, revision, patience - step, done);
+        look_for_changes(prefix, revision, {patience.left - step, patience.grace}, done);
     });
 }
 
--- a/src/store/testing/fake_object_api.h
+++ b/src/store/testing/fake_object_api.h
@@ -53,14 +53,20 @@
                handler<watch_result> done) override;
 
 private:
+    /// What is left of a watch.
+    struct watch_patience {
+        std::chrono::milliseconds left;
+        std::chrono::milliseconds grace; ///< Beyond that, before a silent watch fails.
+    };
+
     template <class T>
     void read(std::chrono::milliseconds patience, std::function<core::result<T>()> look, handler<T> done);
     template <class T> void fail(std::chrono::milliseconds patience, handler<T> done);
     template <class T> void time_out(std::chrono::milliseconds patience, handler<T> done);
     void write(const std::string& name, std::chrono::milliseconds patience,
                std::function<core::result<std::uint64_t>()> effect, handler<std::uint64_t> done);
-    void look_for_changes(const std::string& prefix, std::uint64_t revision,
-                          std::chrono::milliseconds patience, handler<watch_result> done);
+    void look_for_changes(const std::string& prefix, std::uint64_t revision, watch_patience patience,
+                          handler<watch_result> done);
 
     memory_store& m_store;
     scheduler& m_timer;
