Let an answer whose head has gone out go on through a suspicion

Cause: call_exchange::stream_answer took any event of this daemon for the end of the answer. A suspicion ends nothing there now: no other attempt can follow once the head has gone out, and the rest may still come; a gate that is found dead, a broken link and silence for the stall time still end it.

--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -176,6 +176,10 @@
             continue;
         }
         const auto* local = event ? std::get_if<local_event>(&*event) : nullptr;
+        if (local != nullptr && *local == local_event::endpoint_suspected) {
+            // NOTE: no other attempt can follow, and the rest may still come.
+            continue;
+        }
         m_caller_gone = m_caller_gone || (local != nullptr && *local == local_event::caller_gone);
         auto* end = event ? std::get_if<transport::body_end>(&*event) : nullptr;
         const bool whole = end != nullptr && end->end && intake.is_complete(end->total);
--- a/src/entry/tests/loopback_backend.cpp
+++ b/src/entry/tests/loopback_backend.cpp
@@ -18,8 +18,16 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// The rest of a late answer comes this long after its head.
+constexpr std::chrono::milliseconds late_rest{30};
+
+} // namespace
+
 loopback_backend::loopback_backend(boost::asio::io_context& io, std::string name)
-    : m_name(std::move(name)), m_acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    : m_name(std::move(name)), m_acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
+      m_hold(io, boost::asio::steady_timer::time_point::max()) {
     boost::asio::co_spawn(io, accept_all(), boost::asio::detached);
 }
 
@@ -56,13 +64,21 @@
             boost::asio::steady_timer timer(socket.get_executor(), std::chrono::hours(1));
             co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, failure));
         }
+        const auto answer = expected_body(m_name, method, target, request.body());
         if (target.starts_with("/answer/late/")) {
-            co_await answer_late(socket, expected_body(m_name, method, target, request.body()));
+            boost::asio::steady_timer pause(socket.get_executor(), late_rest);
+            late_answer late{answer, 0};
+            co_await answer_late(socket, std::move(late), pause);
+            continue;
+        }
+        if (target.starts_with("/answer/held/")) {
+            late_answer held{answer, answer.size() / 2};
+            co_await answer_late(socket, std::move(held), m_hold);
             continue;
         }
         http::response<http::string_body> response(http::status::ok, 11);
         response.set("X-Backend", m_name);
-        response.body() = expected_body(m_name, method, target, request.body());
+        response.body() = answer;
         response.prepare_payload();
         co_await http::async_write(socket, response,
                                    boost::asio::redirect_error(boost::asio::use_awaitable, failure));
@@ -72,18 +88,18 @@
     }
 }
 
-boost::asio::awaitable<void> loopback_backend::answer_late(tcp::socket& socket, std::string body) {
-    constexpr std::chrono::milliseconds pause{30};
+boost::asio::awaitable<void> loopback_backend::answer_late(tcp::socket& socket, late_answer answer,
+                                                           boost::asio::steady_timer& pause) {
     std::ostringstream size;
-    size << std::hex << body.size();
+    size << std::hex << answer.body.size();
+    const auto early = answer.body.substr(0, answer.early_bytes);
     const std::string head = "HTTP/1.1 200 OK\r\nX-Backend: " + m_name +
-                             "\r\nTransfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n";
+                             "\r\nTransfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + early;
     boost::system::error_code ignored;
     co_await boost::asio::async_write(socket, boost::asio::buffer(head),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    boost::asio::steady_timer timer(socket.get_executor(), pause);
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    const std::string rest = body + "\r\n0\r\n\r\n";
+    co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    const std::string rest = answer.body.substr(early.size()) + "\r\n0\r\n\r\n";
     co_await boost::asio::async_write(socket, boost::asio::buffer(rest),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
--- a/src/entry/tests/loopback_backend.h
+++ b/src/entry/tests/loopback_backend.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -11,8 +12,9 @@
 namespace monsoonlift::entry::testing {
 
 /// A backend server on a loopback port. "GET /answer/N/BYTES" gives a body that only this request at this
-/// server has, "GET /answer/late/BYTES" one in chunks whose head and first size come well before the rest;
-/// "POST /effect/N" counts a run and gives its request body back.
+/// server has, "GET /answer/late/BYTES" one in chunks whose head and first size come well before the rest,
+/// "GET /answer/held/BYTES" one whose second half comes after release_answers(); "POST /effect/N" counts a
+/// run and gives its request body back.
 class loopback_backend {
 public:
     loopback_backend(boost::asio::io_context& io, std::string name);
@@ -25,13 +27,24 @@
     /// Runs of each target of POST.
     [[nodiscard]] const std::map<std::string, std::uint64_t>& runs() const { return m_runs; }
 
+    /// Sends the rest of answers that are held now.
+    void release_answers() { m_hold.cancel(); }
+
 private:
+    /// An answer in one chunk, whose end comes well after the early bytes.
+    struct late_answer {
+        std::string body;
+        std::size_t early_bytes = 0;
+    };
+
     boost::asio::awaitable<void> accept_all();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<void> answer_late(boost::asio::ip::tcp::socket& socket, std::string body);
+    boost::asio::awaitable<void> answer_late(boost::asio::ip::tcp::socket& socket, late_answer answer,
+                                             boost::asio::steady_timer& pause);
 
     std::string m_name;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_hold; ///< Held answers wait for its cancellation.
     std::map<std::string, std::uint64_t> m_runs;
 };
 
--- /dev/null
+++ b/src/entry/tests/raw_caller.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace monsoonlift::entry::testing {
+
+/// A caller that sends its bytes, and takes those of its answer, piece by piece. Lives as long as the run of
+/// the io_context that it was given.
+class raw_caller {
+public:
+    /// Connects to the entry at "ip:port".
+    raw_caller(boost::asio::io_context& io, const std::string& entry) : m_socket(io) {
+        const auto port = static_cast<std::uint16_t>(std::stoul(entry.substr(entry.rfind(':') + 1)));
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    }
+
+    void send(const std::string& bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+
+    /// Sends nothing more.
+    void finish() { m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
+
+    /// Begins to read; has_head() tells when the answer's head is there, has_ended() when no more can come.
+    void read_answer() {
+        boost::asio::async_read_until(m_socket, boost::asio::dynamic_buffer(m_answer), "\r\n\r\n",
+                                      [this](const boost::system::error_code& failure, std::size_t) {
+                                          m_has_head = !failure;
+                                          read_rest();
+                                      });
+    }
+
+    [[nodiscard]] bool has_head() const { return m_has_head; }
+    [[nodiscard]] bool has_ended() const { return m_has_ended; }
+
+    /// All bytes that came.
+    [[nodiscard]] const std::string& answer() const { return m_answer; }
+
+private:
+    void read_rest() {
+        boost::asio::async_read(
+            m_socket, boost::asio::dynamic_buffer(m_answer),
+            [this](const boost::system::error_code&, std::size_t) { m_has_ended = true; });
+    }
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_answer;
+    bool m_has_head = false;
+    bool m_has_ended = false;
+};
+
+} // namespace monsoonlift::entry::testing
