--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -195,11 +195,9 @@
     hooks.on_rumor = [this](const membership::rumor& told) {
         m_crashes.take_rumor(told.topic, told.payload);
     };
-    if (m_settings.deployment) {
-        hooks.on_past = [this](const std::vector<core::departed_life>& past) {
-            boost::asio::post(m_control, [this, past] { take_past(past); });
-        };
-    }
+    hooks.on_past = [this](const std::vector<core::departed_life>& past) {
+        boost::asio::post(m_control, [this, past] { take_past(past); });
+    };
     return hooks;
 }
 
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -90,8 +90,12 @@
     void take_frame(transport::frame message);
     void take_unsent(const transport::unsent_frame& unsent);
     void member_changed(const membership::member& changed);
-    [[nodiscard]] admin::admin_response announce(const admin::admin_request& request);
-    [[nodiscard]] admin::admin_response withdraw(const admin::admin_request& request);
+
+    /// What the backend server says over the project's own interface; the rest on the control strand.
+    void announce(const admin::admin_request& request, const admin::admin_reply& reply);
+    void withdraw(const admin::admin_request& request, const admin::admin_reply& reply);
+    void take_announcement(const gate::backend_server& server);
+    void take_withdrawal(const std::string& instance, const admin::admin_reply& reply);
 
     /// Withdraws that start of the backend server; an empty name stands for the one that is known.
     void begin_withdrawal(const std::string& instance);
@@ -99,16 +103,21 @@
     /// What the platform's calls to this daemon lead to; used on the control strand.
     [[nodiscard]] platform::local_server_hooks local_hooks();
     void take_heartbeat(const platform::heartbeat& told, const platform::acknowledgement& acknowledge);
-    void take_ready(const platform::heartbeat& told);
     void take_draining(const platform::heartbeat& told, const platform::acknowledgement& acknowledge);
     void take_deregistration(const platform::deregistration& told,
                              const platform::acknowledgement& acknowledge);
+    [[nodiscard]] gate::backend_server server_of(const platform::heartbeat& told) const;
+
+    /// What any backend server's announcements and farewells lead to; used on the control strand.
+    void take_ready(const gate::announcement_mark& mark, const gate::backend_server& server);
+    void take_farewell(const core::departed_life& leaving, const char* how,
+                       const platform::acknowledgement& acknowledge);
 
     /// The farewells that earlier processes of this daemon heard.
     void take_past(const std::vector<core::departed_life>& past);
     void note_heartbeat(const gate::backend_lives& before, const gate::announcement_mark& mark,
                         gate::announcement_effect effect);
-    void serve_backend(const platform::heartbeat& told);
+    void serve_backend(const gate::backend_server& server);
     void leave_backend(const core::departed_life& leaving, const char* how);
 
     /// Acknowledges the leaving once the platform remembers it, and refuses to if that takes too long.
@@ -156,9 +165,10 @@
     std::unique_ptr<membership::membership_service> m_membership;
     std::unique_ptr<execution::home_keeper> m_homes;
     lifecycle::drain_watch m_drain_watch{m_clock};
-    std::optional<platform::local_server> m_local;   ///< Only on the users' platform.
-    gate::backend_lives m_lives;                     ///< Of the platform's backend server beside this daemon.
-    std::optional<platform::heartbeat> m_last_ready; ///< Latest heartbeat of the life that serves or waits.
+    std::optional<platform::local_server> m_local;    ///< Only on the users' platform.
+    gate::backend_lives m_lives;                      ///< Of the backend server beside this daemon.
+    std::optional<gate::backend_server> m_last_ready; ///< As the life that serves or waits said last.
+    std::uint64_t m_announcements = 0;                ///< Heard over the project's own interface.
     core::steady_time m_callers_until;
     core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -16,9 +16,12 @@
 
 using namespace std::chrono_literals;
 
-/// The platform's backend servers wait a second for an answer.
+/// Backend servers wait a second for an answer.
 constexpr std::chrono::milliseconds acknowledgement_patience = 800ms;
 
+constexpr auto withdrawal_not_recorded =
+    "the platform does not hold the withdrawal yet, so it may be forgotten; repeat it\n";
+
 std::string text_of(const gate::announcement_mark& mark) {
     return mark.id + "/" + std::to_string(mark.started_ms) + "/" + std::to_string(mark.sequence);
 }
@@ -51,18 +54,33 @@
 
 } // namespace
 
-admin::admin_response daemon::announce(const admin::admin_request& request) {
+void daemon::announce(const admin::admin_request& request, const admin::admin_reply& reply) {
     const auto parsed = admin::parse_announcement(request.body);
     if (const auto* wrong = std::get_if<admin::announcement_error>(&parsed)) {
-        return {400, "text/plain", wrong->detail + "\n"};
+        reply({400, "text/plain", wrong->detail + "\n"});
+        return;
+    }
+    boost::asio::post(m_control, [this, server = std::get<gate::backend_server>(parsed), reply] {
+        take_announcement(server);
+        reply({200, "application/json", "{}"});
+    });
+}
+
+void daemon::take_announcement(const gate::backend_server& server) {
+    if (server.instance.empty()) {
+        serve_backend(server);
+        return;
     }
-    const auto& server = std::get<gate::backend_server>(parsed);
+    // NOTE: these announcements bear no number of their own, so they count in the order of their arrival.
+    take_ready({server.instance, 0, ++m_announcements}, server);
+}
+
+void daemon::serve_backend(const gate::backend_server& server) {
     const bool is_taken = m_gate.announce(server);
     if (is_taken) {
         m_membership->announce(server.service);
         serve_homes();
     }
-    return {200, "application/json", "{}"};
 }
 
 void daemon::serve_homes() {
@@ -73,12 +91,26 @@
     }
 }
 
-admin::admin_response daemon::withdraw(const admin::admin_request& request) {
-    // NOTE: who names no start of itself, or sends no body, means the one that is known.
+void daemon::withdraw(const admin::admin_request& request, const admin::admin_reply& reply) {
     const auto parsed = admin::parse_announcement(request.body);
     const auto* server = std::get_if<gate::backend_server>(&parsed);
-    begin_withdrawal(server != nullptr ? server->instance : std::string());
-    return {200, "application/json", "{}"};
+    const auto instance = server != nullptr ? server->instance : std::string();
+    boost::asio::post(m_control, [this, instance, reply] { take_withdrawal(instance, reply); });
+}
+
+void daemon::take_withdrawal(const std::string& instance, const admin::admin_reply& reply) {
+    const admin::admin_response done{200, "application/json", "{}"};
+    // NOTE: who names no start of itself, or sends no body, means the one that is known.
+    const auto known = m_lives.newest ? m_lives.newest->id : std::string();
+    const auto& leaving = instance.empty() ? known : instance;
+    if (leaving.empty()) {
+        begin_withdrawal({});
+        reply(done);
+        return;
+    }
+    take_farewell({leaving, 0, unix_ms(m_clock.wall_now())}, "withdrawn", [reply, done](bool is_kept) {
+        reply(is_kept ? done : admin::admin_response{503, "text/plain", withdrawal_not_recorded});
+    });
 }
 
 void daemon::begin_withdrawal(const std::string& instance) {
@@ -108,23 +140,23 @@
         take_draining(told, acknowledge);
         return;
     }
-    take_ready(told);
+    take_ready(mark_of(told), server_of(told));
     acknowledge(true);
 }
 
-void daemon::take_ready(const platform::heartbeat& told) {
+void daemon::take_ready(const gate::announcement_mark& mark, const gate::backend_server& server) {
     const auto before = m_lives;
-    const auto effect = gate::hear_ready(m_lives, mark_of(told), m_clock.now());
-    note_heartbeat(before, mark_of(told), effect);
+    const auto effect = gate::hear_ready(m_lives, mark, m_clock.now());
+    note_heartbeat(before, mark, effect);
     if (effect == gate::announcement_effect::late) {
         return;
     }
     if (effect == gate::announcement_effect::opens) {
         m_membership->forget_farewells();
     }
-    m_last_ready = told;
+    m_last_ready = server;
     if (m_lives.serves) {
-        serve_backend(told);
+        serve_backend(server);
     }
 }
 
@@ -157,7 +189,7 @@
     }
 }
 
-void daemon::serve_backend(const platform::heartbeat& told) {
+gate::backend_server daemon::server_of(const platform::heartbeat& told) const {
     const auto rules = m_configuration.current();
     const auto* service = rules ? configuration::find_service(*rules, told.service) : nullptr;
     gate::backend_server server;
@@ -167,21 +199,22 @@
     server.connections = service != nullptr ? service->connections : told.slots;
     server.instance = told.id + "/" + std::to_string(told.started_ms);
     server.id = told.id;
-    const bool is_taken = m_gate.announce(server);
-    if (is_taken) {
-        m_membership->announce(server.service);
-    }
+    return server;
 }
 
 void daemon::take_deregistration(const platform::deregistration& told,
                                  const platform::acknowledgement& acknowledge) {
-    const core::departed_life leaving{told.id, told.started_ms, unix_ms(m_clock.wall_now())};
+    take_farewell({told.id, told.started_ms, unix_ms(m_clock.wall_now())}, "deregistered", acknowledge);
+}
+
+void daemon::take_farewell(const core::departed_life& leaving, const char* how,
+                           const platform::acknowledgement& acknowledge) {
     const auto effect = gate::hear_farewell(m_lives, leaving);
     if (effect == gate::announcement_effect::late) {
-        note_farewell(leaving, "deregistered", "not of the newest start: remembered");
+        note_farewell(leaving, how, "not of the newest start: remembered");
     }
     if (effect == gate::announcement_effect::leaves) {
-        leave_backend(leaving, "deregistered");
+        leave_backend(leaving, how);
     }
     acknowledge_leaving(acknowledge);
 }
@@ -224,7 +257,7 @@
 
 void daemon::leave_backend(const core::departed_life& leaving, const char* how) {
     note_farewell(leaving, how, "its service is withdrawn");
-    begin_withdrawal({});
+    begin_withdrawal(m_settings.deployment ? std::string() : leaving.id);
 }
 
 } // namespace monsoonlift::app
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -86,10 +86,12 @@
         const unsigned status_code = copy.empty() ? 404 : 200;
         return admin_response{status_code, "application/json", std::move(copy)};
     });
-    m_admin.route("POST", "/announce", access::open,
-                  [this](const admin_request& request) { return announce(request); });
-    m_admin.route("POST", "/withdraw", access::open,
-                  [this](const admin_request& request) { return withdraw(request); });
+    m_admin.route_deferred(
+        "POST", "/announce", access::open,
+        [this](const admin_request& request, const admin::admin_reply& reply) { announce(request, reply); });
+    m_admin.route_deferred(
+        "POST", "/withdraw", access::open,
+        [this](const admin_request& request, const admin::admin_reply& reply) { withdraw(request, reply); });
     m_admin.route("GET", "/quarantine", access::open, [this](const admin_request&) {
         return admin_response{200, "application/json", quarantined()};
     });
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -136,7 +136,8 @@
     {event_id::heartbeat_refused, severity::warning, "heartbeat_refused",
      "A heartbeat on the platform can't be read and was not used."},
     {event_id::heartbeat_late, severity::notice, "heartbeat_late",
-     "A heartbeat on the platform was overtaken, by a later one or by a farewell, and was not used."},
+     "An announcement of the backend server was overtaken, by a later one or by a farewell, and was not "
+     "used."},
     {event_id::settings_read_again, severity::notice, "settings_read_again",
      "SIGHUP: the settings file was read; what changed in it is in force from the next start."},
     {event_id::backend_life_heard, severity::notice, "backend_life_heard",
