The soak: reset links of which one end has gone, and end everything that was started

Cause: a link whose one connection has ended by itself keeps both until the other one notices; a reset or the end of the run in between sets an option on a closed socket. A reset passes over a closed socket, and close_all takes each step even if one fails.

--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -1,12 +1,14 @@
 """The VMs of one run: a daemon, its backend server and its links each."""
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
 import signal
 import threading
 import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from harness.fleet import BINARIES
@@ -103,10 +105,7 @@
             self.facts.exits.append(f"vm-{self.number} ended with {self.process.wait()} after SIGTERM")
 
     def close(self) -> None:
-        self.kill_daemon()
-        self.endpoint.close()
-        self.link.close()
-        self.store_link.close()
+        close_all([self.store_link.close, self.link.close, self.endpoint.close, self.kill_daemon])
 
     def _settings(self) -> str:
         settings = {
@@ -126,6 +125,13 @@
         return "".join(lines)
 
 
+def close_all(steps: Sequence[Callable[[], object]]) -> None:
+    """Takes all steps, the last one first, also when one of them fails; then raises what failed."""
+    with contextlib.ExitStack() as stack:
+        for step in steps:
+            stack.callback(step)
+
+
 class SoakFleet:
     """The platform stand-in and all VMs of one run; a context manager that ends what it started."""
 
@@ -138,7 +144,4 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for vm in self.vms:
-            vm.close()
-        self.platform.process.kill()
-        self.carrier.close()
+        close_all([self.carrier.close, self.platform.process.kill, *[vm.close for vm in self.vms]])
--- a/scripts/lib/soak/proxy.py
+++ b/scripts/lib/soak/proxy.py
@@ -77,7 +77,7 @@
     async def _reset(self) -> None:
         for writer in list(self._writers):
             held = writer.get_extra_info("socket")
-            if held is not None:
+            if held is not None and held.fileno() >= 0:
                 reset_at_close(held)
             writer.transport.abort()
 
