--- a/scripts/lib/harness/process.py
+++ b/scripts/lib/harness/process.py
@@ -61,6 +61,14 @@
                 time.sleep(READY_LOOK_S)
         return self._addresses
 
+    def threads(self) -> str:
+        """What each thread of the process waits for, a line each; for a process that does not end."""
+        lines = []
+        for task in sorted(pathlib.Path(f"/proc/{self.pid}/task").glob("*")):
+            state = (task / "stat").read_text().rsplit(")", 1)[1].split()[0]
+            lines.append(f"{task.name} {state} {(task / 'wchan').read_text()} {(task / 'syscall').read_text().strip()}\n")
+        return "".join(lines)
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to this process if it still runs."""
         if self.running:
--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -99,6 +99,7 @@
             time.sleep(0.02)
         self.facts.stops.setdefault(self.number, []).append(Span(began, time.monotonic()))
         if self.process.running:
+            self.process.log.with_suffix(".threads").write_text(self.process.threads())
             self.process.kill()
             self.facts.exits.append(f"vm-{self.number} did not end within its time")
         elif self.process.wait() != 0:
