--- a/src/entry/internal/attempt_judgement.cpp
+++ b/src/entry/internal/attempt_judgement.cpp
@@ -41,4 +41,23 @@
     return result;
 }
 
+attempt_fate fate_of(end_reason reason, unsigned answer_status) {
+    switch (reason) {
+    case end_reason::answered:
+        return answer_status < first_server_error ? attempt_fate::whole : attempt_fate::server_error;
+    case end_reason::backend_refused:
+        return attempt_fate::server_refused;
+    case end_reason::shed:
+        return attempt_fate::gate_refused;
+    case end_reason::deadline:
+        return attempt_fate::late;
+    case end_reason::backend_failed:
+    case end_reason::cancelled:
+    case end_reason::body_damaged:
+        return attempt_fate::broken;
+    default:
+        return attempt_fate::unavailable;
+    }
+}
+
 } // namespace monsoonlift::entry::internal
--- a/src/entry/internal/attempt_judgement.h
+++ b/src/entry/internal/attempt_judgement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/internal/attempt_counts.h"
 #include "routing/routing_table.h"
 #include "transport/types/frame.h"
 
@@ -13,4 +14,7 @@
 [[nodiscard]] routing::attempt_result judge_attempt(const transport::attempt_end& end, unsigned answer_status,
                                                     bool caller_gone, std::chrono::nanoseconds latency);
 
+/// What the counts make of the end of an attempt.
+[[nodiscard]] attempt_fate fate_of(transport::end_reason reason, unsigned answer_status);
+
 } // namespace monsoonlift::entry::internal
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -160,6 +160,7 @@
             continue;
         }
         if (trouble) {
+            m_shared.counts.count(m_call.service, attempt_fate::not_sent);
             const auto told = final_problem(m_earlier, *trouble);
             co_await refuse(told);
             co_return;
@@ -282,6 +283,7 @@
     auto result = judge_attempt(end, m_answer_status, m_caller_gone, now - m_attempt_began);
     result.kind = m_call.kind;
     m_shared.routes.record_result(m_channel->endpoint(), result, now);
+    m_shared.counts.count(m_call.service, fate_of(end.reason, m_answer_status));
     note_levels(end);
     m_tried.push_back(m_channel->endpoint());
     if (outcome.settled) {
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -20,7 +20,8 @@
       classes([&metrics, &time](const std::string& name) {
           return std::make_unique<call_class>(metrics, time, name);
       }),
-      events(written, time), decisions(written, time), m_acceptor(std::move(connections)) {}
+      events(written, time), decisions(written, time), counts(written, time),
+      m_acceptor(std::move(connections)) {}
 
 void entry_state::start() {
     const auto accepted = [weak = weak_from_this()](tcp::socket socket) {
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -2,6 +2,7 @@
 
 #include "entry/entry_service.h"
 #include "entry/internal/attempt_channel.h"
+#include "entry/internal/attempt_counts.h"
 #include "entry/internal/call_class.h"
 #include "entry/internal/call_decisions.h"
 #include "entry/internal/entry_events.h"
@@ -67,6 +68,7 @@
     call_classes classes;
     entry_events events;
     call_decisions decisions;
+    attempt_counts counts;
 
     std::atomic<std::uint64_t> calls = 0;
     std::atomic<std::uint64_t> answered = 0;
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -71,6 +71,7 @@
     ++m_spent_retries;
     ++m_shared.retries;
     m_class->retries.add();
+    m_shared.counts.count(m_call.service, attempt_fate::retried);
     return {delay, {}};
 }
 
@@ -115,6 +116,8 @@
     }
     const auto budget = call_spent ? spent_budget::root_call : spent_budget::daemon;
     m_class->count_withheld(budget);
+    m_shared.counts.count(m_call.service,
+                          call_spent ? attempt_fate::withheld_call : attempt_fate::withheld_daemon);
     m_shared.events.budget_spent(subject(), budget);
     return call_spent ? "the budget of the root call is spent" : "the retry budget of the daemon is spent";
 }
--- a/src/gate/internal/gate_events.cpp
+++ b/src/gate/internal/gate_events.cpp
@@ -1,5 +1,7 @@
 #include "gate/internal/gate_events.h"
 
+#include "admission/shed_level_text.h"
+
 namespace monsoonlift::gate::internal {
 
 using logging::event_id;
@@ -38,6 +40,21 @@
     }
 }
 
+void gate_events::counted(const gate_interval& interval) {
+    if (interval.shed + interval.server_refused == 0) {
+        return;
+    }
+    m_log.write(event_id::gate_counted, {{"arrived", std::to_string(interval.arrived)},
+                                         {"answered", std::to_string(interval.answered)},
+                                         {"shed", std::to_string(interval.shed)},
+                                         {"server_refused", std::to_string(interval.server_refused)},
+                                         {"failed", std::to_string(interval.failed)},
+                                         {"running", std::to_string(interval.load.running)},
+                                         {"waiting", std::to_string(interval.load.waiting)},
+                                         {"limit", std::to_string(interval.load.limit)},
+                                         {"level", admission::to_string(interval.load.level)}});
+}
+
 void gate_events::cancelled(const gate_class& kind, const core::attempt_id& attempt, std::string_view where) {
     write(event_id::call_cancelled, m_cancelled, attempt, kind.name(), where);
 }
--- a/src/gate/internal/gate_events.h
+++ b/src/gate/internal/gate_events.h
@@ -13,6 +13,16 @@
 
 namespace monsoonlift::gate::internal {
 
+/// What became of a gate's requests since its last look at them.
+struct gate_interval {
+    std::uint64_t arrived = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t shed = 0;           ///< By the threshold, the queue or the limit.
+    std::uint64_t server_refused = 0; ///< The backend server said that it did not run them.
+    std::uint64_t failed = 0;         ///< Ended without an answer, those before included.
+    routing::load_report load;        ///< At its end.
+};
+
 /// The events of a gate, none of them a line for each call. Thread-safe.
 class gate_events {
 public:
@@ -21,6 +31,9 @@
     /// What a look at the gate's load brought.
     void load_changed(const load_news& news, const gate_classes& classes);
 
+    /// Tells of an interval in which requests were refused.
+    void counted(const gate_interval& interval);
+
     /// A call was given up by its entry, before or after it got a slot.
     void cancelled(const gate_class& kind, const core::attempt_id& attempt, std::string_view where);
 
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::chrono::milliseconds tick_interval = 10ms;
 constexpr std::chrono::milliseconds cleaning_interval = 500ms;
+constexpr std::chrono::seconds counts_interval = 1s;
 constexpr std::chrono::seconds memory_beyond_deadline = 10s;
 constexpr unsigned probes_after_break =
     3; ///< Connections tried to tell a dead backend server from a broken call.
@@ -151,6 +152,7 @@
     const auto known = forget(refused.run);
     if (known) {
         ++m_refused;
+        m_shed += refused.reason == end_reason::shed ? 1 : 0;
         known->refuse(refused.reason);
     }
 }
@@ -158,6 +160,9 @@
 void gate_service::state::ended(std::uint64_t run, const internal::run_report& report) {
     static_cast<void>(forget(run));
     ++(report.answered ? m_answered : m_failed);
+    if (report.outcome == concurrency::run_outcome::refused) {
+        ++m_server_refused;
+    }
     if (report.broken) {
         probe_backend(probes_after_break);
     }
@@ -292,6 +297,7 @@
     apply(m_table.drop_left(now));
     apply(m_table.tick(now));
     m_events.load_changed(m_load_watch.look(m_table.report(), now), m_classes);
+    tell_counts(now);
     if (now >= m_next_cleaning) {
         m_next_cleaning = now + cleaning_interval;
         forget_old_attempts(now);
@@ -304,6 +310,18 @@
     }
 }
 
+void gate_service::state::tell_counts(core::steady_time now) {
+    if (now < m_next_counts) {
+        return;
+    }
+    m_next_counts = now + counts_interval;
+    const internal::gate_interval total{m_arrived, m_answered, m_shed, m_server_refused, m_failed, report()};
+    m_events.counted({total.arrived - m_told.arrived, total.answered - m_told.answered,
+                      total.shed - m_told.shed, total.server_refused - m_told.server_refused,
+                      total.failed - m_told.failed, total.load});
+    m_told = total;
+}
+
 void gate_service::state::forget_old_attempts(core::steady_time now) {
     const std::scoped_lock lock(m_calls_mutex);
     std::erase_if(m_attempts, [&](const auto& entry) {
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -63,6 +63,9 @@
     void tick();
     void forget_old_attempts(core::steady_time now);
 
+    /// Tells once a second what became of the requests since it last told.
+    void tell_counts(core::steady_time now);
+
     const gate_options m_options;
     const core::clock& m_clock;
     internal::gate_classes m_classes;
@@ -91,6 +94,10 @@
     std::atomic<std::uint64_t> m_refused = 0;
     std::atomic<std::uint64_t> m_failed = 0;
     std::atomic<std::uint64_t> m_cancelled = 0;
+    std::atomic<std::uint64_t> m_shed = 0;           ///< Of those refused.
+    std::atomic<std::uint64_t> m_server_refused = 0; ///< Of those failed.
+    internal::gate_interval m_told;                  ///< The totals as they were told.
+    core::steady_time m_next_counts;
 };
 
 } // namespace monsoonlift::gate
--- a/src/gate/tests/gate_events_tests.cpp
+++ b/src/gate/tests/gate_events_tests.cpp
@@ -54,6 +54,18 @@
     CHECK(gate.log.lines[3].fields["seconds"] == "90");
 }
 
+TEST_CASE("an interval is told when requests were refused in it, and who refused them", "[gate][events]") {
+    gate_under_test gate;
+    gate.events.counted({900, 900, 0, 0, 3, {}});
+    CHECK(gate.log.lines.empty());
+    gate.events.counted({900, 410, 7, 480, 483, {{1, 40}, 20, 4, 22}});
+    REQUIRE(gate.log.lines.size() == 1);
+    CHECK(gate.log.lines[0].id == event_id::gate_counted);
+    CHECK(gate.log.lines[0].fields["shed"] == "7");
+    CHECK(gate.log.lines[0].fields["server_refused"] == "480");
+    CHECK(gate.log.lines[0].fields["limit"] == "22");
+}
+
 TEST_CASE("no news writes no event", "[gate][events]") {
     gate_under_test gate;
     gate.events.load_changed({}, gate.classes);
