One odd entry in the store hides no other entry

A process did not end in any case. The daemon's own object, replaced by such an entry, was read again and again and never written anew.

Cause, its class: one reading for what many writers wrote. Such an answer is cut into its entries by its brackets now and each read for itself; an entry keeps its name and version, which the store writes, and loses only the part that can't be read, so a page of odd entries alone doesn't end the listing either. What is no text under one of our names reads as empty. An answer that can be read whole is read as before.

The object API of our own (store/object_wire) is written by daemons alone and is left as it is.

--- a/src/platform/internal/json_fields.cpp
+++ b/src/platform/internal/json_fields.cpp
@@ -14,6 +14,15 @@
     return map.if_contains({name.data(), name.size()});
 }
 
+std::optional<std::uint64_t> number_of(const json::value& value) {
+    if (!value.is_number()) {
+        return std::nullopt;
+    }
+    boost::system::error_code fault;
+    const auto number = value.to_number<std::uint64_t>(fault);
+    return fault ? std::nullopt : std::optional(number);
+}
+
 } // namespace
 
 std::optional<json::object> parse_map(std::string_view text) {
@@ -25,6 +34,12 @@
     return std::move(value.as_object());
 }
 
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+    boost::system::error_code fault;
+    const auto value = json::parse({text.data(), text.size()}, fault);
+    return fault ? std::nullopt : number_of(value);
+}
+
 const json::object* find_map(const json::object& map, std::string_view name) {
     const auto* value = find(map, name);
     return value != nullptr ? value->if_object() : nullptr;
@@ -46,12 +61,8 @@
 
 std::optional<std::uint64_t> find_number(const json::object& map, std::string_view name, std::uint64_t most) {
     const auto* value = find(map, name);
-    if (value == nullptr || !value->is_number()) {
-        return std::nullopt;
-    }
-    boost::system::error_code fault;
-    const auto number = value->to_number<std::uint64_t>(fault);
-    return fault || number > most ? std::nullopt : std::optional(number);
+    const auto number = value != nullptr ? number_of(*value) : std::nullopt;
+    return number && *number <= most ? number : std::nullopt;
 }
 
 bool is_true(const json::object& map, std::string_view name) {
--- a/src/platform/internal/json_fields.h
+++ b/src/platform/internal/json_fields.h
@@ -14,6 +14,9 @@
 /// The map that a whole text is.
 [[nodiscard]] std::optional<boost::json::object> parse_map(std::string_view text);
 
+/// The whole number that a whole text is.
+[[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text);
+
 /// The map at a field, or nullptr.
 [[nodiscard]] const boost::json::object* find_map(const boost::json::object& map, std::string_view name);
 
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -52,7 +52,8 @@
     return kind_target(name) + "/" + store::percent_encode(bare_name(name));
 }
 
-/// The object in our terms; nothing if its content can't be used.
+/// The object in our terms; nothing if it is no configuration that can be used. What another writer left
+/// under one of our names reads as empty, so that its owner can write it anew.
 std::optional<store::object> translate(std::string_view prefix, const stored_object& stored,
                                        logging::event_log& log) {
     if (is_configuration(prefix)) {
@@ -66,11 +67,9 @@
         return store::object{std::string(configuration::current_object), stored.version,
                              configuration::to_json(read)};
     }
-    if (!stored.content.is_string()) {
-        return std::nullopt;
-    }
+    const auto* text = stored.content.if_string();
     return store::object{prefix_of(prefix) + stored.name, stored.version,
-                         std::string(stored.content.get_string())};
+                         text != nullptr ? std::string(*text) : std::string()};
 }
 
 bool is_wanted(std::string_view prefix, const stored_object& stored) {
--- a/src/platform/internal/store_codec.cpp
+++ b/src/platform/internal/store_codec.cpp
@@ -1,9 +1,11 @@
 #include "platform/store_codec.h"
 
 #include "platform/internal/json_fields.h"
+#include "platform/internal/json_pieces.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace monsoonlift::platform {
@@ -12,19 +14,25 @@
 
 namespace {
 
-std::optional<stored_object> read_object(const json::object& map) {
-    const auto* metadata = internal::find_map(map, "Metadata");
-    const auto name = metadata != nullptr ? internal::find_text(*metadata, "Name") : std::nullopt;
-    const auto version = metadata != nullptr ? internal::find_number(*metadata, "Rev") : std::nullopt;
+std::optional<stored_object> read_metadata(const json::object& metadata) {
+    const auto name = internal::find_text(metadata, "Name");
+    const auto version = internal::find_number(metadata, "Rev");
     if (!name || !version) {
         return std::nullopt;
     }
     stored_object read;
     read.name = *name;
     read.version = *version;
-    read.is_being_removed = internal::is_true(*metadata, "Deleting");
-    if (const auto* content = map.if_contains("Spec")) {
-        read.content = *content;
+    read.is_being_removed = internal::is_true(metadata, "Deleting");
+    return read;
+}
+
+std::optional<stored_object> read_object(const json::object& map) {
+    const auto* metadata = internal::find_map(map, "Metadata");
+    auto read = metadata != nullptr ? read_metadata(*metadata) : std::nullopt;
+    const auto* content = map.if_contains("Spec");
+    if (read && content != nullptr) {
+        read->content = *content;
     }
     return read;
 }
@@ -51,32 +59,82 @@
     return all;
 }
 
+/// As read_all, of a list that can't be read as one: each element for itself.
+template <class T>
+std::vector<T> read_pieces(std::string_view list, std::optional<T> (*read)(std::string_view)) {
+    std::vector<T> all;
+    for (const auto piece : internal::elements_of(list)) {
+        if (auto one = read(piece)) {
+            all.push_back(*std::move(one));
+        }
+    }
+    return all;
+}
+
+/// An object of which another writer left a part that can't be read: that part is missing.
+std::optional<stored_object> read_object_pieces(std::string_view text) {
+    const auto metadata = internal::parse_map(internal::value_at(text, "Metadata"));
+    auto read = metadata ? read_metadata(*metadata) : std::nullopt;
+    boost::system::error_code fault;
+    const auto spec = internal::value_at(text, "Spec");
+    auto content = json::parse({spec.data(), spec.size()}, fault);
+    if (read && !fault) {
+        read->content = std::move(content);
+    }
+    return read;
+}
+
+std::optional<stored_change> read_change_pieces(std::string_view text) {
+    auto read = decode_object(internal::value_at(text, "Object"));
+    if (!read) {
+        return std::nullopt;
+    }
+    return stored_change{*std::move(read), internal::value_at(text, "Deleted") == "true"};
+}
+
+/// The store's revision, of an answer that can't be read as a whole.
+std::optional<std::uint64_t> read_revision(std::string_view text) {
+    return internal::parse_number(internal::value_at(text, "StoreRevision"));
+}
+
 } // namespace
 
 std::optional<stored_object> decode_object(std::string_view text) {
     const auto map = internal::parse_map(text);
-    return map ? read_object(*map) : std::nullopt;
+    return map ? read_object(*map) : read_object_pieces(text);
 }
 
 std::optional<stored_page> decode_page(std::string_view text) {
     const auto map = internal::parse_map(text);
-    const auto revision = map ? internal::find_number(*map, "StoreRevision") : std::nullopt;
-    const auto* items = map ? internal::find_list(*map, "items") : nullptr;
-    if (!revision || items == nullptr) {
+    const auto revision = map ? internal::find_number(*map, "StoreRevision") : read_revision(text);
+    if (!revision) {
+        return std::nullopt;
+    }
+    if (!map) {
+        return stored_page{*revision, read_pieces(internal::value_at(text, "items"), decode_object),
+                           internal::value_at(text, "More") == "true"};
+    }
+    const auto* items = internal::find_list(*map, "items");
+    if (items == nullptr) {
         return std::nullopt;
     }
-    return stored_page{*revision, read_all<stored_object>(*items, read_object),
-                       internal::is_true(*map, "More")};
+    return stored_page{*revision, read_all(*items, read_object), internal::is_true(*map, "More")};
 }
 
 std::optional<stored_changes> decode_changes(std::string_view text) {
     const auto map = internal::parse_map(text);
-    const auto revision = map ? internal::find_number(*map, "StoreRevision") : std::nullopt;
-    const auto* events = map ? internal::find_list(*map, "events") : nullptr;
-    if (!revision || events == nullptr) {
+    const auto revision = map ? internal::find_number(*map, "StoreRevision") : read_revision(text);
+    if (!revision) {
+        return std::nullopt;
+    }
+    if (!map) {
+        return stored_changes{*revision, read_pieces(internal::value_at(text, "events"), read_change_pieces)};
+    }
+    const auto* events = internal::find_list(*map, "events");
+    if (events == nullptr) {
         return std::nullopt;
     }
-    return stored_changes{*revision, read_all<stored_change>(*events, read_change)};
+    return stored_changes{*revision, read_all(*events, read_change)};
 }
 
 std::string encode_write(std::string_view name, std::uint64_t expected_version, std::string_view value) {
--- a/src/platform/store_codec.h
+++ b/src/platform/store_codec.h
@@ -18,7 +18,7 @@
 struct stored_object {
     std::string name;
     std::uint64_t version = 0;     ///< `Rev`: the store's revision at the object's last change.
-    boost::json::value content;    ///< `Spec`.
+    boost::json::value content;    ///< `Spec`; null if it is missing or can't be read.
     bool is_being_removed = false; ///< `Deleting`: removal waits for finalizers.
 };
 
@@ -41,7 +41,7 @@
     std::vector<stored_change> changes;
 };
 
-/// The object of that text, or nothing if it is none.
+/// The object of that text, or nothing if it is none. Content that can't be read is null.
 [[nodiscard]] std::optional<stored_object> decode_object(std::string_view text);
 
 /// The page of that text, or nothing. Objects in it that can't be read are left out.
--- a/src/platform/tests/platform_store_tests.cpp
+++ b/src/platform/tests/platform_store_tests.cpp
@@ -1,6 +1,7 @@
 // The platform's store behind the object API: the same contract as every other implementation of it.
 #include "platform/platform_store.h"
 #include "platform/testing/store_paths.h"
+#include "platform/types/wire_names.h"
 #include "store/tests/object_api_contract.h"
 #include "store/tests/standin_environment.h"
 #include "testing/silent_log.h"
@@ -60,3 +61,18 @@
     CHECK(stored->revision == 31);
     CHECK(stored->digest == configuration::digest_of(*stored));
 }
+
+TEST_CASE("an object that another writer replaced can be read by its version and written anew",
+          "[platform]") {
+    platform_environment environment;
+    const auto kind = "/api/objects/" + std::string(platform::wire::own_kinds_prefix) + "members";
+    environment.post(kind, R"({"Metadata":{"Name":"10.0.0.1:7000"},"Spec":{"port":1e300}})");
+    const auto name = std::string("members/10.0.0.1:7000");
+    const auto read =
+        environment.wait<store::object>([&](auto done) { environment.api().get(name, 5000ms, done); });
+    REQUIRE(read.value);
+    CHECK(read.value->value.empty());
+    const auto written = environment.wait<std::uint64_t>(
+        [&](auto done) { environment.api().update_if(name, read.value->version, "text", 5000ms, done); });
+    CHECK(written.value);
+}
--- a/src/platform/tests/store_codec_tests.cpp
+++ b/src/platform/tests/store_codec_tests.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 using namespace monsoonlift::platform;
 
@@ -13,8 +14,66 @@
     R"({"Metadata":{"Name":"10.0.0.1:7000","Rev":412,"CreatedRev":9,"Finalizers":[],"Deleting":false},)"
     R"("Spec":"text","Status":null})";
 
+/// Entries of another writer: each is JSON by its brackets, and none of them can be read whole.
+std::vector<std::string> odd_contents() {
+    return {
+        std::string(40, '[') + std::string(40, ']'),
+        std::string(20'000, '[') + std::string(20'000, ']'),
+        R"({"port":1e99999999999})",
+        R"({"address":"10.0.0.1:\ud800"})",
+        "\"\xff\xfe\"",
+        R"({"text":"]},{\"","bad":\x})",
+    };
+}
+
+std::string object_with(const std::string& name, const std::string& content) {
+    return R"({"Metadata":{"Name":")" + name + R"(","Rev":7,"Deleting":false},"Spec":)" + content +
+           R"(,"Status":null})";
+}
+
 } // namespace
 
+TEST_CASE("one odd entry hides no other entry of its page", "[platform]") {
+    for (const auto& odd : odd_contents()) {
+        INFO(odd.substr(0, 60));
+        const auto page = decode_page(R"({"items":[)" + object_with("odd", odd) + "," + object_text +
+                                      R"(],"More":true,"StoreRevision":530})");
+        REQUIRE(page);
+        CHECK(page->revision == 530);
+        CHECK(page->has_more);
+        REQUIRE(page->objects.size() == 2);
+        CHECK(page->objects[0].name == "odd");
+        CHECK(page->objects[0].content.is_null());
+        CHECK(page->objects[1].content == "text");
+    }
+}
+
+TEST_CASE("one odd entry hides no other change of a watch", "[platform]") {
+    for (const auto& odd : odd_contents()) {
+        INFO(odd.substr(0, 60));
+        const auto told = decode_changes(R"({"events":[{"Object":)" + object_with("odd", odd) +
+                                         R"(,"Deleted":false},{"Deleted":true,"Object":)" + object_text +
+                                         R"(}],"StoreRevision":533})");
+        REQUIRE(told);
+        CHECK(told->revision == 533);
+        REQUIRE(told->changes.size() == 2);
+        CHECK(told->changes[0].object.name == "odd");
+        CHECK(told->changes[1].removed);
+        CHECK(told->changes[1].object.content == "text");
+    }
+}
+
+TEST_CASE("an entry whose content is odd still has its name and version", "[platform]") {
+    for (const auto& odd : odd_contents()) {
+        INFO(odd.substr(0, 60));
+        const auto read = decode_object(object_with("odd", odd));
+        REQUIRE(read);
+        CHECK(read->name == "odd");
+        CHECK(read->version == 7);
+        CHECK(read->content.is_null());
+    }
+}
+
 TEST_CASE("an object of the store is read with name, version and content", "[platform]") {
     const auto read = decode_object(object_text);
     REQUIRE(read);
