Don't let random refusals of a server take its slots away

Cause: every refusal took 10% off the limit, as if it could only come of too many requests; at about 9 slots that balances with the growth of one slot a round, so it never came back, and nothing could be learned below. Class: an error of one kind taken as proof of one cause.

Mend: what a refusal says depends on whether it ends with the limit. A server with fewer slots than it states refuses no more once the limit is at those. So in a series of refusals the limit falls as before, without growing in a round with a refusal; if they go on although far fewer may run (0.8) than have run meanwhile (time of runs over time), they have nothing to do with concurrency: the limit is what it was before, and refusals are not asked about for two seconds. Ruled out, tried first: a floor at the concurrency shown with room for its scatter.

Tests: concurrency_tests 'refusals by a server with free slots do not take its slots away' held back 15 of 18 thousand offered requests before, under one in twenty now; 'a server that refuses what goes beyond fewer slots than it states is found out' passes before and after; model_tests unchanged, all pass.

--- a/src/concurrency/concurrency_limit.h
+++ b/src/concurrency/concurrency_limit.h
@@ -33,6 +33,21 @@
     double service_before_s = 0;
 };
 
+/// How many requests the server was seen to run at once: the time that runs took, over the time that passed.
+struct shown_concurrency {
+    double run_s = 0; ///< Of the runs that ended since `since`.
+    core::steady_time since;
+    double latest = 0;
+    double highest = 0; ///< Of late; it fades.
+};
+
+/// Refusals in quick succession, each of which lowers the limit.
+struct refusal_series {
+    double limit_before = 0;
+    double most_shown = 0;             ///< The highest concurrency shown since shortly before it began.
+    core::steady_time unrelated_until; ///< Refusals are taken to have nothing to do with the limit.
+};
+
 /// State of the limit of one backend server.
 struct limit_state {
     limit_bounds bounds;
@@ -44,6 +59,8 @@
     core::steady_time last_decrease;
     service_window window;
     limit_trial trial;
+    shown_concurrency shown;
+    refusal_series refusals;
 };
 
 /// The state at a cold start.
--- a/src/concurrency/internal/concurrency_limit.cpp
+++ b/src/concurrency/internal/concurrency_limit.cpp
@@ -29,6 +29,15 @@
 /// After a refusal the limit grows by one slot in each round for this time.
 constexpr std::chrono::milliseconds cautious_time{500};
 
+/// Time over which the concurrency that a server shows is measured, and what a measure later is left of it.
+constexpr std::chrono::milliseconds shown_interval{100};
+constexpr double shown_fading = 0.8;
+
+/// Share of the most concurrency shown meanwhile; a server that still refuses when fewer than that may run
+/// refuses for another reason than concurrency, and is not asked again about it for the time.
+constexpr double unrelated_share = 0.8;
+constexpr std::chrono::seconds unrelated_time{2};
+
 /// Multiples of the floor of service times: up to the first the limit grows by `growth`, then by one slot in
 /// each round; above the second it is questioned.
 constexpr double growing_tolerance = 1.25;
@@ -57,10 +66,53 @@
     state.limit = std::clamp(limit, 1.0, highest(state.bounds));
 }
 
-void decrease(limit_state& state, core::steady_time now) {
-    const auto pause = std::chrono::duration_cast<core::steady_time::duration>(
+bool has_run(run_outcome outcome) {
+    return outcome == run_outcome::finished || outcome == run_outcome::failed;
+}
+
+/// Counts the end of a run towards the concurrency that the server shows.
+void show(shown_concurrency& shown, double run_s, core::steady_time now) {
+    shown.run_s += run_s;
+    if (now - shown.since < shown_interval) {
+        return;
+    }
+    shown.latest = shown.run_s / std::chrono::duration<double>(now - shown.since).count();
+    shown.highest = std::max(shown.latest, shown_fading * shown.highest);
+    shown.run_s = 0;
+    shown.since = now;
+}
+
+/// Whether refusals go on although far fewer may run than have run since they began. Answers servers that
+/// refuse a share of their requests with slots free; one that has fewer slots than it states refuses no more
+/// once the limit is at those.
+bool are_refusals_unrelated(const limit_state& state) {
+    return !state.trial.under_way && state.shown.latest > 0 &&
+           state.limit <= std::max(1.0, unrelated_share * state.refusals.most_shown);
+}
+
+/// Whether less than a service time has passed since the limit was lowered.
+bool is_round_of_refusal(const limit_state& state, core::steady_time now) {
+    const auto round = std::chrono::duration_cast<core::steady_time::duration>(
         std::chrono::duration<double>(state.typical_service_s));
-    if (now - state.last_decrease < pause) {
+    return now - state.last_decrease < round;
+}
+
+void decrease(limit_state& state, core::steady_time now) {
+    if (now < state.refusals.unrelated_until) {
+        return;
+    }
+    if (is_round_of_refusal(state, now)) {
+        return;
+    }
+    if (now - state.last_decrease >= cautious_time) {
+        state.refusals.limit_before = state.limit;
+        state.refusals.most_shown = 0;
+    }
+    state.refusals.most_shown = std::max(state.refusals.most_shown, state.shown.highest);
+    if (are_refusals_unrelated(state)) {
+        set_limit(state, state.refusals.limit_before);
+        state.refusals.unrelated_until = now + unrelated_time;
+        state.last_decrease = now - cautious_time;
         return;
     }
     set_limit(state, state.limit * refused_factor);
@@ -130,7 +182,7 @@
 }
 
 void grow(limit_state& state, core::steady_time now) {
-    if (state.trial.under_way) {
+    if (state.trial.under_way || is_round_of_refusal(state, now)) {
         return;
     }
     const double slow_s = growing_tolerance * state.fastest_service_s;
@@ -148,6 +200,8 @@
     state.limit = highest(bounds);
     state.started = now;
     state.last_decrease = now;
+    state.refusals.limit_before = state.limit;
+    state.shown.since = now;
     return state;
 }
 
@@ -166,6 +220,7 @@
     const bool busy = state.running >= busy_share * allowed;
     const double seconds = std::chrono::duration<double>(service_time).count();
     state.running -= state.running > 0 ? 1 : 0;
+    show(state.shown, has_run(outcome) ? seconds : 0, now);
     switch (outcome) {
     case run_outcome::finished:
         smooth_service_time(state, seconds);
--- a/src/concurrency/tests/concurrency_limit_tests.cpp
+++ b/src/concurrency/tests/concurrency_limit_tests.cpp
@@ -3,6 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <random>
+#include <vector>
 
 using namespace monsoonlift::concurrency;
 using namespace std::chrono_literals;
@@ -31,6 +34,60 @@
     }
 }
 
+/// A backend server that takes requests only up to its slots, and refuses a share of the others at random.
+struct refusing_server {
+    std::uint32_t slots;
+    double refused_share;
+    std::chrono::milliseconds service{44};
+    std::chrono::milliseconds refusal{1};
+};
+
+struct arrival_counts {
+    std::uint32_t offered = 0;
+    std::uint32_t held_back = 0; ///< Found the limit reached.
+    std::uint32_t ran = 0;
+};
+
+/// Offers requests at a steady mean rate for a time; those that find the limit reached are lost.
+arrival_counts offer(limit_state& state, const refusing_server& server, double per_second,
+                     std::chrono::milliseconds during, steady_time& now, std::mt19937_64& random) {
+    struct run {
+        steady_time ends;
+        std::chrono::milliseconds takes;
+        bool refused;
+    };
+    constexpr auto step = 1ms;
+    std::poisson_distribution<std::uint32_t> arrivals(per_second / 1000);
+    std::bernoulli_distribution refuses(server.refused_share);
+    std::vector<run> runs;
+    arrival_counts counts;
+    for (const auto until = now + during; now < until; now += step) {
+        const auto ended =
+            std::partition(runs.begin(), runs.end(), [&](const run& one) { return one.ends > now; });
+        for (auto one = ended; one != runs.end(); ++one) {
+            release(state, one->refused ? run_outcome::refused : run_outcome::finished, one->takes, now);
+        }
+        runs.erase(ended, runs.end());
+        for (auto left = arrivals(random); left > 0; --left) {
+            ++counts.offered;
+            if (!try_acquire(state, now)) {
+                ++counts.held_back;
+                continue;
+            }
+            const auto taken =
+                std::count_if(runs.begin(), runs.end(), [](const run& one) { return !one.refused; });
+            const bool refused = taken >= server.slots || refuses(random);
+            const auto takes = refused ? server.refusal : server.service;
+            counts.ran += refused ? 0 : 1;
+            runs.push_back({now + takes, takes, refused});
+        }
+    }
+    for (const auto& one : runs) {
+        release(state, one.refused ? run_outcome::refused : run_outcome::finished, one.takes, now);
+    }
+    return counts;
+}
+
 std::uint32_t slots_taken(limit_state state, steady_time now) {
     while (try_acquire(state, now)) {
     }
@@ -96,6 +153,36 @@
     REQUIRE(slots_taken(state, now) <= 20);
 }
 
+TEST_CASE("refusals by a server with free slots do not take its slots away", "[concurrency]") {
+    for (const double refused_share : {0.3, 0.55, 0.8}) {
+        INFO(refused_share);
+        std::mt19937_64 random(20261205);
+        steady_time now{1h};
+        auto state = cold_start({179, 1174}, now);
+        now += 10s;
+        const refusing_server server{179, refused_share};
+        static_cast<void>(offer(state, {179, 0}, 3600, 2s, now, random));
+        static_cast<void>(offer(state, server, 3600, 2s, now, random));
+        const auto steady = offer(state, server, 3600, 5s, now, random);
+        CHECK(steady.held_back * 20 < steady.offered);
+        static_cast<void>(offer(state, server, 900, 3s, now, random));
+        const auto grown = offer(state, server, 3600, 5s, now, random);
+        CHECK(grown.held_back * 20 < grown.offered);
+    }
+}
+
+TEST_CASE("a server that refuses what goes beyond fewer slots than it states is found out", "[concurrency]") {
+    std::mt19937_64 random(20261205);
+    steady_time now{1h};
+    auto state = cold_start({179, 1174}, now);
+    now += 10s;
+    const refusing_server server{20, 0};
+    static_cast<void>(offer(state, server, 1800, 3s, now, random));
+    const auto steady = offer(state, server, 1800, 5s, now, random);
+    CHECK(slots_taken(state, now) <= 40);
+    CHECK(steady.ran >= 0.9 * 5 * 20 / 0.044);
+}
+
 TEST_CASE("a slowdown that does not come of concurrency leaves the limit", "[concurrency]") {
     steady_time now{1h};
     auto state = cold_start({40, 400}, now);
