Keep resends of what gates refuse apart from the retries that failing servers need

Cause: one bucket for two things. An attempt that no backend server got adds nothing to what servers are sent and makes no nested calls, so it can't multiply down the chain; counting it among repeats starved both.

Mend: two buckets at each daemon. Tests: retry_tests 'refusals by gates do not use up the retries that a refusing server needs' (fails without the change: there was one bucket) and 'resends of what reached no server stay a share of the first attempts'.

--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -96,7 +96,7 @@
     [[nodiscard]] std::string_view reason_against_retry(transport::end_reason reason);
 
     /// Counts a retry that a budget did not allow; gives the reason.
-    [[nodiscard]] std::string_view note_withheld(core::verdict run);
+    [[nodiscard]] std::string_view note_withheld(core::verdict run, bool reached_server);
     [[nodiscard]] event_subject subject() const { return {*m_class, m_call.service, m_call.context.root}; }
     [[nodiscard]] decided_call decided() const;
     [[nodiscard]] ended_attempt ended(const attempt_outcome& outcome) const;
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -62,13 +62,17 @@
     if (!against.empty()) {
         return {std::nullopt, against};
     }
+    // NOTE: a call that only its home may run asks the same gate again, so its resends are bounded one by
+    // one.
+    const bool counts_as_reached =
+        may_have_arrived(outcome.end.reason) || outcome.end.run != verdict::not_run || is_bound_to_home();
     const retry::attempt_outcome ended{outcome.end.run, m_attempts - 1, outcome.end.service_time,
-                                       outcome.end.retry_after};
+                                       outcome.end.retry_after, counts_as_reached};
     const auto delay = m_shared.routes.next_attempt(m_call.context, ended, m_shared.clock.now());
     if (!delay) {
-        return {std::nullopt, note_withheld(outcome.end.run)};
+        return {std::nullopt, note_withheld(outcome.end.run, counts_as_reached)};
     }
-    ++m_spent_retries;
+    m_spent_retries += counts_as_reached ? 1 : 0;
     ++m_shared.retries;
     m_class->retries.add();
     m_shared.counts.count(m_call.service, attempt_fate::retried);
@@ -104,14 +108,14 @@
     return {};
 }
 
-std::string_view call_exchange::note_withheld(verdict run) {
+std::string_view call_exchange::note_withheld(verdict run, bool reached_server) {
     const bool repeatable =
         run == verdict::not_run || (run == verdict::may_have_run && m_call.context.idempotent);
     if (!repeatable) {
         return "it ran or may have run";
     }
-    const bool call_spent = m_call.context.attempts_left == 0;
-    if (!m_shared.options.decisions_on || (!call_spent && m_shared.routes.may_retry())) {
+    const bool call_spent = reached_server && m_call.context.attempts_left == 0;
+    if (!m_shared.options.decisions_on || (!call_spent && m_shared.routes.may_retry(reached_server))) {
         return "too little time is left";
     }
     const auto budget = call_spent ? spent_budget::root_call : spent_budget::daemon;
--- a/src/entry/internal/route_book.cpp
+++ b/src/entry/internal/route_book.cpp
@@ -19,8 +19,8 @@
 
 route_book::route_book(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
                        std::size_t retry_burst, std::size_t grant_burst)
-    : m_decisions_on(decisions_on), m_random(random_seed) {
-    m_ratio.max_tokens = m_ratio.tokens = static_cast<double>(retry_burst);
+    : m_decisions_on(decisions_on), m_retries(retry::make_retry_budgets(static_cast<double>(retry_burst))),
+      m_random(random_seed) {
     m_grants.max_tokens = m_grants.tokens = static_cast<double>(grant_burst);
     m_table.data_centre = std::move(data_centre);
 }
@@ -59,7 +59,7 @@
     const std::scoped_lock lock(m_mutex);
     routing::record_sent(m_table, endpoint);
     if (first_attempt) {
-        retry::record_first_attempt(m_ratio);
+        retry::record_first_attempt(m_retries);
     }
 }
 
@@ -92,7 +92,8 @@
                                                                  core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     if (m_decisions_on) {
-        return retry::next_attempt(m_ratio, context, outcome, m_random, now);
+        return retry::next_attempt(retry::bucket_for(m_retries, outcome.reached_server), context, outcome,
+                                   m_random, now);
     }
     const bool may_repeat = outcome.run != core::verdict::ran && outcome.attempt < blind_retries;
     if (!may_repeat || now + blind_delay >= context.deadline) {
@@ -101,14 +102,14 @@
     return blind_delay;
 }
 
-bool route_book::may_retry() {
+bool route_book::may_retry(bool reached_server) {
     const std::scoped_lock lock(m_mutex);
-    return m_ratio.tokens >= 1;
+    return retry::bucket_for(m_retries, reached_server).tokens >= 1;
 }
 
 void route_book::set_retry_ratio(double ratio) {
     const std::scoped_lock lock(m_mutex);
-    m_ratio.ratio = ratio;
+    m_retries.repeats.ratio = ratio;
     m_grants.ratio = ratio;
 }
 
--- a/src/entry/internal/route_book.h
+++ b/src/entry/internal/route_book.h
@@ -51,8 +51,9 @@
     [[nodiscard]] std::optional<std::chrono::nanoseconds>
     next_attempt(core::call_context& context, const retry::attempt_outcome& outcome, core::steady_time now);
 
-    /// Whether the daemon's own budget allows another retry.
-    [[nodiscard]] bool may_retry();
+    /// Whether the daemon's own budget allows another retry, after an attempt that may have reached a backend
+    /// server or did not.
+    [[nodiscard]] bool may_retry(bool reached_server);
 
     /// Sets what the configuration allows.
     void set_retry_ratio(double ratio);
@@ -72,7 +73,7 @@
     std::mutex m_mutex;
     routing::routing_table m_table;
     routing::chain_levels m_chains;
-    retry::ratio_state m_ratio;
+    retry::retry_budgets m_retries;
     retry::ratio_state m_grants; ///< Earned by root calls only.
     routing::random_engine m_random;
 };
--- a/src/model/internal/entry_model.cpp
+++ b/src/model/internal/entry_model.cpp
@@ -42,7 +42,7 @@
         retry::record_first_attempt(m_grants);
         fresh->granted = retry::grant(m_grants, fresh->context);
     }
-    retry::record_first_attempt(m_ratio);
+    retry::record_first_attempt(m_retries);
     const auto time_left = core::time_left(context, m_loop.now());
     m_loop.after(std::min(patience, time_left),
                  [this, fresh, leaves = patience < time_left] { abandon(fresh, leaves); });
@@ -105,7 +105,9 @@
     outcome.run = answer.run;
     outcome.attempt = sent->attempts;
     retry::ratio_state unlimited;
-    auto& ratio = m_rules.has(rule::retry_ratio) ? m_ratio : unlimited;
+    outcome.reached_server = !answer.shed;
+    auto& bucket = retry::bucket_for(m_retries, outcome.reached_server);
+    auto& ratio = m_rules.has(rule::retry_ratio) ? bucket : unlimited;
     auto delay = retry::next_attempt(ratio, sent->context, outcome, m_random, m_loop.now());
     if (!delay) {
         end(sent, answer);
@@ -115,7 +117,7 @@
         delay = std::chrono::nanoseconds::zero();
     }
     ++sent->attempts;
-    ++sent->spent;
+    sent->spent += outcome.reached_server ? 1 : 0;
     m_loop.after(*delay, [this, sent] { start_attempt(sent); });
 }
 
--- a/src/model/internal/entry_model.h
+++ b/src/model/internal/entry_model.h
@@ -70,7 +70,7 @@
     const scenario& m_played;
     std::size_t m_data_centre;
     routing::routing_table m_table;
-    retry::ratio_state m_ratio;
+    retry::retry_budgets m_retries = retry::make_retry_budgets(10);
     retry::ratio_state m_grants;
     std::uint64_t m_refused = 0;
     std::unordered_map<std::string, known_gate> m_gates;
--- a/src/retry/internal/retry_budget.cpp
+++ b/src/retry/internal/retry_budget.cpp
@@ -13,6 +13,9 @@
 constexpr std::chrono::milliseconds longest_backoff{1000};
 constexpr std::uint32_t most_doublings = 10;
 
+/// Resends for each first attempt: they cost messages between daemons only.
+constexpr double resend_ratio = 0.25;
+
 bool may_repeat(core::verdict run, bool idempotent) {
     switch (run) {
     case core::verdict::not_run:
@@ -37,10 +40,28 @@
     state.tokens = std::min(state.max_tokens, state.tokens + state.ratio);
 }
 
+retry_budgets make_retry_budgets(double burst) {
+    retry_budgets budgets;
+    budgets.repeats.tokens = budgets.repeats.max_tokens = burst;
+    budgets.resends.ratio = resend_ratio;
+    budgets.resends.tokens = budgets.resends.max_tokens = burst;
+    return budgets;
+}
+
+void record_first_attempt(retry_budgets& budgets) {
+    record_first_attempt(budgets.repeats);
+    record_first_attempt(budgets.resends);
+}
+
+ratio_state& bucket_for(retry_budgets& budgets, bool reached_server) {
+    return reached_server ? budgets.repeats : budgets.resends;
+}
+
 std::optional<nanoseconds> next_attempt(ratio_state& state, core::call_context& context,
                                         const attempt_outcome& outcome, random_engine& random,
                                         core::steady_time now) {
-    if (!may_repeat(outcome.run, context.idempotent) || context.attempts_left == 0 || state.tokens < 1) {
+    const bool is_spent = outcome.reached_server && context.attempts_left == 0;
+    if (!may_repeat(outcome.run, context.idempotent) || is_spent || state.tokens < 1) {
         return std::nullopt;
     }
     const nanoseconds delay = nanoseconds(outcome.retry_after.value_or(std::chrono::milliseconds::zero())) +
@@ -48,7 +69,7 @@
     if (delay + outcome.typical_service >= core::time_left(context, now)) {
         return std::nullopt;
     }
-    --context.attempts_left;
+    context.attempts_left -= outcome.reached_server ? 1 : 0;
     state.tokens -= 1;
     return delay;
 }
--- a/src/retry/retry_budget.h
+++ b/src/retry/retry_budget.h
@@ -28,13 +28,30 @@
     std::uint32_t attempt = 0;                            ///< 0 for the first.
     std::chrono::nanoseconds typical_service{0};          ///< Time a repeated attempt is expected to take.
     std::optional<std::chrono::milliseconds> retry_after; ///< What the gate asked for.
+    bool reached_server = true; ///< The backend server may have got it; no gate says otherwise.
 };
 
+/// The token buckets of one daemon.
+struct retry_budgets {
+    ratio_state repeats; ///< For attempts after one that may have reached a backend server.
+    ratio_state resends; ///< For attempts after one that was refused before it reached any.
+};
+
+/// Buckets in which retries of either sort may come `burst` at once.
+[[nodiscard]] retry_budgets make_retry_budgets(double burst);
+
 /// Counts a first attempt.
 void record_first_attempt(ratio_state& state);
 
-/// The delay after which the call may be attempted again, or nothing. A yes spends one attempt of
-/// `context.attempts_left` and one token.
+/// Counts a first attempt in both buckets.
+void record_first_attempt(retry_budgets& budgets);
+
+/// The bucket that another attempt draws on. What no backend server got adds nothing to what they are sent,
+/// so it must not use up what failures there need.
+[[nodiscard]] ratio_state& bucket_for(retry_budgets& budgets, bool reached_server);
+
+/// The delay after which the call may be attempted again, or nothing. A yes spends one token, and one attempt
+/// of `context.attempts_left` if a backend server may have got the request.
 [[nodiscard]] std::optional<std::chrono::nanoseconds>
 next_attempt(ratio_state& state, core::call_context& context, const attempt_outcome& outcome,
              random_engine& random, core::steady_time now);
--- a/src/retry/tests/retry_budget_tests.cpp
+++ b/src/retry/tests/retry_budget_tests.cpp
@@ -103,6 +103,41 @@
     }
 }
 
+TEST_CASE("refusals by gates do not use up the retries that a refusing server needs", "[retry]") {
+    auto budgets = make_retry_budgets(10);
+    random_engine random(1);
+    attempt_outcome shed;
+    shed.reached_server = false;
+    for (int call = 0; call < 100; ++call) {
+        auto context = idempotent_call(0);
+        static_cast<void>(next_attempt(bucket_for(budgets, false), context, shed, random, now));
+    }
+    CHECK(budgets.resends.tokens < 1);
+    auto context = idempotent_call(1);
+    const attempt_outcome refused_by_server;
+    CHECK(next_attempt(bucket_for(budgets, true), context, refused_by_server, random, now));
+    CHECK(context.attempts_left == 0);
+}
+
+TEST_CASE("resends of what reached no server stay a share of the first attempts", "[retry]") {
+    auto budgets = make_retry_budgets(10);
+    random_engine random(1);
+    attempt_outcome shed;
+    shed.reached_server = false;
+    int resent = 0;
+    constexpr int calls = 10'000;
+    for (int call = 0; call < calls; ++call) {
+        record_first_attempt(budgets);
+        auto context = idempotent_call(4);
+        while (next_attempt(bucket_for(budgets, false), context, shed, random, now)) {
+            ++resent;
+        }
+        CHECK(context.attempts_left == 4);
+    }
+    CHECK(resent <= calls / 4 + 10);
+    CHECK(budgets.repeats.tokens == 10);
+}
+
 TEST_CASE("delays are spread over a range that doubles", "[retry]") {
     random_engine random(1);
     for (const std::uint32_t attempt : {0U, 1U, 2U, 3U}) {
