Serve the calls of running requests until a planned stop has them ended

Report of other operators: requests that came late in the grace of a planned stop were taken, passed on and cut at its end.

Cause: once the platform sends no more callers, the listening socket was closed, which the backend server's own calls need too. Mend: from then on new calls of callers are refused as not run (503, with 50 ms until the next try, as others serve), and the socket closes when nothing runs beside the daemon, as on our own interface.

--- a/scripts/lib/soak/callers.py
+++ b/scripts/lib/soak/callers.py
@@ -42,6 +42,7 @@
     caller_service: str
     address: str
     connection: http.client.HTTPConnection | None = None
+    time_left_ms: int = TIME_LEFT_MS
 
     def send(self, name: str, target: Target, body: bytes) -> Attempt:
         """One attempt, without a resend."""
@@ -54,19 +55,24 @@
         return Attempt(name, self.vm, self.caller_service, target.service, target.method, target.path, body,
                        target.idempotent, sent, time.monotonic(), status, stamp, right)
 
+    def connect(self) -> None:
+        """Opens the connection if it isn't open."""
+        if self.connection is not None:
+            return
+        host, port = self.address.rsplit(":", 1)
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S)
+        # NOTE: a connection that ended must be seen by us, not replaced and used for another send.
+        self.connection.auto_open = 0
+        self.connection.connect()
+
     def close(self) -> None:
         if self.connection is not None:
             self.connection.close()
         self.connection = None
 
     def _exchange(self, name: str, target: Target, body: bytes) -> tuple[int, str, bool]:
-        if self.connection is None:
-            host, port = self.address.rsplit(":", 1)
-            self.connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S)
-            # NOTE: a connection that ended must be seen by us, not replaced and used for another send.
-            self.connection.auto_open = 0
-            self.connection.connect()
-        headers = {"Host": HOST, "X-Request-Id": name, "X-Deadline-Ms": str(TIME_LEFT_MS)}
+        self.connect()
+        headers = {"Host": HOST, "X-Request-Id": name, "X-Deadline-Ms": str(self.time_left_ms)}
         self.connection.request(target.method, target.path, body=body or None, headers=headers)
         response = self.connection.getresponse()
         text = response.read()
--- a/scripts/lib/soak/endpoint.py
+++ b/scripts/lib/soak/endpoint.py
@@ -36,6 +36,8 @@
     cuts_answers: bool = False
     forgets_connections: bool = False
     refuses: bool = False
+    work_s: float | None = None  # Exactly that long; drawn if it isn't given.
+    asks: bool | None = None  # Whether each run makes a call of its own; drawn if it isn't given.
 
 
 def answer_body(name: str, stamp: str, filling: int) -> bytes:
@@ -183,6 +185,8 @@
             stamp = f"{self.instance}.{self._runs}"
             work_s = self._draw.uniform(0.002, 0.03)
             asks = handler.command == "POST" and self._draw.random() < CALL_SHARE
+            work_s = work_s if self.misbehaviour.work_s is None else self.misbehaviour.work_s
+            asks = asks if self.misbehaviour.asks is None else self.misbehaviour.asks
             filling = LARGE_BYTES if self._draw.random() < LARGE_SHARE else self._draw.randrange(2000)
         self._ran(Run(name, self.service, self.instance, stamp, handler.command, handler.path, body,
                       handler.headers.get("X-Caller-Service", ""), arrived))
--- a/scripts/lib/soak/operator.py
+++ b/scripts/lib/soak/operator.py
@@ -18,9 +18,9 @@
 NOT_KNOWN = frozenset({404, 503})  # A daemon that has no configuration yet answers 503.
 
 
-def rule(name: str, prefix: str, service: str, safe: bool) -> dict[str, object]:
+def rule(name: str, prefix: str, service: str, safe: bool, timeout_ms: int) -> dict[str, object]:
     """One route as the platform writes it."""
-    action = {"Service": service, "TimeoutMs": ROUTE_TIMEOUT_MS, "MaxAttempts": MOST_ATTEMPTS}
+    action = {"Service": service, "TimeoutMs": timeout_ms, "MaxAttempts": MOST_ATTEMPTS}
     return {"Name": name, "Match": {"PathPrefix": prefix}, "Action": action, "Kind": "safe" if safe else "unsafe",
             "Priority": 1 if safe else 0, "TargetLatencyMs": 1000}
 
@@ -30,10 +30,11 @@
     return f"/r{version:08x}/"
 
 
-def configuration(version: int) -> dict[str, object]:
+def configuration(version: int, timeout_ms: int = ROUTE_TIMEOUT_MS) -> dict[str, object]:
     """A whole configuration."""
-    rules = [rule("status", "/status/", STATUS.service, True), rule("dispatch", "/dispatch/", DISPATCH.service, False),
-             rule(f"marker-{version}", marker_path(version), STATUS.service, True)]
+    rules = [rule("status", "/status/", STATUS.service, True, timeout_ms),
+             rule("dispatch", "/dispatch/", DISPATCH.service, False, timeout_ms),
+             rule(f"marker-{version}", marker_path(version), STATUS.service, True, timeout_ms)]
     clusters = [{"Name": name, "MaxConnections": 200} for name in (STATUS.service, DISPATCH.service)]
     return {"Version": f"{version:08x}", "Listeners": [{"Host": HOST, "Rules": rules}], "Clusters": clusters}
 
@@ -43,6 +44,7 @@
     """Writes until the store has acknowledged; reads back after an answer that was lost."""
 
     store: str
+    timeout_ms: int = ROUTE_TIMEOUT_MS
     accepted: list[int] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -60,7 +62,7 @@
             metadata = now.json()["Metadata"] if now.status == 200 else {"Name": "main"}
             if now.status == 200 and now.json()["Spec"]["Version"] == f"{version:08x}":
                 return True
-            written = {"Metadata": metadata, "Spec": configuration(version)}
+            written = {"Metadata": metadata, "Spec": configuration(version, self.timeout_ms)}
             path = "/api/objects/config" + ("/main" if now.status == 200 else "")
             answer = calls.call(self.store, "PUT" if now.status == 200 else "POST", path,
                                 body=json.dumps(written).encode(), patience_s=WRITE_PATIENCE_S,
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -172,6 +172,7 @@
     core::steady_time m_callers_until;
     core::steady_time m_stop_by;
     bool m_homes_handed_over = false;
+    bool m_refuses_callers = false; ///< In a planned stop, once no more of them are sent.
     bool m_has_ended = false;
     core::steady_time m_hand_over_until;
 };
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -83,13 +83,15 @@
         // NOTE: requests in flight may still make nested calls, so the entry closes after the gate is empty.
         const bool gate_idle = m_gate.counters().in_flight == 0;
         const bool callers_may_come = m_settings.deployment && m_clock.now() < m_callers_until;
-        if (m_settings.deployment ? !callers_may_come : gate_idle) {
-            m_entry.stop_accepting();
-        }
-        if (m_settings.deployment && !callers_may_come) {
-            // NOTE: the platform kills a process that takes too long, with whatever it took last.
+        if (m_settings.deployment && !callers_may_come && !std::exchange(m_refuses_callers, true)) {
+            // NOTE: the platform kills a process that takes too long, with whatever it took last. Connections
+            // that come later may be of requests in flight here.
+            m_entry.refuse_roots();
             m_entry.close_idle_connections();
         }
+        if (gate_idle && !callers_may_come) {
+            m_entry.stop_accepting();
+        }
         const bool homes_settled = m_homes_handed_over || m_clock.now() >= m_hand_over_until;
         const bool out_of_time = m_settings.deployment && m_clock.now() >= m_stop_by;
         const bool is_busy =
--- /dev/null
+++ b/src/app/monsoonliftd/tests/late_in_grace_process_tests.py
@@ -0,0 +1,132 @@
+"""A planned stop of one real daemon: what comes late in its grace is answered or not taken.
+
+Usage: late_in_grace_process_tests.py ROOT_OF_THE_REPOSITORY
+"""
+import itertools
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+ROOT = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path(".").resolve()
+sys.path.insert(0, str(ROOT / "scripts" / "lib"))
+
+from harness import http as calls  # noqa: E402
+from harness.fleet import BINARIES, wait_for  # noqa: E402
+from harness.platform import Platform  # noqa: E402
+from harness.process import print_log_of_failure  # noqa: E402
+from soak.callers import DISPATCH, STATUS, Sender, Target  # noqa: E402
+from soak.checker import Attempt, Facts  # noqa: E402
+from soak.fleet import STOP_BOUND_S, Vm  # noqa: E402
+from soak.operator import Operator  # noqa: E402
+from soak.proxy import ProxyLoop  # noqa: E402
+
+FIRST_NUMBERS = itertools.count(50)  # Each test has addresses of its own.
+TIME_LEFT_MS = 4500
+INTERVAL_S = 0.1
+LATE_WORK_S = 0.6
+NESTED_AFTER_S = 3.2  # Callers may come for 2.5 s of a stop.
+REQUESTS = 2  # As many as a server that has just started gets at once.
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+class LateInGraceProcessTests(unittest.TestCase):
+    """Two VMs: one with a dispatch server, one with a map server. Dispatches may run once at most."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        platform = Platform(BINARIES, pathlib.Path(folder.name) / "platform.log", "--listen", "127.0.0.1:0")
+        self.addCleanup(platform.process.kill)
+        carrier = ProxyLoop()
+        self.addCleanup(carrier.close)
+        Operator(platform.address, timeout_ms=TIME_LEFT_MS).change()
+        self.facts = Facts()
+        first = next(FIRST_NUMBERS) * 2 + 1
+        self.vms = [Vm(number, pathlib.Path(folder.name), platform.address, carrier, self.facts, 1)
+                    for number in (first, first + 1)]
+        for vm in self.vms:
+            self.addCleanup(vm.close)
+            vm.endpoint.misbehaviour.asks = False
+            vm.start()
+            process = vm.process
+            assert process is not None
+            process.addresses()
+            self.addCleanup(print_log_of_failure, self, process)
+        self.dispatch, self.maps = self.vms
+        wait_for(self.serves_everything, "each daemon to serve both services")
+
+    def sender(self, vm: Vm) -> Sender:
+        return Sender(vm.number, vm.service, vm.at("caller"), time_left_ms=TIME_LEFT_MS)
+
+    def status_of(self, vm: Vm, target: Target) -> int | None:
+        sender = self.sender(vm)
+        attempt = sender.send(f"w{time.monotonic_ns()}", target, b"")
+        sender.close()
+        return attempt.status
+
+    def serves_everything(self) -> bool:
+        try:
+            ready = all(calls.call(vm.at("ready"), "GET", "/api/ready").status == 200 for vm in self.vms)
+        except OSError:
+            return False
+        return ready and all(self.status_of(vm, target) == 200 for vm in self.vms for target in (STATUS, DISPATCH))
+
+    def was_run(self, attempt: Attempt) -> bool:
+        return any(run.id == attempt.id for run in self.facts.runs)
+
+    def assert_not_cut(self, attempts: list[Attempt]) -> None:
+        """A request that ran has its answer, and one that is said not to have run has not."""
+        for attempt in attempts:
+            ran = self.was_run(attempt)
+            self.assertFalse(ran and attempt.status is None, f"{attempt.id} ran and was cut")
+            self.assertFalse(ran and attempt.status in PROMISES_NOT_RUN, f"{attempt.id} ran and was refused")
+        self.assertEqual(self.facts.exits, [])
+
+    def test_request_that_comes_late_in_the_grace_on_a_kept_connection_is_not_cut_at_its_end(self) -> None:
+        for vm in self.vms:
+            vm.endpoint.misbehaviour.work_s = LATE_WORK_S
+        attempts: list[Attempt] = []
+        threads = []
+        for number in range(int(STOP_BOUND_S / INTERVAL_S)):
+            sender = self.sender(self.maps)
+            sender.connect()
+            threads.append(threading.Thread(target=self.send_at, args=(sender, number, attempts)))
+        self.began = time.monotonic()
+        for thread in threads:
+            thread.start()
+        self.maps.stop_daemon()
+        for thread in threads:
+            thread.join()
+        self.assert_not_cut(attempts)
+        self.assertTrue(any(one.status == 200 for one in attempts))
+
+    def send_at(self, sender: Sender, number: int, attempts: list[Attempt]) -> None:
+        time.sleep(max(0.0, self.began + number * INTERVAL_S - time.monotonic()))
+        self.send(sender, number, attempts)
+
+    def test_call_that_a_running_request_makes_late_in_the_grace_is_served(self) -> None:
+        self.dispatch.endpoint.misbehaviour.asks = True
+        self.dispatch.endpoint.misbehaviour.work_s = NESTED_AFTER_S
+        attempts: list[Attempt] = []
+        threads = [threading.Thread(target=self.send, args=(self.sender(self.maps), number, attempts))
+                   for number in range(REQUESTS)]
+        ran_before = len(self.facts.runs)
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: len(self.facts.runs) >= ran_before + REQUESTS, "the requests to run")
+        self.dispatch.stop_daemon()
+        for thread in threads:
+            thread.join()
+        self.assert_not_cut(attempts)
+        self.assertEqual([one.status for one in attempts], [200] * REQUESTS, "their own calls were not served")
+
+    def send(self, sender: Sender, number: int, attempts: list[Attempt]) -> None:
+        attempts.append(sender.send(f"late-{number}", DISPATCH, b""))
+        sender.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -85,6 +85,9 @@
     /// From now on each answer says that its connection will be closed.
     void close_connections();
 
+    /// Refuses new calls of callers; those that requests in flight here make go on.
+    void refuse_roots();
+
     /// Accepts no more connections.
     void stop_accepting();
 
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -28,6 +28,9 @@
 /// Between two looks for a backend server that can be reached.
 constexpr std::chrono::milliseconds route_pause = 20ms;
 
+/// When a caller may try again whom a daemon that stops refused; the others serve meanwhile.
+constexpr std::chrono::milliseconds other_daemon_after = 50ms;
+
 problem no_configuration() {
     return {503,
             verdict::not_run,
@@ -37,6 +40,15 @@
             std::chrono::seconds(1)};
 }
 
+problem stopping() {
+    return {503,
+            verdict::not_run,
+            "draining",
+            "The daemon is about to stop",
+            "this daemon is about to stop and takes no new calls",
+            other_daemon_after};
+}
+
 problem incomplete_body() {
     return {400,
             verdict::not_run,
@@ -92,6 +104,9 @@
     } else {
         name_call(m_call.request ? *m_call.request : m_shared.routes.draw_root());
     }
+    if (m_shared.refuses_roots() && !m_call.parent) {
+        return stopping();
+    }
     begin_context(*configuration);
     m_shared.decisions.accepted(decided(), m_call, configuration->revision);
     return std::nullopt;
--- a/src/entry/internal/entry_service.cpp
+++ b/src/entry/internal/entry_service.cpp
@@ -43,6 +43,10 @@
     m_state->close_idle_connections();
 }
 
+void entry_service::refuse_roots() {
+    m_state->refuse_roots();
+}
+
 void entry_service::stop_accepting() {
     m_state->stop_accepting();
 }
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -30,6 +30,7 @@
 
     void start();
     void close_connections() { m_closing = true; }
+    void refuse_roots() { m_refuses_roots = true; }
     void stop_accepting();
     void close_idle_connections();
     void give_up_all();
@@ -56,6 +57,9 @@
     /// Whether connections end after their next answer.
     [[nodiscard]] bool is_closing() const { return m_closing; }
 
+    /// Whether calls that no request in flight here makes are refused.
+    [[nodiscard]] bool refuses_roots() const { return m_refuses_roots; }
+
     const entry_options options;
     transport::frame_sender& sender;
     gate::nested_budgets& budgets;
@@ -90,6 +94,7 @@
 
     network::listening_acceptor m_acceptor;
     std::atomic<bool> m_closing = false;
+    std::atomic<bool> m_refuses_roots = false;
     std::atomic<std::uint64_t> m_next_call = 1;
     std::atomic<std::uint64_t> m_next_permit = 1;
 
