Log each frame that the transport gives up, and each connect to a peer that fails

Change: 6003 names the attempt, the part of the peer it was for, the peer, the reason and the wait; 6007 peer_not_connected names the peer, the reason and how long the connect was tried.

--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -109,6 +109,7 @@
     body_broken = 6004,
     peers_not_accepted = 6005,
     answer_crossed = 6006,
+    peer_not_connected = 6007,
 };
 
 /// Catalogue entry of one event.
@@ -285,13 +286,17 @@
      "A frame for another incarnation at this address was dropped."},
     {event_id::frame_of_unknown_attempt, severity::info, "frame_of_unknown_attempt",
      "A late, duplicate or misrouted frame was dropped."},
-    {event_id::frame_unsent, severity::warning, "frame_unsent", "A frame could not be sent in time."},
+    {event_id::frame_unsent, severity::warning, "frame_unsent",
+     "A frame was given up: the attempt, the part of the peer it was for, the reason and how long it "
+     "waited."},
     {event_id::body_broken, severity::warning, "body_broken",
      "A body was truncated, out of order or did not match its digest."},
     {event_id::peers_not_accepted, severity::error, "peers_not_accepted",
      "Connections of other daemons can't be accepted, for example because no file descriptor is free."},
     {event_id::answer_crossed, severity::warning, "answer_crossed",
      "The backend server sent the answer to another request; it was dropped."},
+    {event_id::peer_not_connected, severity::warning, "peer_not_connected",
+     "A connection to another daemon could not be opened: the reason and how long it was tried."},
 });
 
 } // namespace monsoonlift::logging
--- a/src/transport/internal/connections.h
+++ b/src/transport/internal/connections.h
@@ -34,8 +34,10 @@
     using link = std::shared_ptr<internal::peer_link>;
 
     [[nodiscard]] link link_to(const std::string& address, bool bulk);
-    void report_unsent(const internal::outgoing_frame& message);
-    void report_cut(const internal::outgoing_frame& message);
+    [[nodiscard]] internal::link_handlers handlers_for(const std::string& address);
+    void report_unsent(const std::string& address, const internal::outgoing_frame& message, loss_reason why);
+    void report_cut(const std::string& address, const internal::outgoing_frame& message);
+    void log_loss(const std::string& address, const internal::outgoing_frame& message, loss_reason why);
     [[nodiscard]] bool receive(std::string_view bytes);
     void refuse_over_long();
     void not_accepted(const std::string& why, std::uint64_t left_out);
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -58,11 +58,12 @@
 }
 
 void peer_link::enqueue(outgoing_frame message) {
+    message.queued = m_clock.now();
     if (m_phase == phase::closed || m_waiting.size() >= max_waiting) {
-        m_handlers.unsent(message);
+        m_handlers.unsent(message,
+                          m_phase == phase::closed ? loss_reason::link_closed : loss_reason::queue_full);
         return;
     }
-    message.queued = m_clock.now();
     m_waiting.push_back(std::move(message));
     if (m_phase == phase::idle) {
         connect();
@@ -76,10 +77,11 @@
 }
 
 void peer_link::connect() {
+    m_connect_began = m_clock.now();
     const auto peer = parse_address(m_route.address);
     const auto failure = open();
     if (!peer || failure) {
-        back_off(m_pause);
+        fail_connect(failure);
         return;
     }
     m_phase = phase::connecting;
@@ -125,7 +127,7 @@
     m_connect_timer.cancel();
     if (failure) {
         close_socket();
-        back_off(m_pause);
+        fail_connect(failure);
         return;
     }
     m_phase = phase::connected;
@@ -134,6 +136,11 @@
     write();
 }
 
+void peer_link::fail_connect(const boost::system::error_code& failure) {
+    m_handlers.not_connected(failure.message(), m_clock.now() - m_connect_began);
+    back_off(m_pause);
+}
+
 void peer_link::back_off(std::chrono::milliseconds pause) {
     m_phase = phase::backing_off;
     m_pause = std::min(pause * 2, longest_pause);
@@ -263,7 +270,7 @@
     while (!m_waiting.empty() && now - m_waiting.front().queued > max_queue_time) {
         const auto expired = std::move(m_waiting.front());
         m_waiting.pop_front();
-        m_handlers.unsent(expired);
+        m_handlers.unsent(expired, loss_reason::expired);
     }
     if (!m_waiting.empty()) {
         expire_later();
@@ -274,7 +281,7 @@
     while (!m_waiting.empty()) {
         const auto waiting = std::move(m_waiting.front());
         m_waiting.pop_front();
-        m_handlers.unsent(waiting);
+        m_handlers.unsent(waiting, loss_reason::link_closed);
     }
 }
 
--- a/src/transport/internal/peer_link.h
+++ b/src/transport/internal/peer_link.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/types/call_ids.h"
 #include "transport/types/frame.h"
+#include "transport/types/loss_reason.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -36,8 +37,10 @@
 
 /// Callbacks for frames that a link could not write completely. Called on the link's strand.
 struct link_handlers {
-    std::function<void(const outgoing_frame&)> unsent; ///< No byte of the frame was written.
-    std::function<void(const outgoing_frame&)> cut;    ///< The connection broke after a part was written.
+    std::function<void(const outgoing_frame&, loss_reason)> unsent; ///< No byte of the frame was written.
+    std::function<void(const outgoing_frame&)> cut; ///< The connection broke after a part was written.
+    /// Receives why a connect failed and how long it took.
+    std::function<void(const std::string&, std::chrono::nanoseconds)> not_connected;
 };
 
 /// An outgoing connection to one peer; it only sends frames. The connection is opened when a frame needs it.
@@ -70,6 +73,7 @@
     void enqueue(outgoing_frame message);
     void connect();
     [[nodiscard]] boost::system::error_code open();
+    void fail_connect(const boost::system::error_code& failure);
     void connected(const boost::system::error_code& failure);
     void back_off(std::chrono::milliseconds pause);
     void watch_peer();
@@ -92,6 +96,7 @@
     boost::asio::steady_timer m_connect_timer; ///< Limits a connect and the pause before the next one.
     boost::asio::steady_timer m_expiry;
     phase m_phase = phase::idle;
+    core::steady_time m_connect_began;
     std::uint64_t m_connection = 0; ///< Lets handlers of an earlier connection detect that they are obsolete.
     std::chrono::milliseconds m_pause;
     bool m_writing_later = false;
--- a/src/transport/internal/tcp_transport.cpp
+++ b/src/transport/internal/tcp_transport.cpp
@@ -1,5 +1,6 @@
 #include "transport/tcp_transport.h"
 
+#include "logging/number_text.h"
 #include "transport/frame_codec.h"
 #include "transport/internal/connections.h"
 #include "transport/internal/framing.h"
@@ -68,7 +69,8 @@
     outgoing.target = message.target;
     outgoing.begins_attempt = std::holds_alternative<request_head>(message.payload);
     if (bytes.size() > internal::max_frame_bytes) {
-        report_unsent(outgoing);
+        outgoing.queued = m_clock.now();
+        report_unsent(to.address, outgoing, loss_reason::over_long);
         return;
     }
     outgoing.bytes = internal::with_prefix(bytes);
@@ -99,25 +101,47 @@
     const std::scoped_lock lock(m_links_mutex);
     auto& peer = m_links[{address, bulk}];
     if (!peer) {
-        internal::link_handlers handlers;
-        handlers.unsent = [this](const internal::outgoing_frame& message) {
-            report_unsent(message);
-        };
-        handlers.cut = [this](const internal::outgoing_frame& message) {
-            report_cut(message);
-        };
         peer = std::make_shared<internal::peer_link>(m_io, internal::route{address, m_source_ip}, bulk,
-                                                     m_clock, std::move(handlers));
+                                                     m_clock, handlers_for(address));
     }
     return peer;
 }
 
-void tcp_transport::connections::report_unsent(const internal::outgoing_frame& message) {
+internal::link_handlers tcp_transport::connections::handlers_for(const std::string& address) {
+    internal::link_handlers handlers;
+    handlers.unsent = [this, address](const internal::outgoing_frame& message, loss_reason why) {
+        report_unsent(address, message, why);
+    };
+    handlers.cut = [this, address](const internal::outgoing_frame& message) {
+        report_cut(address, message);
+    };
+    handlers.not_connected = [this, address](const std::string& why, std::chrono::nanoseconds took) {
+        m_log.write(logging::event_id::peer_not_connected,
+                    {{"peer", address}, {"why", why}, {"took_ms", logging::milliseconds_text(took)}});
+    };
+    return handlers;
+}
+
+void tcp_transport::connections::report_unsent(const std::string& address,
+                                               const internal::outgoing_frame& message, loss_reason why) {
     ++m_unsent;
+    log_loss(address, message, why);
     m_handlers.unsent(describe(message));
 }
 
-void tcp_transport::connections::report_cut(const internal::outgoing_frame& message) {
+void tcp_transport::connections::log_loss(const std::string& address, const internal::outgoing_frame& message,
+                                          loss_reason why) {
+    m_log.write(logging::event_id::frame_unsent,
+                {{"attempt", core::to_string(message.attempt)},
+                 {"to", message.target == frame_target::gate ? "gate" : "entry"},
+                 {"peer", address},
+                 {"reason", std::string(to_string(why))},
+                 {"waited_ms", logging::milliseconds_text(m_clock.now() - message.queued)}});
+}
+
+void tcp_transport::connections::report_cut(const std::string& address,
+                                            const internal::outgoing_frame& message) {
+    log_loss(address, message, loss_reason::link_broken);
     if (m_handlers.cut) {
         m_handlers.cut(describe(message));
     }
