Write frames again that a broken connection swallowed, and let answers wait for a link

Cause: a connect waited 1,000 ms for an opening packet that the kernel repeats after 1,000 ms; answers were given up after 250 ms like requests, though nobody else has them; bytes that a breaking connection swallowed were gone without a report, both ways; nothing noticed a silent connection.

Ruled out: a busy listener (failed connects spread evenly over peers and time); links closed by membership (no such line).

Change: a link numbers its frames across connections, keeps those of the last 2 s and writes them again after a break; the receiver drops repeated ones. Frames of a call that the peer knows wait until its deadline. Connects begin with 200 ms. TCP_USER_TIMEOUT of 1 s. A frame tells how long it was held up.

Two cases of tcp_fault_tests asserted that what an ended connection had swallowed is not sent again; they now assert that it is, in order, and that a frame cut for good is reported as before.

--- /dev/null
+++ b/scripts/lib/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the daemons' log lines."""
--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -37,7 +37,7 @@
       m_platform(*m_platform_client, m_scheduler, m_clock, log, store_limits_of(m_settings),
                  m_incarnation.value),
       m_configuration(log), m_peers(m_control),
-      m_transport(m_io, transport_addresses_of(m_settings), m_incarnation, m_clock, log),
+      m_transport(m_io, transport_options_of(m_settings), m_incarnation, m_clock, log),
       m_ledger(m_clock, m_transport.self(), {}),
       m_crashes(m_clock, m_transport.self(), {}, log,
                 [this](std::uint32_t topic, std::string payload) {
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -83,7 +83,7 @@
     return std::make_unique<store::http_object_api>(control, chosen.platform_address);
 }
 
-transport::transport_addresses transport_addresses_of(const settings::daemon_settings& chosen) {
+transport::transport_options transport_options_of(const settings::daemon_settings& chosen) {
     return {chosen.transport_address, chosen.advertised_transport_address, chosen.transport_source_ip};
 }
 
--- a/src/app/monsoonliftd/daemon_options.h
+++ b/src/app/monsoonliftd/daemon_options.h
@@ -47,6 +47,6 @@
 make_store_client(const settings::daemon_settings& chosen, const boost::asio::any_io_executor& control,
                   logging::event_log& log);
 
-[[nodiscard]] transport::transport_addresses transport_addresses_of(const settings::daemon_settings& chosen);
+[[nodiscard]] transport::transport_options transport_options_of(const settings::daemon_settings& chosen);
 
 } // namespace monsoonlift::app
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -140,6 +140,9 @@
     message.attempt = attempt;
     message.target = transport::frame_target::gate;
     message.payload = std::move(payload);
+    if (!std::holds_alternative<transport::request_head>(message.payload)) {
+        message.expires = clock.now() + transport::known_call_patience;
+    }
     sender.send(gate, std::move(message));
 }
 
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -297,6 +297,7 @@
     message.attempt = m_attempt;
     message.target = transport::frame_target::entry;
     message.payload = std::move(payload);
+    message.expires = transport::known_call_expiry(m_head.context.deadline, m_env.clock.now());
     m_env.sender.send(m_entry, std::move(message));
 }
 
--- a/src/transport/frame_codec.h
+++ b/src/transport/frame_codec.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "transport/types/frame.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,4 +18,7 @@
 /// are computed from `now`.
 [[nodiscard]] std::optional<frame> decode(std::string_view bytes, core::steady_time now);
 
+/// Adds to an encoded frame how long it was held up after it had been encoded, which shortens its time left.
+void append_held_up(std::string& bytes, std::chrono::microseconds held_up);
+
 } // namespace monsoonlift::transport
--- a/src/transport/internal/connections.h
+++ b/src/transport/internal/connections.h
@@ -14,10 +14,10 @@
 /// Outgoing links to peers and incoming connections of one transport.
 class tcp_transport::connections {
 public:
-    connections(boost::asio::io_context& io, const transport_addresses& addresses, core::incarnation life,
+    connections(boost::asio::io_context& io, const transport_options& options, core::incarnation life,
                 const core::clock& clock, logging::event_log& log);
     connections(boost::asio::io_context& io, const network::listening_acceptor& peers,
-                const transport_addresses& addresses, core::incarnation life, const core::clock& clock,
+                const transport_options& options, core::incarnation life, const core::clock& clock,
                 logging::event_log& log);
 
     ~connections();
@@ -38,7 +38,10 @@
     void report_unsent(const std::string& address, const internal::outgoing_frame& message, loss_reason why);
     void report_cut(const std::string& address, const internal::outgoing_frame& message);
     void log_loss(const std::string& address, const internal::outgoing_frame& message, loss_reason why);
-    [[nodiscard]] bool receive(std::string_view bytes);
+    [[nodiscard]] bool receive(std::string_view bytes, internal::link_position& position);
+    [[nodiscard]] bool receive_frame(std::string_view bytes, internal::link_position& position);
+    [[nodiscard]] bool open_link(core::incarnation sender, const link_opening& opening,
+                                 internal::link_position& position);
     void refuse_over_long();
     void not_accepted(const std::string& why, std::uint64_t left_out);
 
@@ -48,10 +51,13 @@
     internal::frame_inbox m_inbox;
     const core::endpoint_id m_self;
     const std::string m_source_ip;
+    const std::chrono::milliseconds m_silence_timeout;
     frame_handlers m_handlers;
+    internal::received_links m_received_links;
 
     std::mutex m_links_mutex;
     std::map<std::pair<std::string, bool>, link> m_links;
+    std::uint64_t m_last_link = 0; ///< Number of the newest link.
 
     std::atomic<std::uint64_t> m_received = 0;
     std::atomic<std::uint64_t> m_sent = 0;
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -241,6 +241,10 @@
                    [&](const credit& granted) { target.mutable_credit()->set_chunks(granted.chunks); },
                    [&](const cancel&) { target.mutable_cancel(); },
                    [&](const attempt_end& end) { write(end, *target.mutable_failure()); },
+                   [&](const link_opening& opening) {
+                       target.mutable_opening()->set_link(opening.link);
+                       target.mutable_opening()->set_first_sequence(opening.first_sequence);
+                   },
                },
                message.payload);
 }
@@ -273,6 +277,9 @@
         return true;
     case wire::frame::kFailure:
         return store(message, read(source.failure()));
+    case wire::frame::kOpening:
+        message.payload = link_opening{source.opening().link(), source.opening().first_sequence()};
+        return true;
     case wire::frame::PAYLOAD_NOT_SET:
         return false;
     }
@@ -307,10 +314,21 @@
     message.sender.value = source.sender();
     message.attempt = {{source.origin()}, source.call(), source.attempt()};
     message.target = source.to_gate() ? frame_target::gate : frame_target::entry;
-    if (!read_payload(source, message, now)) {
+    const auto held_up = std::chrono::microseconds(source.held_up_us());
+    if (held_up < std::chrono::microseconds::zero() || held_up > longest_time_left) {
+        return std::nullopt;
+    }
+    if (!read_payload(source, message, now - held_up)) {
         return std::nullopt;
     }
     return message;
 }
 
+void append_held_up(std::string& bytes, std::chrono::microseconds held_up) {
+    // NOTE: a message that is parsed from the concatenation of two holds the fields of both.
+    wire::frame appended;
+    appended.set_held_up_us(std::min(held_up, longest_time_left).count());
+    appended.AppendToString(&bytes);
+}
+
 } // namespace monsoonlift::transport
--- a/src/transport/internal/frame_inbox.cpp
+++ b/src/transport/internal/frame_inbox.cpp
@@ -42,7 +42,7 @@
 
 bool inbound_connection::process_frames() {
     while (const auto frame = m_frames.next()) {
-        if (!m_handlers.frame_received(*frame)) {
+        if (!m_handlers.frame_received(*frame, m_position)) {
             return false;
         }
     }
--- a/src/transport/internal/frame_inbox.h
+++ b/src/transport/internal/frame_inbox.h
@@ -2,6 +2,7 @@
 
 #include "network/acceptor.h"
 #include "transport/internal/framing.h"
+#include "transport/internal/received_links.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -16,8 +17,10 @@
 
 /// Callbacks of an inbox. `frame_received` and `over_long` are called on the strand of the connection.
 struct inbox_handlers {
-    std::function<bool(std::string_view)> frame_received; ///< Returns false to close the connection.
-    std::function<void()> over_long;                      ///< A length prefix exceeds max_frame_bytes.
+    /// Receives a frame and the position in its link, which it advances; returns false to close the
+    /// connection.
+    std::function<bool(std::string_view, link_position&)> frame_received;
+    std::function<void()> over_long; ///< A length prefix exceeds max_frame_bytes.
     /// Receives the reason why accepting failed, and the number of failures not reported since the previous
     /// report. Called on the acceptor's strand.
     std::function<void(const std::string&, std::uint64_t)> not_accepted;
@@ -45,6 +48,7 @@
     boost::asio::ip::tcp::socket m_socket;
     const inbox_handlers& m_handlers;
     frame_splitter m_frames;
+    link_position m_position;
 };
 
 /// Accepts connections from peers. Each connection has its own strand, so worker threads can read several at
--- a/src/transport/internal/framing.cpp
+++ b/src/transport/internal/framing.cpp
@@ -16,15 +16,21 @@
 } // namespace
 
 std::string with_prefix(std::string_view frame) {
-    std::string bytes;
+    std::string bytes(prefix_bytes, '\0');
     bytes.reserve(prefix_bytes + frame.size());
-    for (std::size_t index = prefix_bytes; index > 0; --index) {
-        bytes.push_back(static_cast<char>((frame.size() >> (bits_per_byte * (index - 1))) & 0xffU));
-    }
     bytes.append(frame);
+    set_prefix(bytes);
     return bytes;
 }
 
+void set_prefix(std::string& prefixed) {
+    auto length = prefixed.size() - prefix_bytes;
+    for (std::size_t index = prefix_bytes; index > 0; --index) {
+        prefixed[index - 1] = static_cast<char>(length & 0xffU);
+        length >>= bits_per_byte;
+    }
+}
+
 frame_splitter::frame_splitter() : m_buffer(usual_buffer_bytes, '\0') {}
 
 std::span<char> frame_splitter::space() {
--- a/src/transport/internal/framing.h
+++ b/src/transport/internal/framing.h
@@ -18,6 +18,9 @@
 /// Returns the frame with its length prefix.
 [[nodiscard]] std::string with_prefix(std::string_view frame);
 
+/// Writes the length prefix of a frame at the start of `prefixed`, whose other bytes are the frame.
+void set_prefix(std::string& prefixed);
+
 /// Splits the byte stream of one connection into frames.
 class frame_splitter {
 public:
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -1,11 +1,17 @@
 #include "transport/internal/peer_link.h"
 
+#include "transport/frame_codec.h"
+#include "transport/internal/framing.h"
 #include "transport/internal/tcp_address.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -17,24 +23,33 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t small_high_water_mark = 512;
-constexpr std::size_t bulk_high_water_mark = 64;
-constexpr std::size_t max_waiting = 512;
-constexpr std::chrono::milliseconds max_queue_time = 250ms;
+constexpr send_limits small_limits{512, 512, 64 * 1024};
+constexpr send_limits bulk_limits{64, 512, 512 * 1024};
 constexpr std::chrono::milliseconds expiry_interval = 50ms;
+
+/// Interval for a connected link, whose frames need no connection.
+constexpr std::chrono::milliseconds idle_expiry_interval = 2s;
 constexpr std::chrono::milliseconds shortest_pause = 20ms;
 constexpr std::chrono::milliseconds longest_pause = 1s;
 
-/// A connect that takes longer is abandoned and, after a pause, retried once a frame needs the connection.
-constexpr std::chrono::milliseconds connect_timeout = 1s;
+/// A connect whose opening packet is lost would be repeated by the kernel after a second only.
+constexpr std::chrono::milliseconds shortest_connect_timeout = 200ms;
+constexpr std::chrono::milliseconds longest_connect_timeout = 1s;
+
+void limit_silence(tcp::socket& socket, std::chrono::milliseconds longest) {
+    const auto timeout = static_cast<unsigned>(longest.count());
+    static_cast<void>(
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout)));
+}
 
 } // namespace
 
-peer_link::peer_link(boost::asio::io_context& io, route endpoints, bool bulk, const core::clock& clock,
-                     link_handlers handlers)
-    : m_route(std::move(endpoints)), m_max_admitted(bulk ? bulk_high_water_mark : small_high_water_mark),
-      m_clock(clock), m_handlers(std::move(handlers)), m_strand(boost::asio::make_strand(io)),
-      m_socket(m_strand), m_connect_timer(m_strand), m_expiry(m_strand), m_pause(shortest_pause) {}
+peer_link::peer_link(boost::asio::io_context& io, route endpoints, const link_identity& identity,
+                     const core::clock& clock, link_handlers handlers)
+    : m_route(std::move(endpoints)), m_identity(identity), m_clock(clock), m_handlers(std::move(handlers)),
+      m_strand(boost::asio::make_strand(io)), m_socket(m_strand), m_connect_timer(m_strand),
+      m_expiry(m_strand), m_pause(shortest_pause), m_connect_timeout(shortest_connect_timeout),
+      m_queue(identity.bulk ? bulk_limits : small_limits) {}
 
 void peer_link::send(outgoing_frame message) {
     boost::asio::dispatch(m_strand, [self = shared_from_this(), message = std::move(message)]() mutable {
@@ -53,27 +68,23 @@
 void peer_link::abandon() {
     m_phase = phase::closed;
     close_socket();
-    m_admitted.clear();
-    m_waiting.clear();
+    static_cast<void>(m_queue.take_unwritten());
 }
 
 void peer_link::enqueue(outgoing_frame message) {
-    message.queued = m_clock.now();
-    if (m_phase == phase::closed || m_waiting.size() >= max_waiting) {
+    if (m_phase == phase::closed || m_queue.is_full()) {
         m_handlers.unsent(message,
                           m_phase == phase::closed ? loss_reason::link_closed : loss_reason::queue_full);
         return;
     }
-    m_waiting.push_back(std::move(message));
+    m_queue.add(std::move(message));
     if (m_phase == phase::idle) {
         connect();
     }
     if (m_phase == phase::connected) {
-        m_writing_later ? admit_waiting() : write();
-    }
-    if (!m_waiting.empty()) {
-        expire_later();
+        m_writing_later ? m_queue.admit() : write();
     }
+    expire_later();
 }
 
 void peer_link::connect() {
@@ -91,11 +102,11 @@
             self->connected(refused);
         }
     });
-    m_connect_timer.expires_after(connect_timeout);
+    m_connect_timer.expires_after(m_connect_timeout);
     m_connect_timer.async_wait(
         [self = shared_from_this(), connection = m_connection](const boost::system::error_code& cancelled) {
             if (!cancelled && connection == self->m_connection && self->m_phase == phase::connecting) {
-                self->connected(boost::asio::error::timed_out);
+                self->connect_timed_out();
             }
         });
 }
@@ -119,10 +130,22 @@
     }
     if (!failure) {
         m_socket.non_blocking(true, failure);
+        limit_silence(m_socket, m_route.silence_timeout);
     }
     return failure;
 }
 
+void peer_link::connect_timed_out() {
+    m_handlers.not_connected(boost::asio::error::make_error_code(boost::asio::error::timed_out).message(),
+                             m_clock.now() - m_connect_began);
+    m_connect_timeout = std::min(m_connect_timeout * 2, longest_connect_timeout);
+    close_socket();
+    m_phase = phase::idle;
+    if (m_queue.has_waiting()) {
+        connect();
+    }
+}
+
 void peer_link::connected(const boost::system::error_code& failure) {
     m_connect_timer.cancel();
     if (failure) {
@@ -132,10 +155,19 @@
     }
     m_phase = phase::connected;
     m_pause = shortest_pause;
+    m_connect_timeout = shortest_connect_timeout;
+    m_opening = opening();
     watch_peer();
     write();
 }
 
+std::string peer_link::opening() const {
+    frame first;
+    first.sender = m_identity.sender;
+    first.payload = link_opening{m_identity.number, m_queue.first_sequence()};
+    return with_prefix(encode(first, m_clock.now()));
+}
+
 void peer_link::fail_connect(const boost::system::error_code& failure) {
     m_handlers.not_connected(failure.message(), m_clock.now() - m_connect_began);
     back_off(m_pause);
@@ -150,7 +182,7 @@
             return;
         }
         self->m_phase = phase::idle;
-        if (!self->m_waiting.empty()) {
+        if (self->m_queue.has_waiting()) {
             self->connect();
         }
     });
@@ -168,41 +200,40 @@
 }
 
 void peer_link::write() {
-    admit_waiting();
-    while (m_phase == phase::connected && !m_admitted.empty()) {
-        const auto written = write_some();
-        if (written == 0) {
+    while (m_phase == phase::connected) {
+        const auto bytes = next_bytes();
+        const bool written = !bytes.empty() && write_some(bytes);
+        if (!written) {
             return;
         }
-        m_front_written += written;
-        if (m_front_written == m_admitted.front().bytes.size()) {
-            m_admitted.pop_front();
-            m_front_written = 0;
-            admit_waiting();
-        }
     }
 }
 
-void peer_link::admit_waiting() {
-    while (!m_waiting.empty() && m_admitted.size() < m_max_admitted) {
-        m_admitted.push_back(std::move(m_waiting.front()));
-        m_waiting.pop_front();
-    }
+std::string_view peer_link::next_bytes() {
+    return m_opening.empty() ? m_queue.next_bytes(m_clock.now()) : std::string_view(m_opening);
 }
 
-std::size_t peer_link::write_some() {
+bool peer_link::write_some(std::string_view bytes) {
     boost::system::error_code failure;
-    const auto rest = boost::asio::buffer(m_admitted.front().bytes) + m_front_written;
-    const auto written = m_socket.write_some(rest, failure);
+    const auto written = m_socket.write_some(boost::asio::buffer(bytes), failure);
     if (failure == boost::asio::error::would_block || failure == boost::asio::error::try_again) {
         write_later();
-        return 0;
+        return false;
     }
     if (failure) {
         on_disconnected();
-        return 0;
+        return false;
     }
-    return written;
+    wrote(written);
+    return written > 0;
+}
+
+void peer_link::wrote(std::size_t count) {
+    if (m_opening.empty()) {
+        m_queue.wrote(count, m_clock.now());
+        return;
+    }
+    m_opening.erase(0, count);
 }
 
 void peer_link::write_later() {
@@ -223,25 +254,12 @@
 
 void peer_link::on_disconnected() {
     close_socket();
-    if (m_front_written > 0) {
-        const auto partial = std::move(m_admitted.front());
-        m_admitted.pop_front();
-        m_front_written = 0;
-        m_handlers.cut(partial);
-    }
-    const auto now = m_clock.now();
-    while (!m_admitted.empty()) {
-        m_waiting.push_front(std::move(m_admitted.back()));
-        m_admitted.pop_back();
-        m_waiting.front().queued = now;
-    }
+    m_queue.rewind(m_clock.now());
     if (m_phase == phase::closed) {
         return;
     }
     back_off(shortest_pause);
-    if (!m_waiting.empty()) {
-        expire_later();
-    }
+    expire_later();
 }
 
 void peer_link::close_socket() {
@@ -253,36 +271,42 @@
 }
 
 void peer_link::expire_later() {
-    if (std::exchange(m_expiry_set, true)) {
+    if (m_queue.is_empty()) {
         return;
     }
-    m_expiry.expires_after(expiry_interval);
+    const auto wanted = m_clock.now() + (m_queue.has_waiting() ? expiry_interval : idle_expiry_interval);
+    if (m_next_expiry <= wanted) {
+        return;
+    }
+    m_next_expiry = wanted;
+    m_expiry.expires_after(m_queue.has_waiting() ? expiry_interval : idle_expiry_interval);
     m_expiry.async_wait([self = shared_from_this()](const boost::system::error_code& failure) {
         if (!failure && self->m_phase != phase::closed) {
+            self->m_next_expiry = core::steady_time::max();
             self->expire();
         }
     });
 }
 
 void peer_link::expire() {
-    m_expiry_set = false;
-    const auto now = m_clock.now();
-    while (!m_waiting.empty() && now - m_waiting.front().queued > max_queue_time) {
-        const auto expired = std::move(m_waiting.front());
-        m_waiting.pop_front();
-        m_handlers.unsent(expired, loss_reason::expired);
-    }
-    if (!m_waiting.empty()) {
-        expire_later();
+    for (const auto& expired : m_queue.expire(m_clock.now())) {
+        report(expired, loss_reason::expired);
     }
+    expire_later();
 }
 
 void peer_link::report_waiting() {
-    while (!m_waiting.empty()) {
-        const auto waiting = std::move(m_waiting.front());
-        m_waiting.pop_front();
-        m_handlers.unsent(waiting, loss_reason::link_closed);
+    for (const auto& waiting : m_queue.take_unwritten()) {
+        report(waiting, loss_reason::link_closed);
+    }
+}
+
+void peer_link::report(const outgoing_frame& lost, loss_reason why) {
+    if (lost.progress == write_progress::begun) {
+        m_handlers.cut(lost);
+        return;
     }
+    m_handlers.unsent(lost, why);
 }
 
 } // namespace monsoonlift::transport::internal
--- a/src/transport/internal/peer_link.h
+++ b/src/transport/internal/peer_link.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "core/types/call_ids.h"
-#include "transport/types/frame.h"
+#include "transport/internal/send_queue.h"
 #include "transport/types/loss_reason.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,42 +12,42 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace monsoonlift::transport::internal {
 
-/// An encoded frame that is queued for sending.
-struct outgoing_frame {
-    std::string bytes; ///< The frame with its length prefix.
-    core::attempt_id attempt;
-    frame_target target = frame_target::gate;
-    bool begins_attempt = false;
-    core::steady_time queued;
-};
-
 /// The two ends of a connection to a peer.
 struct route {
-    std::string address;   ///< "ip:port" of the peer.
-    std::string source_ip; ///< Source IP of the connection; empty lets the system choose.
+    std::string address;                       ///< "ip:port" of the peer.
+    std::string source_ip;                     ///< Source IP of the connection; empty lets the system choose.
+    std::chrono::milliseconds silence_timeout; ///< See transport_options.
 };
 
 /// Callbacks for frames that a link could not write completely. Called on the link's strand.
 struct link_handlers {
     std::function<void(const outgoing_frame&, loss_reason)> unsent; ///< No byte of the frame was written.
-    std::function<void(const outgoing_frame&)> cut; ///< The connection broke after a part was written.
+    std::function<void(const outgoing_frame&)> cut; ///< Only a part was written, to a connection that broke.
     /// Receives why a connect failed and how long it took.
     std::function<void(const std::string&, std::chrono::nanoseconds)> not_connected;
 };
 
+/// Which link of this daemon it is.
+struct link_identity {
+    std::uint64_t number = 0; ///< Not used for another link of this daemon.
+    core::incarnation sender; ///< This daemon.
+    bool bulk = false;
+};
+
 /// An outgoing connection to one peer; it only sends frames. The connection is opened when a frame needs it.
-/// Frames wait briefly while it is being opened or while its send queue is full.
+/// Frames wait while it is being opened or while its send queue is full. When it breaks, frames that may not
+/// have arrived are sent again on the next one, where the peer drops those that it has received.
 class peer_link : public std::enable_shared_from_this<peer_link> {
 public:
-    peer_link(boost::asio::io_context& io, route endpoints, bool bulk, const core::clock& clock,
-              link_handlers handlers);
+    peer_link(boost::asio::io_context& io, route endpoints, const link_identity& identity,
+              const core::clock& clock, link_handlers handlers);
 
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -74,21 +73,25 @@
     void connect();
     [[nodiscard]] boost::system::error_code open();
     void fail_connect(const boost::system::error_code& failure);
+    void connect_timed_out();
     void connected(const boost::system::error_code& failure);
     void back_off(std::chrono::milliseconds pause);
     void watch_peer();
     void write();
     void write_later();
-    void admit_waiting();
-    [[nodiscard]] std::size_t write_some();
+    [[nodiscard]] std::string_view next_bytes();
+    [[nodiscard]] bool write_some(std::string_view bytes);
+    void wrote(std::size_t count);
+    [[nodiscard]] std::string opening() const;
     void on_disconnected();
     void close_socket();
     void expire_later();
     void expire();
     void report_waiting();
+    void report(const outgoing_frame& lost, loss_reason why);
 
     const route m_route;
-    const std::size_t m_max_admitted;
+    const link_identity m_identity;
     const core::clock& m_clock;
     const link_handlers m_handlers;
     strand m_strand;
@@ -99,12 +102,12 @@
     core::steady_time m_connect_began;
     std::uint64_t m_connection = 0; ///< Lets handlers of an earlier connection detect that they are obsolete.
     std::chrono::milliseconds m_pause;
+    std::chrono::milliseconds m_connect_timeout;
     bool m_writing_later = false;
-    bool m_expiry_set = false;
+    core::steady_time m_next_expiry = core::steady_time::max();
     std::array<char, 1> m_unexpected{};
-    std::deque<outgoing_frame> m_admitted; ///< Frames to write as soon as the socket accepts more bytes.
-    std::size_t m_front_written = 0;       ///< Bytes of the first admitted frame that were written.
-    std::deque<outgoing_frame> m_waiting;
+    std::string m_opening; ///< Rest of the frame that opens the connection.
+    send_queue m_queue;
 };
 
 } // namespace monsoonlift::transport::internal
--- a/src/transport/internal/tcp_transport.cpp
+++ b/src/transport/internal/tcp_transport.cpp
@@ -21,20 +21,20 @@
 
 } // namespace
 
-tcp_transport::connections::connections(boost::asio::io_context& io, const transport_addresses& addresses,
+tcp_transport::connections::connections(boost::asio::io_context& io, const transport_options& options,
                                         core::incarnation life, const core::clock& clock,
                                         logging::event_log& log)
-    : connections(io, network::listen(io, internal::endpoint_to_bind(addresses.listen), clock), addresses,
-                  life, clock, log) {}
+    : connections(io, network::listen(io, internal::endpoint_to_bind(options.listen), clock), options, life,
+                  clock, log) {}
 
 tcp_transport::connections::connections(boost::asio::io_context& io, const network::listening_acceptor& peers,
-                                        const transport_addresses& addresses, core::incarnation life,
+                                        const transport_options& options, core::incarnation life,
                                         const core::clock& clock, logging::event_log& log)
     : m_io(io), m_clock(clock), m_log(log),
-      m_inbox(peers), m_self{addresses.advertised.empty() ? internal::to_text(peers.address)
-                                                          : addresses.advertised,
+      m_inbox(peers), m_self{options.advertised.empty() ? internal::to_text(peers.address)
+                                                        : options.advertised,
                              life},
-      m_source_ip(addresses.source_ip) {}
+      m_source_ip(options.source_ip), m_silence_timeout(options.silence_timeout) {}
 
 tcp_transport::connections::~connections() {
     for (auto& [key, peer] : m_links) {
@@ -45,8 +45,8 @@
 void tcp_transport::connections::start(frame_handlers handlers) {
     m_handlers = std::move(handlers);
     internal::inbox_handlers inbox;
-    inbox.frame_received = [this](std::string_view bytes) {
-        return receive(bytes);
+    inbox.frame_received = [this](std::string_view bytes, internal::link_position& position) {
+        return receive(bytes, position);
     };
     inbox.over_long = [this] {
         refuse_over_long();
@@ -58,18 +58,21 @@
 }
 
 void tcp_transport::connections::send(const core::endpoint_id& to, const frame& message) {
-    const auto bytes = encode(message, m_clock.now());
+    const auto now = m_clock.now();
+    const auto bytes = encode(message, now);
     if (to.address == m_self.address) {
-        static_cast<void>(receive(bytes));
+        internal::link_position none;
+        static_cast<void>(receive(bytes, none));
         return;
     }
     ++m_sent;
     internal::outgoing_frame outgoing;
+    outgoing.encoded = now;
+    outgoing.expires = message.expires.value_or(now + internal::default_queue_time);
     outgoing.attempt = message.attempt;
     outgoing.target = message.target;
     outgoing.begins_attempt = std::holds_alternative<request_head>(message.payload);
     if (bytes.size() > internal::max_frame_bytes) {
-        outgoing.queued = m_clock.now();
         report_unsent(to.address, outgoing, loss_reason::over_long);
         return;
     }
@@ -101,8 +104,9 @@
     const std::scoped_lock lock(m_links_mutex);
     auto& peer = m_links[{address, bulk}];
     if (!peer) {
-        peer = std::make_shared<internal::peer_link>(m_io, internal::route{address, m_source_ip}, bulk,
-                                                     m_clock, handlers_for(address));
+        peer = std::make_shared<internal::peer_link>(
+            m_io, internal::route{address, m_source_ip, m_silence_timeout},
+            internal::link_identity{++m_last_link, m_self.life, bulk}, m_clock, handlers_for(address));
     }
     return peer;
 }
@@ -136,7 +140,7 @@
                  {"to", message.target == frame_target::gate ? "gate" : "entry"},
                  {"peer", address},
                  {"reason", std::string(to_string(why))},
-                 {"waited_ms", logging::milliseconds_text(m_clock.now() - message.queued)}});
+                 {"waited_ms", logging::milliseconds_text(m_clock.now() - message.encoded)}});
 }
 
 void tcp_transport::connections::report_cut(const std::string& address,
@@ -147,9 +151,20 @@
     }
 }
 
-bool tcp_transport::connections::receive(std::string_view bytes) {
-    ++m_received;
+bool tcp_transport::connections::receive(std::string_view bytes, internal::link_position& position) {
+    if (!position.link) {
+        return receive_frame(bytes, position);
+    }
+    return position.link->handle_once(position.sequence++, [&] { return receive_frame(bytes, position); });
+}
+
+bool tcp_transport::connections::receive_frame(std::string_view bytes, internal::link_position& position) {
     auto message = decode(bytes, m_clock.now());
+    const auto* opening = message ? std::get_if<link_opening>(&message->payload) : nullptr;
+    if (opening != nullptr) {
+        return open_link(message->sender, *opening, position);
+    }
+    ++m_received;
     if (!message) {
         ++m_corrupt;
         m_log.write(logging::event_id::frame_corrupt, {{"bytes", std::to_string(bytes.size())}});
@@ -166,6 +181,15 @@
     return true;
 }
 
+bool tcp_transport::connections::open_link(core::incarnation sender, const link_opening& opening,
+                                           internal::link_position& position) {
+    const bool is_first = !position.link;
+    if (is_first) {
+        position = {m_received_links.open(sender, opening.link, m_clock.now()), opening.first_sequence};
+    }
+    return is_first;
+}
+
 void tcp_transport::connections::refuse_over_long() {
     ++m_received;
     ++m_corrupt;
@@ -178,13 +202,13 @@
                 {{"why", why}, {"left_out", std::to_string(left_out)}});
 }
 
-tcp_transport::tcp_transport(boost::asio::io_context& io, const transport_addresses& addresses,
+tcp_transport::tcp_transport(boost::asio::io_context& io, const transport_options& options,
                              core::incarnation life, const core::clock& clock, logging::event_log& log)
-    : m_connections(std::make_unique<connections>(io, addresses, life, clock, log)) {}
+    : m_connections(std::make_unique<connections>(io, options, life, clock, log)) {}
 
 tcp_transport::tcp_transport(boost::asio::io_context& io, const network::listening_acceptor& peers,
                              core::incarnation life, const core::clock& clock, logging::event_log& log)
-    : m_connections(std::make_unique<connections>(io, peers, transport_addresses(), life, clock, log)) {}
+    : m_connections(std::make_unique<connections>(io, peers, transport_options(), life, clock, log)) {}
 
 tcp_transport::~tcp_transport() = default;
 
--- a/src/transport/tcp_transport.h
+++ b/src/transport/tcp_transport.h
@@ -7,7 +7,7 @@
 #include "logging/event_log.h"
 #include "network/acceptor.h"
 #include "transport/frame_sender.h"
-#include "transport/types/transport_addresses.h"
+#include "transport/types/transport_options.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -47,7 +47,7 @@
 class tcp_transport final : public frame_sender {
 public:
     /// Binds the address to listen on; throws boost::system::system_error if that fails.
-    tcp_transport(boost::asio::io_context& io, const transport_addresses& addresses, core::incarnation life,
+    tcp_transport(boost::asio::io_context& io, const transport_options& options, core::incarnation life,
                   const core::clock& clock, logging::event_log& log);
 
     /// Receives frames on the connections that `peers` accepts.
--- a/src/transport/tests/tcp_fault_tests.cpp
+++ b/src/transport/tests/tcp_fault_tests.cpp
@@ -1,10 +1,12 @@
 #include "transport/frame_codec.h"
+#include "transport/tests/swallowing_relay.h"
 #include "transport/tests/two_daemons.h"
 
 #include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <atomic>
 #include <numeric>
 #include <optional>
 #include <set>
@@ -26,13 +28,24 @@
 constexpr std::size_t bulk_bytes = 64 * 1024;
 constexpr std::uint64_t more_than_held = 1'500;
 
-/// A clock that stands still, so queued frames never expire.
+/// A clock that stands still unless a test advances it, so queued frames don't expire by themselves.
 class frozen_clock final : public core::clock {
 public:
-    [[nodiscard]] core::steady_time now() const override { return {}; }
+    [[nodiscard]] core::steady_time now() const override { return core::steady_time(m_now.load()); }
     [[nodiscard]] core::wall_time wall_now() const override { return {}; }
+    void advance(std::chrono::nanoseconds step) { m_now = m_now.load() + step; }
+
+private:
+    std::atomic<std::chrono::nanoseconds> m_now{std::chrono::nanoseconds(0)};
 };
 
+/// For tests whose peer does not read on purpose.
+transport_options patient_options() {
+    transport_options options{"127.0.0.1:0"};
+    options.silence_timeout = std::chrono::minutes(10);
+    return options;
+}
+
 std::string encoded(frame message, core::incarnation receiver) {
     message.receiver = receiver;
     return with_prefix(encode(message, {}));
@@ -71,8 +84,17 @@
         return none ? std::nullopt : std::optional(std::move(socket));
     }
 
-    /// Returns the call number of the next frame, or nothing at the end of the connection.
+    /// Returns the call number of the next frame of a call, or nothing at the end of the connection.
     static std::optional<std::uint64_t> read(tcp::socket& socket) {
+        auto message = read_frame(socket);
+        if (message && std::holds_alternative<link_opening>(message->payload)) {
+            message = read_frame(socket);
+        }
+        return message ? std::optional(message->attempt.call) : std::nullopt;
+    }
+
+    /// Returns the next frame, or nothing at the end of the connection.
+    static std::optional<frame> read_frame(tcp::socket& socket) {
         std::string bytes(prefix_bytes, '\0');
         boost::system::error_code ended;
         boost::asio::read(socket, boost::asio::buffer(bytes), ended);
@@ -81,8 +103,7 @@
                             [](auto sum, char one) { return sum * 256 + static_cast<unsigned char>(one); });
         bytes.resize(ended ? 0 : length);
         boost::asio::read(socket, boost::asio::buffer(bytes), ended);
-        const auto message = ended ? std::nullopt : decode(bytes, {});
-        return message ? std::optional(message->attempt.call) : std::nullopt;
+        return ended ? std::nullopt : decode(bytes, {});
     }
 
 private:
@@ -162,7 +183,7 @@
     "a peer that reads nothing causes no unbounded queue, no unreported frame and no delay of small frames",
     "[transport]") {
     frozen_clock time;
-    two_daemons daemons({"127.0.0.1:0"}, &time);
+    two_daemons daemons(patient_options(), &time);
     slow_peer peer;
     for (std::uint64_t call = 1; call <= more_than_held; ++call) {
         daemons.left.send(peer.id(), bulk_frame(call, bulk_bytes));
@@ -191,9 +212,10 @@
     }
 }
 
-TEST_CASE("a frame partially written when its connection ends is not reported as unsent", "[transport]") {
+TEST_CASE("frames that a broken connection may have swallowed are sent again on the next, in order",
+          "[transport]") {
     frozen_clock time;
-    two_daemons daemons({"127.0.0.1:0"}, &time);
+    two_daemons daemons(patient_options(), &time);
     slow_peer peer;
     for (std::uint64_t call = 1; call <= more_than_held; ++call) {
         daemons.left.send(peer.id(), bulk_frame(call, bulk_bytes));
@@ -202,15 +224,90 @@
         const tcp::socket closed_unread = peer.accept();
         REQUIRE_FALSE(daemons.left_seen.unsent(1).empty());
     }
+    tcp::socket again = peer.accept();
+    const auto first = slow_peer::read_frame(again);
+    REQUIRE(first);
+    const auto& opening = std::get<link_opening>(first->payload);
+    REQUIRE(opening.first_sequence > 1);
+    const auto most_held = most_admitted_bulk + most_waiting;
+    for (std::uint64_t sequence = opening.first_sequence; sequence <= most_held; ++sequence) {
+        REQUIRE(slow_peer::read(again) == sequence);
+    }
+    REQUIRE(daemons.left_seen.cut(0).empty());
+    for (const auto& one : daemons.left_seen.unsent(1)) {
+        REQUIRE(one.attempt.call > most_held);
+    }
+}
+
+TEST_CASE("a frame partially written to a peer that is gone is reported as cut, not as unsent",
+          "[transport]") {
+    frozen_clock time;
+    two_daemons daemons(patient_options(), &time);
+    std::optional<slow_peer> peer(std::in_place);
+    const auto id = peer->id();
+    for (std::uint64_t call = 1; call <= more_than_held; ++call) {
+        daemons.left.send(id, bulk_frame(call, bulk_bytes));
+    }
+    {
+        const tcp::socket closed_unread = peer->accept();
+        REQUIRE_FALSE(daemons.left_seen.unsent(1).empty());
+        peer.reset();
+    }
+    while (daemons.left_seen.cut(0).empty()) {
+        time.advance(std::chrono::milliseconds(100));
+        std::this_thread::yield();
+    }
     const auto cut = daemons.left_seen.cut(1);
     REQUIRE(cut.size() == 1);
-    tcp::socket again = peer.accept();
-    REQUIRE(slow_peer::read(again) == cut[0].attempt.call + 1);
     for (const auto& one : daemons.left_seen.unsent(1)) {
-        REQUIRE(one.attempt.call > cut[0].attempt.call + 1);
+        REQUIRE(one.attempt.call > cut[0].attempt.call);
+    }
+}
+
+TEST_CASE("a frame that a reset connection swallowed reaches the peer, and none reaches it twice",
+          "[transport]") {
+    two_daemons daemons;
+    swallowing_relay relay(daemons.right.self().address);
+    const core::endpoint_id through{relay.address(), daemons.right.self().life};
+    for (std::uint64_t call = 1; call <= 20; ++call) {
+        if (call % 5 == 0) {
+            REQUIRE(daemons.right_seen.frames(call - 1).size() == call - 1);
+            relay.swallow_next();
+        }
+        daemons.left.send(through, credit_frame(call));
+    }
+    const auto seen = daemons.right_seen.frames(20);
+    REQUIRE(seen.size() == 20);
+    for (std::size_t index = 0; index < seen.size(); ++index) {
+        REQUIRE(seen[index].attempt.call == index + 1);
     }
 }
 
+TEST_CASE("an answer waits for a peer that can't be reached for a while, a request doesn't", "[transport]") {
+    frozen_clock time;
+    two_daemons daemons(patient_options(), &time);
+    const core::endpoint_id absent = slow_peer().id();
+    auto answer = credit_frame(1);
+    answer.target = frame_target::entry;
+    answer.expires = known_call_expiry(time.now() + std::chrono::seconds(5), time.now());
+    daemons.left.send(absent, std::move(answer));
+    frame request = credit_frame(2);
+    request.payload = request_head{};
+    daemons.left.send(absent, std::move(request));
+    time.advance(std::chrono::seconds(4));
+    const auto unsent = daemons.left_seen.unsent(1);
+    REQUIRE(unsent.size() == 1);
+    REQUIRE(unsent[0].attempt.call == 2);
+    boost::asio::io_context io;
+    tcp_transport late{io, {absent.address}, absent.life, daemons.clock, daemons.log};
+    recorder seen;
+    late.start(seen.handlers());
+    while (late.counters().received == 0) {
+        io.poll();
+    }
+    REQUIRE(seen.frames(1)[0].attempt.call == 1);
+}
+
 TEST_CASE("a restarted peer receives frames again", "[transport]") {
     two_daemons daemons;
     slow_peer peer;
@@ -227,10 +324,14 @@
         later = peer.try_accept();
     }
     later->non_blocking(false);
-    const auto first = slow_peer::read(*later);
-    REQUIRE(first);
-    REQUIRE(*first > 1);
-    REQUIRE(*first <= sent);
+    const auto opening = slow_peer::read_frame(*later);
+    REQUIRE(opening);
+    REQUIRE(std::get<link_opening>(opening->payload).first_sequence == 1);
+    REQUIRE(slow_peer::read(*later) == 1U);
+    const auto next = slow_peer::read(*later);
+    REQUIRE(next);
+    REQUIRE(*next > 1);
+    REQUIRE(*next <= sent);
 }
 
 TEST_CASE("a peer that starts after refusing connections receives frames", "[transport]") {
--- a/src/transport/tests/two_daemons.h
+++ b/src/transport/tests/two_daemons.h
@@ -56,9 +56,9 @@
 
 /// Two transports that share an io_context run by two threads.
 struct two_daemons {
-    explicit two_daemons(const transport_addresses& left_addresses = {"127.0.0.1:0"},
+    explicit two_daemons(const transport_options& left_options = {"127.0.0.1:0"},
                          const core::clock* time = nullptr)
-        : clock{time == nullptr ? system_time : *time}, left{io, left_addresses, {1}, clock, log} {
+        : clock{time == nullptr ? system_time : *time}, left{io, left_options, {1}, clock, log} {
         left.start(left_seen.handlers());
         right.start(right_seen.handlers());
         for (int index = 0; index < 2; ++index) {
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -7,6 +7,7 @@
 #include "routing/routing_table.h"
 #include "transport/types/end_reason.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -88,6 +89,14 @@
 /// Cancels an attempt at its gate.
 struct cancel {};
 
+/// Opens a connection. The sender numbers the frames of a link, across its connections; the frames that
+/// follow on this connection are numbered from `first_sequence` on, so the receiver can drop those it has
+/// received.
+struct link_opening {
+    std::uint64_t link = 0; ///< Number of the link, unique for the sender's incarnation.
+    std::uint64_t first_sequence = 0;
+};
+
 /// The part of the receiving daemon that handles a frame.
 enum class frame_target { entry, gate };
 
@@ -97,9 +106,21 @@
     core::incarnation sender;
     core::attempt_id attempt;
     frame_target target = frame_target::gate;
-    std::variant<request_head, response_head, body_chunk, body_end, credit, cancel, attempt_end> payload;
+    std::variant<request_head, response_head, body_chunk, body_end, credit, cancel, attempt_end, link_opening>
+        payload;
+    /// Until when the frame is worth sending if its link is down, by the sender's clock; not transmitted. If
+    /// absent, the transport gives it up early, so that another daemon can be tried.
+    std::optional<core::steady_time> expires;
 };
 
+/// How long frames of a call that the peer knows of wait at least while the link to it is down.
+constexpr std::chrono::seconds known_call_patience{2};
+
+/// Returns until when such a frame is worth sending.
+[[nodiscard]] inline core::steady_time known_call_expiry(core::steady_time deadline, core::steady_time now) {
+    return std::max(deadline, now + known_call_patience);
+}
+
 /// Returns whether the frame is sent on the connection for bulk frames. That connection is separate so that
 /// small calls don't wait behind bulk frames.
 [[nodiscard]] inline bool is_bulk(const frame& message) {
