Treat downloads as idempotent

Cause: the adapter read only 'safe' as idempotent, so a download was sent once at most, kept a record at its gate, and was answered may_have_run where it could have been retried.

Change: downloads are idempotent; kinds that are not known stay not idempotent.

Test: platform_tests 'only routes whose requests may run more than once are idempotent' (failed for downloads).

--- a/src/platform/internal/configuration_codec.cpp
+++ b/src/platform/internal/configuration_codec.cpp
@@ -105,6 +105,11 @@
     return destinations;
 }
 
+/// Unknown kinds count as not idempotent: such requests are never run twice.
+bool is_idempotent(const std::string& kind) {
+    return kind == "safe" || kind == "download";
+}
+
 json::object route_of(const json::object& rule, const std::string& host) {
     const auto name = text_field(rule, "Name", "a rule of " + host);
     const auto where = "route " + name;
@@ -114,7 +119,7 @@
                        {"host", host},
                        {"path", text_field(match, "PathPrefix", where)},
                        {"class", class_of(optional_number(rule, "Priority", where))},
-                       {"idempotent", text_field(rule, "Kind", where) == "safe"},
+                       {"idempotent", is_idempotent(text_field(rule, "Kind", where))},
                        {"destinations", destinations_of(action, where)}};
     const auto timeout = optional_number(action, "TimeoutMs", where);
     if (timeout > 0) {
--- a/src/platform/tests/configuration_codec_tests.cpp
+++ b/src/platform/tests/configuration_codec_tests.cpp
@@ -70,6 +70,30 @@
     CHECK(configuration::find_service(*rules, "mappa")->connections == 406);
 }
 
+TEST_CASE("only routes whose requests may run more than once are idempotent", "[platform]") {
+    struct kind_case {
+        std::string kind;
+        bool idempotent;
+    };
+    const auto tried = GENERATE(values<kind_case>({{"safe", true},
+                                                   {"download", true},
+                                                   {"unsafe", false},
+                                                   {"upload", false},
+                                                   {"keyed", false},
+                                                   {"", false}}));
+    CAPTURE(tried.kind);
+    const auto decoded = decode(replaced("\"Kind\":\"safe\"", "\"Kind\":\"" + tried.kind + "\""));
+    REQUIRE(std::holds_alternative<configuration::stored_configuration>(decoded));
+    testing::silent_log log;
+    configuration::configuration_holder holder(log);
+    REQUIRE(holder.adopt(std::get<configuration::stored_configuration>(decoded)) ==
+            configuration::adoption::adopted);
+    const auto rules = holder.current();
+    const auto* status = configuration::find_route(*rules, "maps.example", "/status/7");
+    REQUIRE(status != nullptr);
+    CHECK(status->idempotent == tried.idempotent);
+}
+
 TEST_CASE("a malformed configuration is rejected with a reason", "[platform]") {
     const std::string texts[] = {
         "7",
