Give a warm backend server all its slots when only its gate is new

Cause: a gate took each server that was new to it for cold and gave it a quarter of its slots, rising over 2 s. How long the server is still slow was decoded from its heartbeat and not used. And entries were told the full limit meanwhile, so they sent what the gate then shed.

Change: the ramp lasts as long as the announced slow start, 2 s at most and where nothing is announced; the load report tells the ramped limit.

--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -206,6 +206,7 @@
     server.connections = service != nullptr ? service->connections : received.slots;
     server.instance = received.id + "/" + std::to_string(received.started_ms);
     server.id = received.id;
+    server.cold_for = received.cold_for;
     return server;
 }
 
--- a/src/concurrency/concurrency_limit.h
+++ b/src/concurrency/concurrency_limit.h
@@ -57,6 +57,7 @@
     double fastest_service_s = 0; ///< Long-term minimum of service times; 0 while unknown.
     double typical_service_s = 0; ///< Smoothed service time; 0 while unknown.
     core::steady_time started;    ///< When the backend server announced itself; start of the cold-start ramp.
+    std::chrono::milliseconds ramp{0}; ///< Duration of that ramp.
     core::steady_time last_decrease;
     service_window window;
     limit_trial trial;
@@ -64,8 +65,16 @@
     refusal_series refusals;
 };
 
-/// Returns the state for a backend server that has just started.
-[[nodiscard]] limit_state cold_start(const limit_bounds& bounds, core::steady_time now);
+/// Longest time over which a backend server that has just started is given more and more of its slots.
+constexpr std::chrono::milliseconds longest_ramp{2000};
+
+/// Returns the state for a backend server that is new to its gate and slow for at most `cold_for` longer;
+/// zero for one that only its gate is new to, as after a restart of the daemon.
+[[nodiscard]] limit_state cold_start(const limit_bounds& bounds, core::steady_time now,
+                                     std::chrono::milliseconds cold_for = longest_ramp);
+
+/// Returns the number of requests that may run at `now`: the limit, or less during a cold start.
+[[nodiscard]] std::uint32_t allowed(const limit_state& state, core::steady_time now);
 
 /// Takes a slot; returns false if the limit is reached.
 [[nodiscard]] bool try_acquire(limit_state& state, core::steady_time now);
--- a/src/concurrency/internal/concurrency_limit.cpp
+++ b/src/concurrency/internal/concurrency_limit.cpp
@@ -10,10 +10,8 @@
 /// Factor by which a refusal lowers the limit.
 constexpr double refused_factor = 0.9;
 
-/// Share of the configured bound that a backend server may use right after its start, and the time until it
-/// may use all of it.
+/// Share of the configured bound that a backend server may use right after its start.
 constexpr double cold_share = 0.25;
-constexpr std::chrono::seconds cold_ramp{2};
 
 /// Weight of the newest run in the smoothed service time.
 constexpr double newest_weight = 0.1;
@@ -62,8 +60,11 @@
 
 /// The bound on the limit, which ramps up during a cold start.
 double ramped_bound(const limit_state& state, core::steady_time now) {
+    if (now - state.started >= state.ramp) {
+        return highest(state.bounds);
+    }
     const double age_s = std::chrono::duration<double>(now - state.started).count();
-    const double ramp_s = std::chrono::duration<double>(cold_ramp).count();
+    const double ramp_s = std::chrono::duration<double>(state.ramp).count();
     const double share = std::clamp(cold_share + (1 - cold_share) * age_s / ramp_s, cold_share, 1.0);
     return std::max(1.0, share * highest(state.bounds));
 }
@@ -137,10 +138,10 @@
 }
 
 void start_trial(limit_state& state, double service_s, core::steady_time now) {
-    const double allowed = std::min(state.limit, ramped_bound(state, now));
-    state.trial = {true, allowed, service_s};
+    const double limit = std::min(state.limit, ramped_bound(state, now));
+    state.trial = {true, limit, service_s};
     start_window(state, state.running, now);
-    set_limit(state, allowed * trial_factor);
+    set_limit(state, limit * trial_factor);
 }
 
 /// Ends a trial. The lower limit is kept if it made runs faster; otherwise the slowness has another cause and
@@ -200,8 +201,10 @@
 
 } // namespace
 
-limit_state cold_start(const limit_bounds& bounds, core::steady_time now) {
+limit_state cold_start(const limit_bounds& bounds, core::steady_time now,
+                       std::chrono::milliseconds cold_for) {
     limit_state state;
+    state.ramp = std::min(cold_for, longest_ramp);
     state.bounds = bounds;
     state.limit = highest(bounds);
     state.started = now;
@@ -211,9 +214,12 @@
     return state;
 }
 
+std::uint32_t allowed(const limit_state& state, core::steady_time now) {
+    return static_cast<std::uint32_t>(std::min(state.limit, ramped_bound(state, now)));
+}
+
 bool try_acquire(limit_state& state, core::steady_time now) {
-    const double allowed = std::min(state.limit, ramped_bound(state, now));
-    if (static_cast<double>(state.running) + 1 > allowed) {
+    if (state.running >= allowed(state, now)) {
         return false;
     }
     ++state.running;
@@ -222,8 +228,7 @@
 
 void release(limit_state& state, run_outcome outcome, std::chrono::nanoseconds service_time,
              core::steady_time now) {
-    const double allowed = std::floor(std::min(state.limit, ramped_bound(state, now)));
-    const bool busy = state.running >= busy_share * allowed;
+    const bool busy = state.running >= busy_share * allowed(state, now);
     const double seconds = std::chrono::duration<double>(service_time).count();
     state.running -= state.running > 0 ? 1 : 0;
     record_concurrency(state.observed, has_run(outcome) ? seconds : 0, now);
--- a/src/concurrency/tests/concurrency_limit_tests.cpp
+++ b/src/concurrency/tests/concurrency_limit_tests.cpp
@@ -121,6 +121,21 @@
     REQUIRE(slots_taken(state, now + 2s) == 40);
 }
 
+TEST_CASE("a server that only its gate is new to does not get all its slots at once", "[concurrency]") {
+    const steady_time now{1h};
+    REQUIRE(slots_taken(cold_start({40, 400}, now, 0ms), now) == 40);
+}
+
+TEST_CASE("a server's ramp ends later than its slow start, or than the longest ramp", "[concurrency]") {
+    const steady_time now{1h};
+    const auto nearly_warm = cold_start({40, 400}, now, 500ms);
+    REQUIRE(slots_taken(nearly_warm, now) == 10);
+    REQUIRE(slots_taken(nearly_warm, now + 500ms) == 40);
+    const auto slow = cold_start({40, 400}, now, 10s);
+    REQUIRE(slots_taken(slow, now + 1s) == 25);
+    REQUIRE(slots_taken(slow, now + longest_ramp) == 40);
+}
+
 TEST_CASE("refusals do not lower the limit, or block the server for good", "[concurrency]") {
     steady_time now{1h};
     auto state = cold_start({40, 400}, now);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -98,6 +98,7 @@
     admission::overload_state m_overload;
     admission::call_queue m_queue;
     concurrency::limit_state m_limit;
+    std::uint32_t m_allowed = 1;          ///< Requests that may run, as of the last tick or announcement.
     std::deque<std::uint64_t> m_in_order; ///< Waiting calls by arrival; only used while decisions are off.
 };
 
--- a/src/gate/internal/gate_table.cpp
+++ b/src/gate/internal/gate_table.cpp
@@ -34,11 +34,13 @@
     if (same_incarnation) {
         m_limit.bounds = bounds_of(server);
     } else {
-        m_limit = concurrency::cold_start(bounds_of(server), now);
+        m_limit = concurrency::cold_start(bounds_of(server), now,
+                                          server.cold_for.value_or(concurrency::longest_ramp));
         m_limit.running = running;
         m_leaves_at = core::steady_time::max();
     }
     m_backend = server;
+    m_allowed = concurrency::allowed(m_limit, now);
     return true;
 }
 
@@ -135,6 +137,7 @@
 gate_changes gate_table::tick(core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     gate_changes changes;
+    m_allowed = concurrency::allowed(m_limit, now);
     if (!m_decisions_on) {
         return changes;
     }
@@ -148,7 +151,7 @@
     const std::scoped_lock lock(m_mutex);
     const auto waiting = m_queue.length + m_in_order.size();
     return {m_overload.level, m_limit.running, static_cast<std::uint32_t>(waiting),
-            static_cast<std::uint32_t>(m_limit.limit)};
+            std::min(m_allowed, static_cast<std::uint32_t>(m_limit.limit))};
 }
 
 std::chrono::milliseconds gate_table::retry_after() const {
