Answer requests that were meant for an earlier process of the daemon

Cause: a frame for another incarnation was counted, logged and dropped, and its sender told nothing. News of the new incarnations reaches 96 members over seconds; until then each call to such a VM waits for its deadline. One restarted daemon dropped 750 frames in its second second and 250 in its eighth.

Ruled out: the restarted daemons had joined (96 members known); their gates served what reached them.

Change: the new process refuses such a request at once, with not_run if its frame was written to this process only and it has no key, otherwise with may_have_run. A frame that is written again says so (rewritten). The event is throttled and tells how many lines it left out.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -108,6 +108,11 @@
         cut.begins_attempt = false;
         take_unsent(cut);
     };
+    handlers.misdirected = [this](const transport::frame& message) {
+        if (auto refusal = gate::refuse_misdirected(message, m_clock.now())) {
+            m_transport.send(refusal->to, std::move(refusal->message));
+        }
+    };
     m_transport.start(std::move(handlers));
 }
 
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -11,6 +11,7 @@
 #include "execution/home_keeper.h"
 #include "gate/backend_incarnations.h"
 #include "gate/gate_service.h"
+#include "gate/misdirected_request.h"
 #include "lifecycle/daemon_lifecycle.h"
 #include "lifecycle/drain_watch.h"
 #include "logging/event_log.h"
--- a/src/transport/frame_codec.h
+++ b/src/transport/frame_codec.h
@@ -18,7 +18,8 @@
 /// are computed from `now`.
 [[nodiscard]] std::optional<frame> decode(std::string_view bytes, core::steady_time now);
 
-/// Adds to an encoded frame how long it was held up after it had been encoded, which shortens its time left.
-void append_held_up(std::string& bytes, std::chrono::microseconds held_up);
+/// Adds to an encoded frame how long it was held up after it had been encoded, which shortens its time left,
+/// and whether it was written to an earlier connection.
+void append_delay(std::string& bytes, std::chrono::microseconds held_up, bool rewritten);
 
 } // namespace monsoonlift::transport
--- a/src/transport/internal/connections.h
+++ b/src/transport/internal/connections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "logging/event_throttle.h"
 #include "transport/internal/frame_inbox.h"
 #include "transport/internal/peer_link.h"
 #include "transport/tcp_transport.h"
@@ -42,12 +43,14 @@
     [[nodiscard]] bool receive_frame(std::string_view bytes, internal::link_position& position);
     [[nodiscard]] bool open_link(core::incarnation sender, const link_opening& opening,
                                  internal::link_position& position);
+    void drop_misdirected(const frame& message);
     void refuse_over_long();
     void not_accepted(const std::string& why, std::uint64_t left_out);
 
     boost::asio::io_context& m_io;
     const core::clock& m_clock;
     logging::event_log& m_log;
+    logging::event_throttle m_misdirected;
     internal::frame_inbox m_inbox;
     const core::endpoint_id m_self;
     const std::string m_source_ip;
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -314,6 +314,7 @@
     message.sender.value = source.sender();
     message.attempt = {{source.origin()}, source.call(), source.attempt()};
     message.target = source.to_gate() ? frame_target::gate : frame_target::entry;
+    message.rewritten = source.rewritten();
     const auto held_up = std::chrono::microseconds(source.held_up_us());
     if (held_up < std::chrono::microseconds::zero() || held_up > longest_time_left) {
         return std::nullopt;
@@ -324,10 +325,11 @@
     return message;
 }
 
-void append_held_up(std::string& bytes, std::chrono::microseconds held_up) {
+void append_delay(std::string& bytes, std::chrono::microseconds held_up, bool rewritten) {
     // NOTE: a message that is parsed from the concatenation of two holds the fields of both.
     wire::frame appended;
     appended.set_held_up_us(std::min(held_up, longest_time_left).count());
+    appended.set_rewritten(rewritten);
     appended.AppendToString(&bytes);
 }
 
--- a/src/transport/internal/send_queue.cpp
+++ b/src/transport/internal/send_queue.cpp
@@ -22,16 +22,17 @@
 /// A frame that waited longer tells its receiver so.
 constexpr std::chrono::milliseconds negligible_wait = 5ms;
 
-void add_hold_up(outgoing_frame& held, core::steady_time now) {
+void add_delay(outgoing_frame& held, core::steady_time now) {
     const auto wait = now - held.encoded;
-    if (wait < negligible_wait) {
+    const bool rewritten = held.progress == write_progress::whole;
+    if (wait < negligible_wait && !rewritten) {
         return;
     }
     if (held.encoded_bytes == 0) {
         held.encoded_bytes = held.bytes.size();
     }
     held.bytes.resize(held.encoded_bytes);
-    append_held_up(held.bytes, std::chrono::duration_cast<std::chrono::microseconds>(wait));
+    append_delay(held.bytes, std::chrono::duration_cast<std::chrono::microseconds>(wait), rewritten);
     set_prefix(held.bytes);
 }
 
@@ -48,7 +49,7 @@
     }
     auto& front = m_admitted.front();
     if (m_front_written == 0) {
-        add_hold_up(front, now);
+        add_delay(front, now);
     }
     return std::string_view(front.bytes).substr(m_front_written);
 }
--- a/src/transport/internal/tcp_transport.cpp
+++ b/src/transport/internal/tcp_transport.cpp
@@ -30,7 +30,7 @@
 tcp_transport::connections::connections(boost::asio::io_context& io, const network::listening_acceptor& peers,
                                         const transport_options& options, core::incarnation life,
                                         const core::clock& clock, logging::event_log& log)
-    : m_io(io), m_clock(clock), m_log(log),
+    : m_io(io), m_clock(clock), m_log(log), m_misdirected(clock),
       m_inbox(peers), m_self{options.advertised.empty() ? internal::to_text(peers.address)
                                                         : options.advertised,
                              life},
@@ -171,16 +171,26 @@
         return false;
     }
     if (message->receiver != m_self.life) {
-        ++m_wrong_incarnation;
-        m_log.write(logging::event_id::frame_of_other_incarnation,
-                    {{"receiver", std::to_string(message->receiver.value)},
-                     {"sender", std::to_string(message->sender.value)}});
+        drop_misdirected(*message);
         return true;
     }
     m_handlers.received(std::move(*message));
     return true;
 }
 
+void tcp_transport::connections::drop_misdirected(const frame& message) {
+    ++m_wrong_incarnation;
+    if (const auto left_out = m_misdirected.take()) {
+        m_log.write(logging::event_id::frame_of_other_incarnation,
+                    {{"receiver", std::to_string(message.receiver.value)},
+                     {"sender", std::to_string(message.sender.value)},
+                     {"left_out", std::to_string(*left_out)}});
+    }
+    if (message.receiver < m_self.life && m_handlers.misdirected) {
+        m_handlers.misdirected(message);
+    }
+}
+
 bool tcp_transport::connections::open_link(core::incarnation sender, const link_opening& opening,
                                            internal::link_position& position) {
     const bool is_first = !position.link;
--- a/src/transport/tcp_transport.h
+++ b/src/transport/tcp_transport.h
@@ -32,6 +32,8 @@
     std::function<void(frame)> received;
     std::function<void(const unsent_frame&)> unsent; ///< No byte of the frame left this daemon.
     std::function<void(const unsent_frame&)> cut; ///< The connection broke mid-frame; the frame can't arrive.
+    /// Receives frames meant for an earlier incarnation at this address, which are dropped. May be empty.
+    std::function<void(const frame&)> misdirected = {};
 };
 
 /// Frame counts since the start of the transport.
--- a/src/transport/tests/send_queue_tests.cpp
+++ b/src/transport/tests/send_queue_tests.cpp
@@ -75,6 +75,7 @@
     queue.wrote(queue.next_bytes(start).size() - 1, start);
     queue.rewind(start);
     REQUIRE(queue.first_sequence() == 1);
+    REQUIRE_FALSE(decode(queue.next_bytes(start).substr(prefix_bytes), start)->rewritten);
     REQUIRE(write_next(queue, start) == 1);
 }
 
@@ -129,4 +130,5 @@
     const auto message = decode(bytes.substr(prefix_bytes), start + 500ms);
     REQUIRE(message);
     REQUIRE(std::get<request_head>(message->payload).context.deadline == start + 3s);
+    REQUIRE(message->rewritten);
 }
--- a/src/transport/tests/tcp_transport_tests.cpp
+++ b/src/transport/tests/tcp_transport_tests.cpp
@@ -38,6 +38,21 @@
     REQUIRE(daemons.right.counters().wrong_incarnation == 1);
 }
 
+TEST_CASE("a frame for an earlier incarnation is dropped without a word to its owner", "[transport]") {
+    two_daemons daemons;
+    auto other = daemons.right.self();
+    for (const std::uint64_t life : {1, 99}) {
+        other.life = {life};
+        daemons.left.send(other, credit_frame(life));
+    }
+    REQUIRE(daemons.right_seen.misdirected(1).size() == 1);
+    daemons.left.send(daemons.right.self(), credit_frame(2));
+    REQUIRE(daemons.right_seen.frames(1).size() == 1);
+    const auto misdirected = daemons.right_seen.misdirected(1);
+    REQUIRE(misdirected.size() == 1);
+    REQUIRE(misdirected[0].attempt.call == 1);
+}
+
 TEST_CASE("corrupt frames are counted, and later frames are accepted", "[transport]") {
     two_daemons daemons;
     for (const std::string garbage : {"", "garbage", "\xff\xff\xff\xff"}) {
--- a/src/transport/tests/two_daemons.h
+++ b/src/transport/tests/two_daemons.h
@@ -25,12 +25,14 @@
     frame_handlers handlers() {
         return {[this](frame message) { add(m_frames, std::move(message)); },
                 [this](const unsent_frame& unsent) { add(m_unsent, unsent); },
-                [this](const unsent_frame& cut) {
-                    add(m_cut, cut);
+                [this](const unsent_frame& cut) { add(m_cut, cut); },
+                [this](const frame& message) {
+                    add(m_misdirected, message);
                 }};
     }
 
     std::vector<frame> frames(std::size_t count) { return wait_for(m_frames, count); }
+    std::vector<frame> misdirected(std::size_t count) { return wait_for(m_misdirected, count); }
     std::vector<unsent_frame> unsent(std::size_t count) { return wait_for(m_unsent, count); }
     std::vector<unsent_frame> cut(std::size_t count) { return wait_for(m_cut, count); }
 
@@ -50,6 +52,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::vector<frame> m_frames;
+    std::vector<frame> m_misdirected;
     std::vector<unsent_frame> m_unsent;
     std::vector<unsent_frame> m_cut;
 };
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -108,6 +108,9 @@
     frame_target target = frame_target::gate;
     std::variant<request_head, response_head, body_chunk, body_end, credit, cancel, attempt_end, link_opening>
         payload;
+    /// Set on receipt: the frame was written to an earlier connection too, so another process at this address
+    /// may have received it.
+    bool rewritten = false;
     /// Until when the frame is worth sending if its link is down, by the sender's clock; not transmitted. If
     /// absent, the transport gives it up early, so that another daemon can be tried.
     std::optional<core::steady_time> expires;
