Let an entry accept the end that a gate's successor reports

Its refusals of requests for an ended process were dropped by the entries.

Cause: an entry takes frames of an attempt only from the incarnation that it sent the request to. The refusal comes from the next one.

Change: an attempt's end may name the incarnation that it stands for (successor_of); the entry accepts it for that one alone. A request names the address that it is sent to, and a daemon refuses for its predecessor only what was meant for its own address, so a frame that strayed to another daemon can't make that one say not_run.

Tests: entry_tests [restarted_gate] with two daemons on the real transport: 503 not_run for GET and POST; without the rule in the entry both fail.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -109,7 +109,7 @@
         take_unsent(cut);
     };
     handlers.misdirected = [this](const transport::frame& message) {
-        if (auto refusal = gate::refuse_misdirected(message, m_clock.now())) {
+        if (auto refusal = gate::refuse_misdirected(message, m_transport.self(), m_clock.now())) {
             m_transport.send(refusal->to, std::move(refusal->message));
         }
     };
--- a/src/app/monsoonliftd/tests/answer_delivery_process_tests.py
+++ b/src/app/monsoonliftd/tests/answer_delivery_process_tests.py
@@ -101,9 +101,9 @@
         wait_for(is_known, "the entry to know the backend server")
 
     def begin_call(self) -> Caller:
+        ran = self.runs
         caller = Caller(self.entry.caller)
         self.addCleanup(caller.join)
-        ran = self.runs
         wait_for(lambda: self.runs > ran, "the backend server to run the request")
         return caller
 
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -232,6 +232,7 @@
 void call_exchange::send_request() {
     transport::request_head head;
     head.reply_address = m_shared.sender.self().address;
+    head.gate_address = m_channel->endpoint().address;
     m_lent_attempts = retry::lend(m_call.context);
     head.context = m_call.context;
     head.context.attempts_left = m_lent_attempts;
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -70,10 +70,17 @@
     }
 }
 
+bool entry_state::speaks_for(const transport::frame& message, const core::endpoint_id& gate) {
+    if (message.sender == gate.life) {
+        return true;
+    }
+    const auto* end = std::get_if<transport::attempt_end>(&message.payload);
+    return end != nullptr && end->successor_of == gate.life;
+}
+
 void entry_state::received(transport::frame message) {
     const auto channel = find(message.attempt);
-    const bool is_other_incarnation = channel && channel->endpoint().life != message.sender;
-    if (!channel || is_other_incarnation) {
+    if (!channel || !speaks_for(message, channel->endpoint())) {
         events.unknown_frame(message.attempt);
         return;
     }
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -87,6 +87,8 @@
 
     void register_session(const std::shared_ptr<caller_session>& session);
     [[nodiscard]] channel_pointer find(const core::attempt_id& attempt) const;
+    /// Whether the frame comes from the gate or from a later process at its address that reports its end.
+    [[nodiscard]] static bool speaks_for(const transport::frame& message, const core::endpoint_id& gate);
     void notify_affected_attempts(const membership::member& changed);
 
     /// Notifies the attempts in progress whose endpoint `chosen` accepts.
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -1,5 +1,7 @@
 #include "entry/tests/wired_fleet.h"
 
+#include "gate/misdirected_request.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -131,6 +133,13 @@
                            } else {
                                m_entry.unsent(cut.attempt, false);
                            }
+                       },
+                       [this](const transport::frame& message) {
+                           const auto refusal =
+                               gate::refuse_misdirected(message, m_transport.self(), m_clock.now());
+                           if (refusal) {
+                               m_transport.send(refusal->to, refusal->message);
+                           }
                        }});
     m_gate.start();
     m_entry.start();
--- a/src/gate/internal/misdirected_request.cpp
+++ b/src/gate/internal/misdirected_request.cpp
@@ -6,15 +6,16 @@
 using transport::end_reason;
 
 std::optional<misdirected_refusal> refuse_misdirected(const transport::frame& message,
-                                                      core::steady_time now) {
+                                                      const core::endpoint_id& self, core::steady_time now) {
     const auto* head = std::get_if<transport::request_head>(&message.payload);
-    if (head == nullptr) {
+    if (head == nullptr || head->gate_address != self.address) {
         return std::nullopt;
     }
     // NOTE: a key may have been used at the earlier process, and a frame that was written before may have
     // reached it.
     const bool can_have_run = message.rewritten || !head->context.key.empty();
     transport::attempt_end end;
+    end.successor_of = message.receiver;
     end.run = can_have_run ? verdict::may_have_run : verdict::not_run;
     end.reason = can_have_run ? end_reason::backend_failed : end_reason::no_backend;
     end.detail = "the daemon of the backend server has been restarted";
--- a/src/gate/misdirected_request.h
+++ b/src/gate/misdirected_request.h
@@ -16,10 +16,10 @@
     transport::frame message;
 };
 
-/// Returns the refusal of the request in `message`, which names an earlier incarnation at this address;
-/// nothing if the frame begins no attempt. The verdict is not_run only if the earlier process can't have
-/// received the request, and no earlier copy of it.
-[[nodiscard]] std::optional<misdirected_refusal> refuse_misdirected(const transport::frame& message,
-                                                                    core::steady_time now);
+/// Returns the refusal of the request in `message`, which names an incarnation earlier than `self`;
+/// nothing if the frame begins no attempt or was meant for another address. The verdict is not_run only if
+/// the earlier process can't have received the request, and no earlier copy of it.
+[[nodiscard]] std::optional<misdirected_refusal>
+refuse_misdirected(const transport::frame& message, const core::endpoint_id& self, core::steady_time now);
 
 } // namespace monsoonlift::gate
--- a/src/gate/tests/misdirected_request_tests.cpp
+++ b/src/gate/tests/misdirected_request_tests.cpp
@@ -13,10 +13,12 @@
 namespace {
 
 constexpr core::steady_time now{1h};
+const core::endpoint_id self{"10.0.0.2:7000", {2}};
 
 transport::frame request(const std::string& key, bool rewritten) {
     transport::request_head head;
     head.reply_address = "10.0.0.1:7000";
+    head.gate_address = self.address;
     head.context.key = key;
     head.context.deadline = now + 5s;
     transport::frame message;
@@ -46,7 +48,7 @@
     };
     for (const auto& tried : cases) {
         INFO(tried.what);
-        const auto refusal = refuse_misdirected(request(tried.key, tried.rewritten), now);
+        const auto refusal = refuse_misdirected(request(tried.key, tried.rewritten), self, now);
         REQUIRE(refusal);
         CHECK(refusal->to == core::endpoint_id{"10.0.0.1:7000", {3}});
         CHECK(refusal->message.attempt == core::attempt_id{{3}, 8, 1});
@@ -55,11 +57,17 @@
         const auto& end = std::get<transport::attempt_end>(refusal->message.payload);
         CHECK(end.run == tried.run);
         CHECK(end.reason == tried.reason);
+        CHECK(end.successor_of == core::incarnation{1});
     }
 }
 
 TEST_CASE("frames of an attempt that began elsewhere are refused", "[misdirected]") {
     auto message = request("", false);
     message.payload = transport::cancel{};
-    REQUIRE_FALSE(refuse_misdirected(message, now));
+    REQUIRE_FALSE(refuse_misdirected(message, self, now));
+}
+
+TEST_CASE("a request that strayed from another address is refused", "[misdirected]") {
+    const core::endpoint_id elsewhere{"10.0.0.3:7000", {2}};
+    REQUIRE_FALSE(refuse_misdirected(request("", false), elsewhere, now));
 }
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -85,6 +85,7 @@
         target.set_home_life(end.home.life.value);
     }
     target.set_homes_version(end.homes_version);
+    target.set_successor_of(end.successor_of.value);
     if (end.nested_attempts) {
         target.set_nested_attempts(*end.nested_attempts);
     }
@@ -127,6 +128,7 @@
     end.detail = source.detail();
     end.home = {source.home_address(), {source.home_life()}};
     end.homes_version = source.homes_version();
+    end.successor_of = {source.successor_of()};
     end.service_time = std::chrono::microseconds(source.service_us());
     if (source.has_nested_attempts()) {
         end.nested_attempts = source.nested_attempts();
@@ -146,6 +148,7 @@
 
 void write(const request_head& head, wire::request_head& target, core::steady_time now) {
     target.set_reply_address(head.reply_address);
+    target.set_gate_address(head.gate_address);
     write(head.context, *target.mutable_context(), now);
     target.set_service(head.service);
     target.set_method(head.method);
@@ -169,6 +172,7 @@
     request_head head;
     head.context = std::move(*context);
     head.reply_address = std::move(*source.mutable_reply_address());
+    head.gate_address = std::move(*source.mutable_gate_address());
     head.service = std::move(*source.mutable_service());
     head.method = std::move(*source.mutable_method());
     head.target = std::move(*source.mutable_target());
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -33,6 +33,7 @@
 /// body.
 struct request_head {
     std::string reply_address; ///< Transport address of the entry.
+    std::string gate_address;  ///< Transport address that the request is sent to.
     core::call_context context;
     std::string service;
     std::string method;
@@ -57,6 +58,8 @@
     std::chrono::microseconds service_time{0};
     core::endpoint_id home; ///< The home of the key; set only if `reason` is wrong_home.
     std::uint64_t homes_version = 0;
+    /// The incarnation that the request was sent to, if a later one at the same address reports its end.
+    core::incarnation successor_of;
 };
 
 /// Begins an answer. `total` and `end` are set only if `body` is the complete body.
