--- a/src/transport/tests/tcp_fault_tests.cpp
+++ b/src/transport/tests/tcp_fault_tests.cpp
@@ -75,6 +75,9 @@
 
     tcp::socket accept() { return m_acceptor.accept(); }
 
+    /// Refuses connections from now on.
+    void stop_listening() { m_acceptor.close(); }
+
     /// Returns the next pending connection, or nothing if there is none.
     std::optional<tcp::socket> try_accept() {
         boost::system::error_code none;
@@ -243,15 +246,15 @@
           "[transport]") {
     frozen_clock time;
     two_daemons daemons(patient_options(), &time);
-    std::optional<slow_peer> peer(std::in_place);
-    const auto id = peer->id();
+    slow_peer peer;
+    const auto id = peer.id();
     for (std::uint64_t call = 1; call <= more_than_held; ++call) {
         daemons.left.send(id, bulk_frame(call, bulk_bytes));
     }
     {
-        const tcp::socket closed_unread = peer->accept();
+        const tcp::socket closed_unread = peer.accept();
         REQUIRE_FALSE(daemons.left_seen.unsent(1).empty());
-        peer.reset();
+        peer.stop_listening();
     }
     while (daemons.left_seen.cut(0).empty()) {
         time.advance(std::chrono::milliseconds(100));
