--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,17 +23,21 @@
     return answer[0] if answer else None
 
 
-async def keep_asking(rig: Rig, machine) -> None:
+async def keep_asking(rig: Rig, machine, outcomes: dict[str, int | None]) -> None:
+    async def note(request) -> None:
+        name, status, _ = await request
+        outcomes[name] = status
+
     while True:
-        rig.background(rig.request(machine, "/work/x"))
+        rig.background(note(rig.request(machine, "/work/x", "POST")))
         await asyncio.sleep(0.05)
 
 
 async def case(rig: Rig) -> str:
-    rig.store.put("config", "main", configuration(7, [("r-work", "/work/", "safe", "work")], ["work", "shop"]))
+    rig.store.put("config", "main", configuration(7, [("r-work", "/work/", "unsafe", "work")], ["work", "shop"]))
     beside = rig.machine("side-work", "work")
     other = rig.machine("side-shop", "shop")
-    leaving = Endpoint(rig.record, "work", beside.control)
+    leaving = Endpoint(rig.record, "work", beside.control, work_s=0.2)
     leaving.port = beside.app
     await leaving.start()
     for machine in rig.machines:
@@ -43,7 +47,8 @@
             raise CannotRun(f"{machine.name} did not get ready")
     beats = rig.background(leaving.keep_beating())
     await asyncio.sleep(STABLE_S + 2)
-    rig.background(keep_asking(rig, other))
+    outcomes: dict[str, int | None] = {}
+    rig.background(keep_asking(rig, other, outcomes))
     await asyncio.sleep(2)
     if not leaving.runs:
         raise CannotRun("no request reached the endpoint")
@@ -64,14 +69,19 @@
         await asyncio.sleep(1)
     if acknowledged is None:
         raise CannotRun("the draining check-in was not acknowledged")
-    rig.background(leaving.keep_beating())
+    beats = rig.background(leaving.keep_beating())
     await asyncio.sleep(SERVES_ON_S)
+    beats.cancel()
+    await ask(leaving.control, "POST", f"/api/Instances.Deregister/{leaving.id}", patience=1.0)
+    leaving.end()
+    await asyncio.sleep(1)
     late = [at for at, _, _ in leaving.runs if at > acknowledged + DRAIN_MS / 1000 + 0.05]
-    rig.record.write("counted", acknowledged=round(acknowledged, 3), reached_late=len(late),
+    lost = sum(outcomes.get(name) in (None, 502, 504) for at, name, _ in leaving.runs if at > acknowledged)
+    rig.record.write("counted", acknowledged=round(acknowledged, 3), reached_late=len(late), lost_at_the_end=lost,
                      latest_after_ack_s=round(max(late) - acknowledged, 3) if late else None)
     if late:
         return (f"DRAIN: {len(late)} requests reached the endpoint later than {DRAIN_MS} ms after the ack of its "
-                f"draining, the last {max(late) - acknowledged:.1f} s after it")
+                f"draining, the last {max(late) - acknowledged:.1f} s after it; {lost} ran and were lost at its end")
     return ""
 
 
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -257,11 +257,19 @@
         self.runs: list[tuple[float, str, str]] = []  #: Time, request id and path of each run.
         self._busy = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST_IP, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def end(self) -> None:
+        """The endpoint's process ends: its connections close, and what runs there is lost."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+        self.record.write("endpoint ended", endpoint=self.id, at_work=self._busy)
+
     async def beat(self) -> int | None:
         """One check-in with the current state; returns the status of the answer."""
         self.sequence += 1
@@ -278,10 +286,12 @@
             await asyncio.sleep(interval_s)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError):
             while (message := await read_message(reader)) is not None:
                 writer.write(await self._answer(*message))
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, line: str, headers: dict[str, str], body: bytes) -> bytes:
