--- a/review/2/case.py
+++ b/review/2/case.py
@@ -43,8 +43,7 @@
     for machine in rig.machines:
         machine.start()
     for machine in rig.machines:
-        if not await machine.await_ready(20):
-            raise CannotRun(f"{machine.name} did not get ready")
+        await machine.await_ready(20)
     beats = rig.background(leaving.keep_beating())
     await asyncio.sleep(STABLE_S + 2)
     outcomes: dict[str, int | None] = {}
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -41,8 +41,7 @@
         machine.start()
         rig.background(endpoint.keep_beating())
     for machine in rig.machines:
-        if not await machine.await_ready(20):
-            raise CannotRun(f"{machine.name} did not get ready")
+        await machine.await_ready(20)
         rig.background(platform(rig, machine))
     await asyncio.sleep(4)
     before = await ask_all(rig, "/work/before")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,8 +20,7 @@
     await endpoint.start()
     machine.start()
     rig.background(endpoint.keep_beating())
-    if not await machine.await_ready(20):
-        raise CannotRun("the daemon did not get ready")
+    await machine.await_ready(20)
     await asyncio.sleep(6)
     before = [(await rig.request(machine, "/dropped/before", "POST"))[1] for _ in range(10)]
     if before.count(200) < len(before):
