--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,12 +29,12 @@
         outcomes[name] = status
 
     while True:
-        rig.background(note(rig.request(machine, "/work/x", "POST")))
+        rig.background(note(rig.request(machine, "/orders/x", "POST")))
         await asyncio.sleep(0.05)
 
 
 async def case(rig: Rig) -> str:
-    rig.store.put("config", "main", configuration(7, [("r-work", "/work/", "unsafe", "work")], ["work", "shop"]))
+    rig.store.put("config", "main", configuration(7, [("r-work", "/orders/", "unsafe", "work")], ["work", "shop"]))
     beside = rig.machine("side-work", "work")
     other = rig.machine("side-shop", "shop")
     leaving = Endpoint(rig.record, "work", beside.control, work_s=0.2)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -32,7 +32,7 @@
 
 
 async def case(rig: Rig) -> str:
-    rig.store.put("config", "main", configuration(7, [("r-work", "/work/", "safe", "work")], ["work"]))
+    rig.store.put("config", "main", configuration(7, [("r-work", "/orders/", "safe", "work")], ["work"]))
     for number in range(2):
         machine = rig.machine(f"side-work-{number}", "work")
         endpoint = Endpoint(rig.record, "work", machine.control)
@@ -44,7 +44,7 @@
         await machine.await_ready(20)
         rig.background(platform(rig, machine))
     await asyncio.sleep(4)
-    before = await ask_all(rig, "/work/before")
+    before = await ask_all(rig, "/orders/before")
     if before.count(200) < len(before):
         raise CannotRun("requests fail before anything happened")
 
@@ -52,7 +52,7 @@
         machine.bounds["GraceS"] = 6.5 if TROUBLE else 7
         machine.kill()
     await asyncio.sleep(RESTART_DELAY_S + RECOVER_S)
-    later = await ask_all(rig, "/work/after")
+    later = await ask_all(rig, "/orders/after")
     rig.record.write("counted", served_before=before.count(200), served=later.count(200), sent=len(later),
                      last_output=rig.machines[0].log().replace(str(rig.folder), "")[-200:])
     if later.count(200) < len(later) / 4:
