Refuse heartbeats of other writers, and acknowledge a leaving only if it has an effect

Cause: a heartbeat with four of nine fields missing was taken for a new start of the backend server, whose own heartbeats then counted as late; and a late draining heartbeat got a 200 though nothing followed from it.

Change: all fields with their types, and the service and address of the settings, are required; a late leaving under the name in service gets 503, one under another name is recorded first.

--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -127,6 +127,10 @@
     hooks.is_ready = [this] {
         return m_phase == lifecycle::phase::serving;
     };
+    hooks.local_backend = [this] {
+        return platform::backend_identity{m_settings.deployment->service,
+                                          m_settings.deployment->backend_address};
+    };
     hooks.heard = [this](const platform::heartbeat& received, const platform::acknowledgement& acknowledge) {
         boost::asio::post(m_control,
                           [this, received, acknowledge] { take_heartbeat(received, acknowledge); });
@@ -178,7 +182,8 @@
         acknowledge_deregistration(acknowledge);
         return;
     }
-    acknowledge(true);
+    // NOTE: the backend server would rely on an acknowledgement of a leaving that has no effect here.
+    acknowledge(false);
 }
 
 void daemon::log_heartbeat_effect(const gate::backend_incarnations& before,
--- a/src/app/monsoonliftd/tests/farewell_process_tests.py
+++ b/src/app/monsoonliftd/tests/farewell_process_tests.py
@@ -112,6 +112,17 @@
         self.assertEqual(self.deregister(), 200)
         self.assert_takes_no_work_after(lambda: None, late)
 
+    def test_heartbeat_of_another_writer_does_not_keep_a_draining_server_in_use(self) -> None:
+        """Guards against a leaving that is acknowledged and ignored, as in review case 2 (DRAIN)."""
+        self.serve()
+        path, fields = self.vm.endpoint.next_heartbeat()
+        odd = {"born": int(time.time() * 1000), "Sequence": 1}
+        for changes in ({"Address": None}, {"Zone": 7}, {"Service": "another"}, {"Address": "127.0.0.1:9"}):
+            self.assertFalse(self.vm.endpoint.post((path, {**fields, **odd, **changes})), changes)
+        path, fields = self.vm.endpoint.next_heartbeat()
+        self.assertTrue(self.vm.endpoint.post((path, {**fields, "State": "draining"})))
+        wait_for(lambda: self.status_of_a_call() == 503, "the gate to close")
+
     def test_deregistration_is_remembered_when_the_process_is_killed(self) -> None:
         self.check_deregistration_outlives(self.vm.kill_daemon)
 
--- a/src/gate/backend_incarnations.h
+++ b/src/gate/backend_incarnations.h
@@ -41,7 +41,9 @@
 [[nodiscard]] announcement_effect
 on_ready_heartbeat(backend_incarnations& lives, const announcement_position& offered, core::steady_time now);
 
-/// Handles a heartbeat of a backend server that is about to stop, received at Unix time `received_ms`.
+/// Handles a heartbeat of a backend server that is about to stop, received at Unix time `received_ms`. One
+/// that is late changes nothing for the newest incarnation; unless both have the same name, its leaving is
+/// recorded. Acknowledge it only if has_left() holds for it afterwards.
 [[nodiscard]] announcement_effect on_draining_heartbeat(backend_incarnations& lives,
                                                         const announcement_position& offered,
                                                         std::uint64_t received_ms);
--- a/src/gate/internal/backend_incarnations.cpp
+++ b/src/gate/internal/backend_incarnations.cpp
@@ -80,10 +80,13 @@
 
 announcement_effect on_draining_heartbeat(backend_incarnations& lives, const announcement_position& offered,
                                           std::uint64_t received_ms) {
-    if (is_superseded(lives.newest, offered)) {
+    const bool is_late = is_superseded(lives.newest, offered);
+    if (is_late && lives.newest->id == offered.id) {
         return announcement_effect::late;
     }
-    lives.newest = offered;
+    if (!is_late) {
+        lives.newest = offered;
+    }
     return on_deregistration(lives, {offered.id, offered.started_ms, received_ms});
 }
 
--- a/src/gate/tests/backend_incarnations_tests.cpp
+++ b/src/gate/tests/backend_incarnations_tests.cpp
@@ -86,6 +86,22 @@
     CHECK(lives.serves);
 }
 
+// Guards against an acknowledgement of a leaving that the daemon then ignores (DRAIN).
+TEST_CASE("a draining heartbeat that is late has left only if the newest incarnation has another name",
+          "[backend_incarnations]") {
+    const testing::manual_clock clock;
+    auto lives = settled();
+    CHECK(on_ready_heartbeat(lives, {"a", 200, 7}, clock.now()) == effect::opens);
+    CHECK(on_draining_heartbeat(lives, {"a", 100, 9}, deregistered_ms) == effect::late);
+    CHECK_FALSE(has_left(lives.departed, {"a", 100, 9}));
+    CHECK(on_draining_heartbeat(lives, {"a", 200, 6}, deregistered_ms) == effect::late);
+    CHECK_FALSE(has_left(lives.departed, {"a", 200, 6}));
+    CHECK(on_draining_heartbeat(lives, {"b", 100, 9}, deregistered_ms) == effect::late);
+    CHECK(has_left(lives.departed, {"b", 100, 9}));
+    CHECK_FALSE(has_left(lives.departed, {"a", 200, 8}));
+    CHECK(lives.serves);
+}
+
 TEST_CASE("a late heartbeat is ignored if an earlier process received the deregistration",
           "[backend_incarnations]") {
     const testing::manual_clock clock;
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -139,7 +139,8 @@
     {event_id::lines_left_out, severity::notice, "lines_left_out",
      "Log lines dropped in about the last second to limit the log's size: their number for each event."},
     {event_id::heartbeat_refused, severity::warning, "heartbeat_refused",
-     "A heartbeat received on the platform's protocol is malformed and was ignored."},
+     "A heartbeat on the platform's protocol is malformed or not from this VM's backend server and was "
+     "ignored."},
     {event_id::heartbeat_late, severity::notice, "heartbeat_late",
      "An announcement of the backend server was ignored because a later one or a deregistration arrived "
      "before it."},
--- a/src/platform/heartbeat_codec.h
+++ b/src/platform/heartbeat_codec.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -13,6 +14,7 @@
 struct heartbeat {
     std::string id; ///< From the path; usually a new one for each start of the backend server.
     std::string service;
+    std::string address; ///< "ip:port" at which the sender takes requests.
     std::uint32_t slots = 1;
     bool draining = false;
     std::chrono::milliseconds cold_for{0}; ///< `ColdRemainingMs`: remaining time of its slow start phase.
@@ -25,10 +27,21 @@
     std::string reason;
 };
 
-/// Decodes the heartbeat of the backend server `id`.
+/// The backend server of this VM, as the settings name it.
+struct backend_identity {
+    std::string service;
+    std::string address; ///< "ip:port"
+};
+
+/// Decodes the heartbeat of the backend server `id`. Refuses one that lacks a field or has one of another
+/// type; only `born` may be absent.
 [[nodiscard]] std::variant<heartbeat, heartbeat_fault> decode_heartbeat(std::string_view id,
                                                                         std::string_view body);
 
+/// Returns why a heartbeat can't come from the backend server of this VM; nothing if it can.
+[[nodiscard]] std::optional<heartbeat_fault> sender_fault(const heartbeat& received,
+                                                          const backend_identity& expected);
+
 /// A decoded deregistration.
 struct deregistration {
     std::string id;               ///< From the path.
--- a/src/platform/internal/local_server.cpp
+++ b/src/platform/internal/local_server.cpp
@@ -52,7 +52,12 @@
         refuse(id, *fault, reply);
         return;
     }
-    m_hooks.heard(std::get<heartbeat>(decoded), acknowledge_by(reply));
+    const auto& received = std::get<heartbeat>(decoded);
+    if (const auto fault = sender_fault(received, m_hooks.local_backend())) {
+        refuse(id, *fault, reply);
+        return;
+    }
+    m_hooks.heard(received, acknowledge_by(reply));
 }
 
 void local_server::take_deregistration(const admin_request& request, const admin_reply& reply) {
--- a/src/platform/local_server.h
+++ b/src/platform/local_server.h
@@ -20,6 +20,7 @@
 /// Callbacks from a local server to its owner; they may be called on any thread.
 struct local_server_hooks {
     std::function<bool()> is_ready;
+    std::function<backend_identity()> local_backend; ///< Heartbeats of any other sender are refused.
     std::function<void(const heartbeat&, acknowledgement)> heard; ///< Called for each valid heartbeat.
     std::function<void(const deregistration&, acknowledgement)> deregistered;
 };
--- a/src/platform/tests/heartbeat_codec_tests.cpp
+++ b/src/platform/tests/heartbeat_codec_tests.cpp
@@ -27,6 +27,7 @@
     const auto& read = std::get<heartbeat>(decoded);
     CHECK(read.id == "i-7f3a91c2");
     CHECK(read.service == "mappa");
+    CHECK(read.address == "10.0.0.1:8080");
     CHECK(read.slots == 51);
     CHECK_FALSE(read.draining);
     CHECK(read.cold_for == 1500ms);
@@ -60,6 +61,39 @@
     CHECK(std::holds_alternative<heartbeat_fault>(decode_heartbeat(std::string(500, 'i'), body)));
 }
 
+// Guards against a heartbeat of another writer that ends the incarnation which the daemon serves (DRAIN).
+TEST_CASE("a heartbeat that lacks a field or has one of another type is rejected", "[platform]") {
+    const std::string fields[] = {"\"Service\":\"mappa\",",
+                                  "\"Address\":\"10.0.0.1:8080\",",
+                                  "\"Zone\":\"palermo\",",
+                                  "\"Version\":\"v1\",",
+                                  "\"Slots\":51,",
+                                  "\"State\":\"ready\",",
+                                  "\"ColdRemainingMs\":1500,",
+                                  "\"Sequence\":4,"};
+    for (const auto& field : fields) {
+        INFO(field);
+        const auto name = field.substr(0, field.find(':') + 1);
+        CHECK(std::holds_alternative<heartbeat_fault>(decode_heartbeat("i-1", replaced(field, ""))));
+        CHECK(
+            std::holds_alternative<heartbeat_fault>(decode_heartbeat("i-1", replaced(field, name + "[],"))));
+        CHECK(std::holds_alternative<heartbeat_fault>(
+            decode_heartbeat("i-1", replaced(field, name + "null,"))));
+    }
+    CHECK(std::holds_alternative<heartbeat_fault>(
+        decode_heartbeat("i-1", replaced("1770000000123", "\"1770000000123\""))));
+    CHECK(
+        std::holds_alternative<heartbeat>(decode_heartbeat("i-1", replaced(",\"born\":1770000000123", ""))));
+}
+
+TEST_CASE("a heartbeat of another service or another address is not from this VM's backend server",
+          "[platform]") {
+    const auto received = std::get<heartbeat>(decode_heartbeat("i-1", body));
+    CHECK_FALSE(sender_fault(received, {"mappa", "10.0.0.1:8080"}));
+    CHECK(sender_fault(received, {"squadre", "10.0.0.1:8080"}));
+    CHECK(sender_fault(received, {"mappa", "10.0.0.1:8081"}));
+}
+
 TEST_CASE("a deregistration may carry the start time of its incarnation", "[platform]") {
     const auto start_in = [](const std::string& text) {
         return std::get<deregistration>(decode_deregistration("i-1", text)).started_ms;
