Read durations that are fractions, and start with any bound of the deployment

Cause: durations were whole numbers only, so the platform's GraceS of 6.5 was refused, and a bound out of our range was fatal.

Change: decimals are read and rounded to milliseconds; the deployment's three bounds are cut to what the daemon can keep.

--- a/src/settings/internal/daemon_settings.cpp
+++ b/src/settings/internal/daemon_settings.cpp
@@ -5,6 +5,8 @@
 #include "core/network_address.h"
 #include "settings/yaml_reader.h"
 
+#include <algorithm>
+
 namespace monsoonlift::settings {
 
 namespace {
@@ -120,6 +122,15 @@
         reader.duration("gone_object_patience", 1s, 24h, settings.gone_object_patience);
 }
 
+/// A bound of the deployment. The deployment sets it, so one outside of what the daemon can keep must not
+/// stop the daemon from starting: it keeps the nearest one that it can.
+std::chrono::milliseconds read_bound(yaml_reader& reader, std::string_view key,
+                                     std::chrono::milliseconds fallback) {
+    constexpr std::chrono::milliseconds shortest_kept = 100ms;
+    constexpr std::chrono::milliseconds longest_kept = 10min;
+    return std::clamp(reader.duration(key, 0ms, 24h, fallback), shortest_kept, longest_kept);
+}
+
 std::optional<deployment_settings> read_deployment(yaml_reader& root) {
     auto reader = root.map("deployment");
     if (!reader) {
@@ -133,9 +144,9 @@
     deployment.heartbeat_address = read_address(*reader, "heartbeat_address");
     deployment.ready_address = read_address(*reader, "ready_address");
     deployment.configuration_bound =
-        reader->duration("configuration_bound", 100ms, 10min, deployment.configuration_bound);
-    deployment.drain_bound = reader->duration("drain_bound", 100ms, 10min, deployment.drain_bound);
-    deployment.stop_bound = reader->duration("stop_bound", 1s, 10min, deployment.stop_bound);
+        read_bound(*reader, "configuration_bound", deployment.configuration_bound);
+    deployment.drain_bound = read_bound(*reader, "drain_bound", deployment.drain_bound);
+    deployment.stop_bound = read_bound(*reader, "stop_bound", deployment.stop_bound);
     return deployment;
 }
 
--- a/src/settings/internal/duration_text.cpp
+++ b/src/settings/internal/duration_text.cpp
@@ -1,6 +1,7 @@
 #include "settings/internal/duration_text.h"
 
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <string_view>
 
@@ -27,18 +28,19 @@
 } // namespace
 
 std::optional<std::chrono::milliseconds> parse_duration(const std::string& text) {
-    constexpr std::uint32_t longest = 1'000'000'000;
-    std::uint32_t amount = 0;
+    constexpr double longest = 1'000'000'000;
+    double amount = 0;
     const char* end = text.data() + text.size();
     const auto [rest, fault] = std::from_chars(text.data(), end, amount);
-    if (fault != std::errc() || amount > longest) {
+    const bool is_amount = fault == std::errc() && amount >= 0 && amount <= longest;
+    if (!is_amount) {
         return std::nullopt;
     }
     const auto factor = milliseconds_per(std::string_view(rest, static_cast<std::size_t>(end - rest)));
     if (!factor.has_value()) {
         return std::nullopt;
     }
-    return std::chrono::milliseconds(static_cast<std::int64_t>(amount) * *factor);
+    return std::chrono::milliseconds(std::llround(amount * static_cast<double>(*factor)));
 }
 
 std::string format_duration(std::chrono::milliseconds value) {
--- a/src/settings/internal/duration_text.h
+++ b/src/settings/internal/duration_text.h
@@ -6,8 +6,8 @@
 
 namespace monsoonlift::settings::internal {
 
-/// Parses a duration such as "250ms", "5s", "10m" or "2h"; returns nothing if it is malformed or its number
-/// exceeds 10^9.
+/// Parses a duration such as "250ms", "6.5s", "10m" or "2h", rounded to whole milliseconds; returns nothing
+/// if it is malformed or its number is negative or exceeds 10^9.
 [[nodiscard]] std::optional<std::chrono::milliseconds> parse_duration(const std::string& text);
 
 /// Formats a duration in a form that parse_duration() accepts: in seconds if it is a whole number of them,
--- a/src/settings/internal/yaml_reader.cpp
+++ b/src/settings/internal/yaml_reader.cpp
@@ -83,6 +83,10 @@
     }
 }
 
+bool yaml_reader::has(std::string_view key) const {
+    return child(key).IsDefined();
+}
+
 std::string yaml_reader::required_string(std::string_view key) {
     const YAML::Node node = child(key);
     if (!node.IsDefined() || !node.IsScalar() || node.Scalar().empty()) {
@@ -169,7 +173,7 @@
     if (!value.has_value() || *value < lowest || *value > highest) {
         report(key, describe(node),
                "a duration from " + internal::format_duration(lowest) + " to " +
-                   internal::format_duration(highest) + ", such as 250ms, 5s or 10m");
+                   internal::format_duration(highest) + ", such as 250ms, 6.5s or 10m");
         return lowest;
     }
     return *value;
--- a/src/settings/tests/daemon_settings_tests.cpp
+++ b/src/settings/tests/daemon_settings_tests.cpp
@@ -1,6 +1,8 @@
 #include "settings/daemon_settings.h"
 
+#include <chrono>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -49,6 +51,29 @@
     REQUIRE(std::get<daemon_settings>(parsed).transport_source_ip == "10.0.0.1");
 }
 
+// Guards against a daemon that ends at each start since a bound of its deployment is a fraction (RECOVER).
+TEST_CASE("the bounds of a deployment may be fractions and need not be what the daemon can keep",
+          "[settings]") {
+    const std::string deployment = "deployment: {service: mappa, backend_address: 127.0.0.1:1, "
+                                   "heartbeat_address: 127.0.0.1:2, ready_address: 127.0.0.1:3, ";
+    const auto bounds_of = [&](const std::string& bounds) {
+        const auto parsed = parse_daemon_settings(valid + deployment + bounds + "}\n");
+        REQUIRE(std::holds_alternative<daemon_settings>(parsed));
+        return *std::get<daemon_settings>(parsed).deployment;
+    };
+    CHECK(bounds_of("stop_bound: \"6.5s\"").stop_bound == std::chrono::milliseconds(6500));
+    CHECK(bounds_of("configuration_bound: \"2000.4ms\"").configuration_bound == std::chrono::seconds(2));
+    CHECK(bounds_of("drain_bound: \"2.5e3ms\"").drain_bound == std::chrono::milliseconds(2500));
+    CHECK(bounds_of("drain_bound: \"0.001ms\"").drain_bound == std::chrono::milliseconds(100));
+    CHECK(bounds_of("stop_bound: \"3600s\"").stop_bound == std::chrono::minutes(10));
+    for (const std::string wrong :
+         {"-1s", "infs", "nans", "1.5.2s", "s", "true s", "0x10s", "1e99s", "6.5"}) {
+        INFO(wrong);
+        const auto parsed = parse_daemon_settings(valid + deployment + "stop_bound: \"" + wrong + "\"}\n");
+        CHECK(std::holds_alternative<std::vector<settings_error>>(parsed));
+    }
+}
+
 TEST_CASE("each error is reported with path, line, found value and allowed values", "[settings]") {
     const bad_case cases[] = {
         {"wokers: 4\n", "wokers", 10, "unknown key \"wokers\"", "\"workers\" is the nearest"},
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -24,6 +24,9 @@
     /// Reports every key of the map that is not in `known`, with the most similar known key if one is close.
     void refuse_unknown_keys(const std::vector<std::string>& known);
 
+    /// Whether the map has the key, with whatever value.
+    [[nodiscard]] bool has(std::string_view key) const;
+
     /// Returns the string at `key`; an error if it is absent or empty.
     [[nodiscard]] std::string required_string(std::string_view key);
 
@@ -45,8 +48,8 @@
     /// Returns a boolean, or `fallback` if absent; without fallback it is required.
     [[nodiscard]] bool boolean(std::string_view key, std::optional<bool> fallback);
 
-    /// Returns a duration such as "250ms", "5s", "10m" in [lowest, highest], or `fallback` if absent; without
-    /// fallback it is required.
+    /// Returns a duration such as "250ms", "6.5s", "10m" in [lowest, highest], or `fallback` if absent;
+    /// without fallback it is required.
     [[nodiscard]] std::chrono::milliseconds duration(std::string_view key, std::chrono::milliseconds lowest,
                                                      std::chrono::milliseconds highest,
                                                      std::optional<std::chrono::milliseconds> fallback);
