Adopt every configuration that the platform has accepted

Cause: accepted configurations were held to the limits of documents that are submitted to us, and a document without routes was taken for one of the other kind.

--- a/src/app/monsoonctl/internal/configuration_commands.cpp
+++ b/src/app/monsoonctl/internal/configuration_commands.cpp
@@ -162,7 +162,7 @@
     }
     model::document before;
     if (current.value) {
-        auto accepted = model::read_document(current.value->document);
+        auto accepted = model::read_document(current.value->document, model::accepted_limits);
         if (auto* known = std::get_if<model::document>(&accepted)) {
             before = std::move(*known);
         }
--- a/src/configuration/internal/configuration_holder.cpp
+++ b/src/configuration/internal/configuration_holder.cpp
@@ -25,7 +25,7 @@
     if (offered.digest != digest_of(offered)) {
         return refuse(offered, "digest mismatch");
     }
-    auto read = read_document(offered.document);
+    auto read = read_document(offered.document, accepted_limits);
     if (const auto* errors = std::get_if<std::vector<settings::settings_error>>(&read)) {
         return refuse(offered, settings::to_string(errors->front()));
     }
--- a/src/configuration/internal/document_reader.cpp
+++ b/src/configuration/internal/document_reader.cpp
@@ -30,7 +30,7 @@
     auto names = root.string_list(key);
     std::set<std::string> seen;
     for (const auto& name : names) {
-        if (!name.empty() && !internal::is_name(name)) {
+        if (!name.empty() && !internal::is_name(name, submitted_limits)) {
             root.report(key, "\"" + name + "\"", internal::name_rule);
         }
         if (!name.empty() && !seen.insert(name).second) {
@@ -48,7 +48,7 @@
     std::set<std::string> names;
     for (auto& reader : root.map_list("callers")) {
         reader.refuse_unknown_keys({"name", "patience"});
-        caller_rule caller{internal::read_name(reader, "name"),
+        caller_rule caller{internal::read_name(reader, "name", submitted_limits),
                            reader.duration("patience", 1ms, 10min, std::nullopt)};
         if (!names.insert(caller.name).second) {
             reader.report("name", "\"" + caller.name + "\"", "a name that no other caller has");
@@ -78,7 +78,7 @@
     return rule;
 }
 
-document read_root(yaml_reader& root) {
+document read_root(yaml_reader& root, const document_limits& limits) {
     document read;
     root.refuse_unknown_keys(document_keys);
     static_cast<void>(root.whole_number("format", document_format, document_format, std::nullopt));
@@ -87,19 +87,20 @@
     read.callers = read_callers(root);
     read.retries = read_retries(root);
     read.execution = read_execution(root);
-    read.routes = internal::read_routes(root, read.classes);
-    read.services = internal::read_services(root, read.classes, !read.routes.empty());
+    read.routes = internal::read_routes(root, read.classes, limits);
+    read.services = internal::read_services(root, read.classes, limits);
     internal::check_destinations(root, read.routes, read.services);
     return read;
 }
 
 } // namespace
 
-std::variant<document, std::vector<settings_error>> read_document(const std::string& yaml_text) {
+std::variant<document, std::vector<settings_error>> read_document(const std::string& yaml_text,
+                                                                  const document_limits& limits) {
     std::vector<settings_error> errors;
-    if (yaml_text.size() > max_document_bytes) {
+    if (yaml_text.size() > limits.bytes) {
         errors.push_back({"(document)", 0, std::to_string(yaml_text.size()) + " bytes",
-                          "at most " + std::to_string(max_document_bytes) + " bytes"});
+                          "at most " + std::to_string(limits.bytes) + " bytes"});
         return errors;
     }
     const auto root = settings::load_map(yaml_text, "(document)", errors);
@@ -107,7 +108,7 @@
         return errors;
     }
     yaml_reader reader(*root, "", errors);
-    auto read = read_root(reader);
+    auto read = read_root(reader, limits);
     if (!errors.empty()) {
         return errors;
     }
--- a/src/configuration/internal/next_revision.cpp
+++ b/src/configuration/internal/next_revision.cpp
@@ -28,7 +28,7 @@
                                           const document& submitted) {
     document before;
     if (accepted) {
-        auto read = read_document(accepted->document);
+        auto read = read_document(accepted->document, accepted_limits);
         if (auto* known = std::get_if<document>(&read)) {
             before = std::move(*known);
         }
--- a/src/configuration/internal/route_reader.cpp
+++ b/src/configuration/internal/route_reader.cpp
@@ -14,21 +14,17 @@
 using namespace std::chrono_literals;
 using settings::yaml_reader;
 
-constexpr std::size_t max_routes = 5'000;
-constexpr std::uint64_t max_weight = 1'000'000;
-constexpr std::uint64_t max_attempts = 16;
-
 const std::vector<std::string> route_keys{
     "name",     "host",        "path", "class", "idempotent", "timeout", "latency_objective",
     "attempts", "destinations"};
 
-std::vector<route_destination> read_destinations(yaml_reader& route) {
+std::vector<route_destination> read_destinations(yaml_reader& route, const document_limits& limits) {
     std::vector<route_destination> destinations;
     std::uint64_t total = 0;
     for (auto& reader : route.map_list("destinations")) {
         reader.refuse_unknown_keys({"service", "weight"});
         route_destination destination;
-        destination.service = read_name(reader, "service");
+        destination.service = read_name(reader, "service", limits);
         destination.weight = static_cast<std::uint32_t>(reader.whole_number("weight", 0, max_weight, 1));
         total += destination.weight;
         destinations.push_back(std::move(destination));
@@ -40,39 +36,42 @@
     return destinations;
 }
 
-route_rule read_route(yaml_reader& reader, const std::vector<std::string>& classes) {
+route_rule read_route(yaml_reader& reader, const std::vector<std::string>& classes,
+                      const document_limits& limits) {
     reader.refuse_unknown_keys(route_keys);
     route_rule route;
-    route.name = read_name(reader, "name");
+    route.name = read_name(reader, "name", limits);
     route.host = reader.required_string("host");
-    route.path_prefix = read_path(reader);
+    route.path_prefix = read_path(reader, limits);
     route.class_name = read_listed(reader, "class", classes);
     route.rank = rank_of(classes, route.class_name);
     route.idempotent = reader.boolean("idempotent", std::nullopt);
-    route.timeout = reader.duration("timeout", 1ms, 1h, route.timeout);
-    route.latency_objective = reader.duration("latency_objective", 1ms, 1h, route.latency_objective);
+    route.timeout = reader.duration("timeout", 1ms, max_route_time, route.timeout);
+    route.latency_objective =
+        reader.duration("latency_objective", 1ms, max_route_time, route.latency_objective);
     route.attempts =
-        static_cast<std::uint32_t>(reader.whole_number("attempts", 1, max_attempts, route.attempts));
-    route.destinations = read_destinations(reader);
+        static_cast<std::uint32_t>(reader.whole_number("attempts", 1, max_route_attempts, route.attempts));
+    route.destinations = read_destinations(reader, limits);
     return route;
 }
 
 } // namespace
 
-std::vector<route_rule> read_routes(yaml_reader& root, const std::vector<std::string>& classes) {
+std::vector<route_rule> read_routes(yaml_reader& root, const std::vector<std::string>& classes,
+                                    const document_limits& limits) {
     std::vector<route_rule> routes;
     std::set<std::pair<std::string, std::string>> targets;
     for (auto& reader : root.map_list("routes")) {
-        auto route = read_route(reader, classes);
+        auto route = read_route(reader, classes, limits);
         if (!targets.emplace(route.host, route.path_prefix).second) {
             reader.report("path", "\"" + route.host + route.path_prefix + "\"",
                           "a host and path that no other route has");
         }
         routes.push_back(std::move(route));
     }
-    if (routes.size() > max_routes) {
+    if (routes.size() > limits.routes) {
         root.report("routes", std::to_string(routes.size()) + " routes",
-                    "at most " + std::to_string(max_routes) + " routes");
+                    "at most " + std::to_string(limits.routes) + " routes");
     }
     return routes;
 }
--- a/src/configuration/limits.h
+++ b/src/configuration/limits.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace monsoonlift::configuration {
 
@@ -8,6 +10,29 @@
 /// envelope.
 inline constexpr std::size_t max_document_bytes = 800'000;
 
+/// Highest values of a route and of a service.
+inline constexpr std::uint64_t max_route_attempts = 16;
+inline constexpr std::uint64_t max_weight = 1'000'000;
+inline constexpr std::chrono::milliseconds max_route_time = std::chrono::hours(1);
+inline constexpr std::uint64_t max_connections = 1'000'000;
+
+/// What a document may contain, beyond what its syntax requires.
+struct document_limits {
+    std::size_t bytes = max_document_bytes; ///< Size of its text.
+    std::size_t routes = 5'000;
+    std::size_t services = 2'000;
+    std::size_t fewest_services = 1;
+    std::size_t name_length = 64; ///< Of a service, a call or a route.
+    bool plain_text = true;       ///< Names and paths are limited to some visible ASCII characters.
+};
+
+/// Limits of a document that is submitted, so that an operator is told at once.
+inline constexpr document_limits submitted_limits{};
+
+/// Limits of a document that was accepted elsewhere. A daemon that refused it would go on with the one
+/// before, so these only keep a damaged text from taking all memory.
+inline constexpr document_limits accepted_limits{16'000'000, 200'000, 200'000, 0, 4'096, false};
+
 /// Maximum number of classes in a document; a rank must fit in four bits.
 inline constexpr std::size_t max_classes = 16;
 
--- a/src/platform/internal/configuration_codec.cpp
+++ b/src/platform/internal/configuration_codec.cpp
@@ -9,9 +9,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace monsoonlift::platform {
 
@@ -58,14 +60,19 @@
     return std::string(value.get_string());
 }
 
-std::int64_t number_field(const json::object& map, const char* name, const std::string& where) {
+double decimal_field(const json::object& map, const char* name, const std::string& where) {
     const auto& value = field(map, name, where);
     boost::system::error_code fault;
     const auto number = value.is_number() ? value.to_number<double>(fault) : -1.0;
     if (fault || number < 0 || number > 1e12) {
         throw bad_field{where + ": " + name + " is not a number of 0 or more"};
     }
-    return static_cast<std::int64_t>(number);
+    return number;
+}
+
+/// Rounds up, so that a fraction of one does not become zero.
+std::int64_t number_field(const json::object& map, const char* name, const std::string& where) {
+    return static_cast<std::int64_t>(std::ceil(decimal_field(map, name, where)));
 }
 
 std::int64_t optional_number(const json::object& map, const char* name, const std::string& where) {
@@ -81,8 +88,27 @@
     return *list;
 }
 
-std::string milliseconds_text(std::int64_t count) {
-    return std::to_string(count) + "ms";
+/// A duration of a route, cut to the longest that the document may contain.
+std::string duration_text(std::int64_t milliseconds) {
+    return std::to_string(
+               std::min(milliseconds, static_cast<std::int64_t>(configuration::max_route_time.count()))) +
+           "ms";
+}
+
+/// Returns whole weights in the proportions of `weights`, none above the highest that the document may
+/// contain.
+std::vector<std::int64_t> whole_weights(const std::vector<double>& weights) {
+    constexpr auto highest = static_cast<double>(configuration::max_weight);
+    const bool are_whole = std::all_of(weights.begin(), weights.end(), [](double weight) {
+        return weight <= highest && std::floor(weight) == weight;
+    });
+    const auto largest = *std::max_element(weights.begin(), weights.end());
+    const auto scale = are_whole ? 1.0 : highest / largest;
+    std::vector<std::int64_t> whole;
+    for (const auto weight : weights) {
+        whole.push_back(static_cast<std::int64_t>(std::ceil(weight * scale)));
+    }
+    return whole;
 }
 
 std::string class_of(std::int64_t priority) {
@@ -97,10 +123,16 @@
         destinations.push_back(json::object{{"service", text_field(action, "Service", where)}});
         return destinations;
     }
+    std::vector<std::string> services;
+    std::vector<double> weights;
     for (const auto& part : split->get_array()) {
         const auto& share = map_at(part, where + ": TrafficSplit");
-        destinations.push_back(json::object{{"service", text_field(share, "Service", where)},
-                                            {"weight", number_field(share, "Weight", where)}});
+        services.push_back(text_field(share, "Service", where));
+        weights.push_back(decimal_field(share, "Weight", where));
+    }
+    const auto whole = whole_weights(weights);
+    for (std::size_t index = 0; index < services.size(); ++index) {
+        destinations.push_back(json::object{{"service", services[index]}, {"weight", whole[index]}});
     }
     return destinations;
 }
@@ -123,15 +155,15 @@
                        {"destinations", destinations_of(action, where)}};
     const auto timeout = optional_number(action, "TimeoutMs", where);
     if (timeout > 0) {
-        route["timeout"] = milliseconds_text(timeout);
+        route["timeout"] = duration_text(timeout);
     }
     const auto objective = optional_number(rule, "TargetLatencyMs", where);
     if (objective > 0) {
-        route["latency_objective"] = milliseconds_text(objective);
+        route["latency_objective"] = duration_text(objective);
     }
     const auto attempts = optional_number(action, "MaxAttempts", where);
     if (attempts > 0) {
-        route["attempts"] = attempts;
+        route["attempts"] = std::min(attempts, static_cast<std::int64_t>(configuration::max_route_attempts));
     }
     return route;
 }
@@ -153,7 +185,9 @@
     for (const auto& each : list_field(content, "Clusters", "the configuration")) {
         const auto& cluster = map_at(each, "a cluster");
         const auto name = text_field(cluster, "Name", "a cluster");
-        const auto connections = std::max<std::int64_t>(optional_number(cluster, "MaxConnections", name), 1);
+        const auto connections =
+            std::clamp<std::int64_t>(optional_number(cluster, "MaxConnections", name), 1,
+                                     static_cast<std::int64_t>(configuration::max_connections));
         // NOTE: `endpoints` and `slots` are placeholders; the backend servers report the real numbers.
         services.push_back(
             json::object{{"name", name}, {"endpoints", 1}, {"slots", 1}, {"connections", connections}});
--- a/src/platform/tests/configuration_codec_tests.cpp
+++ b/src/platform/tests/configuration_codec_tests.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <string>
 
 using namespace monsoonlift;
@@ -94,6 +95,76 @@
     CHECK(status->idempotent == tried.idempotent);
 }
 
+namespace {
+
+/// The rules in force once a daemon has read the operator's configuration; nullptr if it refuses it.
+std::shared_ptr<const configuration::document> rules_of(const std::string& text) {
+    const auto decoded = decode(text);
+    REQUIRE(std::holds_alternative<configuration::stored_configuration>(decoded));
+    testing::silent_log log;
+    configuration::configuration_holder holder(log);
+    static_cast<void>(holder.adopt(std::get<configuration::stored_configuration>(decoded)));
+    return holder.current();
+}
+
+std::string with_many_routes(int count) {
+    std::string rules;
+    for (int number = 0; number < count; ++number) {
+        rules += R"({"Name":"r-)" + std::to_string(number) + R"(","Kind":"safe","Match":{"PathPrefix":"/)" +
+                 std::to_string(number) + R"(/"},"Action":{"Service":"mappa"}},)";
+    }
+    return replaced("\"Rules\":[", "\"Rules\":[" + rules);
+}
+
+} // namespace
+
+// Guards against an accepted configuration that each daemon refuses for its size (CONFIG, RECOVER).
+TEST_CASE("a configuration with more routes than a submitted document may have is adopted", "[platform]") {
+    constexpr int added = 7'000;
+    const auto text = with_many_routes(added);
+    REQUIRE(text.size() < 1'048'576);
+    const auto rules = rules_of(text);
+    REQUIRE(rules != nullptr);
+    CHECK(rules->routes.size() == added + 3);
+    CHECK(configuration::find_route(*rules, "maps.example", "/6999/x")->name == "r-6999");
+}
+
+// Guards against a dropped route that stays in use, since it was the last one (CONFIG).
+TEST_CASE("a configuration without routes is adopted, and one without services", "[platform]") {
+    const auto no_routes =
+        rules_of(R"({"Version":"0000000d","Listeners":[{"Host":"maps.example","Rules":[]}],)"
+                 R"("Clusters":[{"Name":"mappa","MaxConnections":406}]})");
+    REQUIRE(no_routes != nullptr);
+    CHECK(no_routes->routes.empty());
+    CHECK(configuration::find_service(*no_routes, "mappa") != nullptr);
+    const auto nothing = rules_of(R"({"Version":"0000000e","Listeners":[],"Clusters":[]})");
+    REQUIRE(nothing != nullptr);
+    CHECK(nothing->services.empty());
+}
+
+TEST_CASE("a configuration with values beyond those of a submitted document is adopted", "[platform]") {
+    const auto route_of = [](const std::string& from, const std::string& to) {
+        const auto rules = rules_of(replaced(from, to));
+        REQUIRE(rules != nullptr);
+        const auto* route = configuration::find_route(*rules, "maps.example", "/status/7");
+        REQUIRE(route != nullptr);
+        return *route;
+    };
+    CHECK(route_of("\"MaxAttempts\":3", "\"MaxAttempts\":17").attempts == 16);
+    CHECK(route_of("\"TimeoutMs\":1000", "\"TimeoutMs\":7200000").timeout == 1h);
+    CHECK(route_of("\"TimeoutMs\":1000", "\"TimeoutMs\":0.5").timeout == 1ms);
+    CHECK(route_of("\"TargetLatencyMs\":1500", "\"TargetLatencyMs\":1e9").latency_objective == 1h);
+    CHECK(route_of("\"status\"", "\"" + std::string(65, 's') + ".x\"").name.size() == 67);
+    CHECK(route_of("\"mappa\",\"Weight\":90", "\"mappa\",\"Weight\":4000000").destinations[1].weight == 3);
+    const auto halves = route_of("\"Weight\":90},{\"Service\":\"spare\",\"Weight\":10",
+                                 "\"Weight\":0.5},{\"Service\":\"spare\",\"Weight\":0.5");
+    CHECK(halves.destinations[0].weight == halves.destinations[1].weight);
+    CHECK(halves.destinations[0].weight > 0);
+    CHECK(rules_of(replaced("\"MaxConnections\":406", "\"MaxConnections\":2000000")) != nullptr);
+    CHECK(rules_of(replaced("\"/status/photo/\"", "\"/st\u00e4tus/\"")) != nullptr);
+    CHECK(rules_of(replaced("{\"Name\":\"spare\"}", "{\"Name\":\"spare\"},{\"Name\":\"a.b\"}")) != nullptr);
+}
+
 TEST_CASE("a malformed configuration is rejected with a reason", "[platform]") {
     const std::string texts[] = {
         "7",
