Use settings that are read again, and notice a changed file without a signal

Cause: a SIGHUP compared the settings and used none of them; a change without a signal was never seen.

Change: take_changes() says what a running daemon takes; the store's client asks for the address at each call; the file is compared once a second.

--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -44,6 +44,7 @@
     facts: Facts
     seed: int
     starts: int = 0
+    store_address: str = ""  # Where the daemon finds the store; its proxied link unless a test says otherwise.
     process: Process | None = None
     lock: threading.Lock = field(default_factory=threading.Lock)
     server_lock: threading.Lock = field(default_factory=threading.Lock)
@@ -80,11 +81,16 @@
 
     def start_daemon(self) -> None:
         self.starts += 1
-        settings = self.folder / f"vm-{self.number}.yaml"
-        settings.write_text(self._settings())
+        settings = self.write_settings()
         log = self.folder / f"vm-{self.number}.{self.starts}.log"
         self.process = Process(f"vm-{self.number}", [str(BINARIES / "monsoonliftd"), "--settings", str(settings)], log)
 
+    def write_settings(self) -> pathlib.Path:
+        """Places the settings file, as the platform does at every start and whenever the settings change."""
+        settings = self.folder / f"vm-{self.number}.yaml"
+        settings.write_text(self._settings())
+        return settings
+
     def kill_daemon(self) -> None:
         if self.process is not None:
             self.process.kill()
@@ -114,7 +120,7 @@
             "caller_address": self.at("caller"), "admin_address": self.at("admin"),
             "transport_address": self.at("transport"), "advertised_transport_address": self.at("link"),
             "transport_source_ip": self.ip, "membership_address": self.at("transport"),
-            "platform_address": self.at("store"), "retry_burst": 2, "log_lines_per_second": 1000,
+            "platform_address": self.store_address or self.at("store"), "retry_burst": 2, "log_lines_per_second": 1000,
         }
         deployment = {
             "service": self.service, "backend_address": self.at("backend"),
--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -1,6 +1,7 @@
 #include "app/monsoonliftd/daemon.h"
 
 #include "app/monsoonliftd/daemon_options.h"
+#include "settings/changed_settings.h"
 
 #include <boost/asio/post.hpp>
 
@@ -21,6 +22,7 @@
 constexpr std::chrono::milliseconds ready_check_interval = 50ms;
 
 core::incarnation generate_incarnation(const core::clock& clock) {
+constexpr std::chrono::milliseconds settings_check_interval = 1s;
     std::random_device random;
     return core::make_incarnation(clock.wall_now(), random());
 }
@@ -28,12 +30,13 @@
 } // namespace
 
 daemon::daemon(settings::daemon_settings chosen, settings_source read_again, logging::event_log& log)
-    : m_settings(std::move(chosen)), m_incarnation(generate_incarnation(m_clock)), m_log(log),
-      m_io(static_cast<int>(m_settings.workers)), m_control(boost::asio::make_strand(m_io)),
+    : m_settings(std::move(chosen)), m_current(m_settings), m_incarnation(generate_incarnation(m_clock)),
+      m_log(log), m_io(static_cast<int>(m_settings.workers)), m_control(boost::asio::make_strand(m_io)),
       m_timer(m_control), m_signals(m_control, SIGTERM, SIGINT), m_hangup(m_control, SIGHUP),
-      m_read_settings(std::move(read_again)),
+      m_read_settings(std::move(read_again)), m_settings_text(m_read_settings()),
+      m_platform_address(std::make_shared<store::service_address>(m_settings.platform_address)),
       m_lifecycle([this](lifecycle::phase now) { on_phase_entered(now); }), m_scheduler(m_control),
-      m_platform_client(make_store_client(m_settings, m_control, log)),
+      m_platform_client(make_store_client(m_settings, m_platform_address, m_control, log)),
       m_platform(*m_platform_client, m_scheduler, m_clock, log, store_limits_of(m_settings),
                  m_incarnation.value),
       m_configuration(log), m_peers(m_control),
@@ -78,6 +81,7 @@
         m_lifecycle.handle(lifecycle::signal::sockets_open);
         wait_until_ready();
     });
+        watch_settings();
 }
 
 void daemon::run() {
@@ -237,14 +241,41 @@
 }
 
 void daemon::read_settings_again() {
-    const auto outcome = m_read_settings();
+    m_settings_text = m_read_settings();
+    if (!m_settings_text) {
+        m_log.write(logging::event_id::settings_refused,
+                    {{"error", "the file can't be read"}, {"errors", "1"}});
+        return;
+    }
+    take_settings(*m_settings_text);
+}
+
+void daemon::watch_settings() {
+    const auto text = m_read_settings();
+    // NOTE: a file that can't be read is being replaced; it is read again soon.
+    if (text && text != m_settings_text) {
+        m_settings_text = text;
+        take_settings(*text);
+    }
+    m_scheduler.after(settings_check_interval, [this] { watch_settings(); });
+}
+
+void daemon::take_settings(const std::string& text) {
+    const auto outcome = settings::parse_daemon_settings(text);
     if (const auto* errors = std::get_if<std::vector<settings::settings_error>>(&outcome)) {
         m_log.write(logging::event_id::settings_refused, {{"error", settings::to_string(errors->front())},
                                                           {"errors", std::to_string(errors->size())}});
         return;
     }
-    const bool same = std::get<settings::daemon_settings>(outcome) == m_settings;
-    m_log.write(logging::event_id::settings_read_again, {{"changed", same ? "no" : "yes"}});
+    const auto& read = std::get<settings::daemon_settings>(outcome);
+    auto changed = settings::take_changes(*m_current.get(), read);
+    const bool is_changed = changed.has_taken || changed.waits_for_start;
+    m_log.write(logging::event_id::settings_read_again,
+                {{"changed", is_changed ? "yes" : "no"},
+                 {"platform", changed.in_force.platform_address},
+                 {"waits_for_start", changed.waits_for_start ? "yes" : "no"}});
+    m_platform_address->replace(changed.in_force.platform_address);
+    m_current.replace(std::move(changed.in_force));
 }
 
 void daemon::take_frame(transport::frame message) {
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin/admin_server.h"
+#include "app/monsoonliftd/settings_in_force.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/configuration_holder.h"
 #include "configuration/http_peer_source.h"
@@ -23,6 +24,7 @@
 #include "store/asio_scheduler.h"
 #include "store/budgeted_object_api.h"
 #include "transport/tcp_transport.h"
+#include "store/service_address.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -46,8 +48,8 @@
     std::string membership;
 };
 
-/// Reads and parses the settings file again.
-using settings_source = std::function<settings::settings_outcome()>;
+/// Returns the text of the settings file; nothing if it can't be read.
+using settings_source = std::function<std::optional<std::string>()>;
 
 /// One daemon process: creates its components and connects them.
 class daemon {
@@ -94,6 +96,10 @@
     void take_unsent(const transport::unsent_frame& unsent);
     void member_changed(const membership::member& changed);
 
+    /// Reads the settings again if the file has changed, as it may without a signal; repeats itself.
+    void watch_settings();
+    void take_settings(const std::string& text);
+
     /// Handle announcements and withdrawals on the admin port, the project's own interface for backend
     /// servers. announce() and withdraw() parse the request on any thread; the other two run on the control
     /// strand.
@@ -142,7 +148,8 @@
     void leave();
     void end();
 
-    const settings::daemon_settings m_settings;
+    const settings::daemon_settings m_settings; ///< As read at the start.
+    settings_in_force m_current;
     core::system_clock m_clock;
     const core::incarnation m_incarnation;
     logging::event_log& m_log;
@@ -162,6 +169,8 @@
     configuration::configuration_holder m_configuration;
     configuration::http_peer_source m_peers;
     transport::tcp_transport m_transport;
+    std::optional<std::string> m_settings_text; ///< As read last.
+    std::shared_ptr<store::service_address> m_platform_address;
     const std::shared_ptr<gate::running_requests> m_running = std::make_shared<gate::running_requests>();
     gate::nested_budgets m_budgets;
     execution::execution_ledger m_ledger;
--- a/src/app/monsoonliftd/daemon_backend.cpp
+++ b/src/app/monsoonliftd/daemon_backend.cpp
@@ -116,7 +116,7 @@
 }
 
 void daemon::begin_withdrawal(const std::string& instance) {
-    const bool leaves = m_gate.leave(instance, m_clock.now() + drain_grace_of(m_settings));
+    const bool leaves = m_gate.leave(instance, m_clock.now() + drain_grace_of(*m_current.get()));
     if (leaves) {
         m_membership->withdraw();
     }
@@ -128,8 +128,8 @@
         return m_phase == lifecycle::phase::serving;
     };
     hooks.local_backend = [this] {
-        return platform::backend_identity{m_settings.deployment->service,
-                                          m_settings.deployment->backend_address};
+        const auto deployment = m_current.get()->deployment;
+        return platform::backend_identity{deployment->service, deployment->backend_address};
     };
     hooks.heard = [this](const platform::heartbeat& received, const platform::acknowledgement& acknowledge) {
         boost::asio::post(m_control,
@@ -206,7 +206,7 @@
     const auto* service = rules ? configuration::find_service(*rules, received.service) : nullptr;
     gate::backend_server server;
     server.service = received.service;
-    server.address = m_settings.deployment->backend_address;
+    server.address = m_current.get()->deployment->backend_address;
     server.slots = received.slots;
     server.connections = service != nullptr ? service->connections : received.slots;
     server.instance = received.id + "/" + std::to_string(received.started_ms);
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace monsoonlift::app {
 
@@ -75,12 +76,13 @@
 }
 
 std::unique_ptr<store::object_api> make_store_client(const settings::daemon_settings& chosen,
+                                                     std::shared_ptr<const store::service_address> platform,
                                                      const boost::asio::any_io_executor& control,
                                                      logging::event_log& log) {
     if (chosen.deployment) {
-        return std::make_unique<platform::platform_store>(control, chosen.platform_address, log);
+        return std::make_unique<platform::platform_store>(control, std::move(platform), log);
     }
-    return std::make_unique<store::http_object_api>(control, chosen.platform_address);
+    return std::make_unique<store::http_object_api>(control, std::move(platform));
 }
 
 transport::transport_options transport_options_of(const settings::daemon_settings& chosen) {
--- a/src/app/monsoonliftd/daemon_options.h
+++ b/src/app/monsoonliftd/daemon_options.h
@@ -9,6 +9,7 @@
 #include "settings/daemon_settings.h"
 #include "store/budgeted_object_api.h"
 #include "store/object_api.h"
+#include "store/service_address.h"
 #include "transport/tcp_transport.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -44,8 +45,9 @@
 /// Creates the client of the store: of the platform's store in a deployment on the users' platform, otherwise
 /// of this project's own object API.
 [[nodiscard]] std::unique_ptr<store::object_api>
-make_store_client(const settings::daemon_settings& chosen, const boost::asio::any_io_executor& control,
-                  logging::event_log& log);
+make_store_client(const settings::daemon_settings& chosen,
+                  std::shared_ptr<const store::service_address> platform,
+                  const boost::asio::any_io_executor& control, logging::event_log& log);
 
 [[nodiscard]] transport::transport_options transport_options_of(const settings::daemon_settings& chosen);
 
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -57,7 +57,7 @@
     }
     m_homes->drain([this] { boost::asio::post(m_control, [this] { m_homes_handed_over = true; }); });
     m_entry.close_connections_after_answers();
-    m_timer.expires_after(drain_grace_of(m_settings));
+    m_timer.expires_after(drain_grace_of(*m_current.get()));
     m_timer.async_wait([this](const boost::system::error_code&) {
         m_gate.drain();
         wait_until_idle();
--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -73,7 +73,7 @@
     logging::log4cplus_event_log log(log_options_of(chosen), clock);
     try {
         app::daemon process(
-            chosen, [path] { return read_settings(path); }, log);
+            chosen, [path] { return read_file(path); }, log);
         process.start();
         const auto bound = process.addresses();
         log.write(logging::event_id::process_started, {{"fleet", chosen.fleet},
--- a/src/app/monsoonliftd/tests/farewell_process_tests.py
+++ b/src/app/monsoonliftd/tests/farewell_process_tests.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -39,7 +40,8 @@
         self.addCleanup(self.platform.process.kill)
         proxy_loop = ProxyLoop()
         self.addCleanup(proxy_loop.close)
-        Operator(self.platform.address).change()
+        self.operator = Operator(self.platform.address)
+        self.operator.change()
         self.vm = Vm(next(VM_NUMBERS), self.folder, self.platform.address, proxy_loop, Facts(), 1)
         self.addCleanup(self.vm.close)
         self.vm.link.start()
@@ -137,6 +139,24 @@
         self.platform.set_faults()
         wait_for(lambda: self.deregister() == 200, "the deregistration to be acknowledged")
 
+    def test_changed_address_of_the_store_is_used_after_a_hangup(self) -> None:
+        self.check_moved_store_is_used(lambda: self.vm.process.signal(signal.SIGHUP))
+
+    def test_changed_address_of_the_store_is_used_without_a_signal(self) -> None:
+        self.check_moved_store_is_used(lambda: None)
+
+    def check_moved_store_is_used(self, tell: Callable[[], object]) -> None:
+        """Guards against settings that are read again and not used, as in review case 4 (CONFIG)."""
+        self.serve()
+        self.vm.store_address = self.platform.address
+        self.vm.write_settings()
+        tell()
+        wait_for(lambda: self.events("settings_read_again") > 0, "the daemon to read its settings again")
+        self.vm.store_link.close()
+        before = self.events("configuration_adopted")
+        self.operator.change()
+        wait_for(lambda: self.events("configuration_adopted") > before, "the daemon to adopt the change")
+
     def check_deregistration_outlives(self, end: Callable[[], None]) -> None:
         late = self.serve()
         self.assertEqual(self.deregister(), 200)
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -145,7 +145,9 @@
      "An announcement of the backend server was ignored because a later one or a deregistration arrived "
      "before it."},
     {event_id::settings_read_again, severity::notice, "settings_read_again",
-     "SIGHUP: the settings file was read again; its changes take effect at the next start."},
+     "The settings file was read again, after a SIGHUP or as it has changed: whether anything changed, the "
+     "platform's "
+     "address now in use, and whether a change waits for the next start."},
     {event_id::backend_life_heard, severity::notice, "backend_life_heard",
      "A heartbeat of a backend server incarnation that was not serving was accepted: the incarnation, those "
      "known before, and whether it serves now."},
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -157,14 +157,14 @@
     std::string m_last_name;
 };
 
-platform_store::platform_store(const boost::asio::any_io_executor& executor, std::string address,
-                               logging::event_log& log)
+platform_store::platform_store(const boost::asio::any_io_executor& executor,
+                               std::shared_ptr<const store::service_address> address, logging::event_log& log)
     : m_client(executor), m_address(std::move(address)), m_log(log) {}
 
 template <class T, class Parser>
 void platform_store::call(store::http_request&& request, std::chrono::milliseconds patience, Parser parse,
                           handler<T> done) {
-    m_client.send(m_address, std::move(request), patience,
+    m_client.send(m_address->current(), std::move(request), patience,
                   [parse, done = std::move(done)](core::result<http_reply> answered) {
                       done(store::read_reply<T>(std::move(answered), parse));
                   });
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -4,6 +4,7 @@
 #include "logging/event_log.h"
 #include "store/http_client.h"
 #include "store/object_api.h"
+#include "store/service_address.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -17,9 +18,9 @@
 /// project. Errors are those of store::object_api.
 class platform_store final : public store::object_api {
 public:
-    /// `address` is "ip:port" of the store. Configurations that can't be used are reported to `log`.
-    platform_store(const boost::asio::any_io_executor& executor, std::string address,
-                   logging::event_log& log);
+    /// `address` is that of the store. Configurations that can't be used are reported to `log`.
+    platform_store(const boost::asio::any_io_executor& executor,
+                   std::shared_ptr<const store::service_address> address, logging::event_log& log);
 
     void get(const std::string& name, std::chrono::milliseconds patience,
              handler<store::object> done) override;
@@ -40,7 +41,7 @@
               handler<T> done);
 
     store::http_client m_client;
-    std::string m_address;
+    std::shared_ptr<const store::service_address> m_address;
     logging::event_log& m_log;
 };
 
--- a/src/platform/tests/platform_store_tests.cpp
+++ b/src/platform/tests/platform_store_tests.cpp
@@ -26,7 +26,8 @@
 
 private:
     testing::silent_log m_log;
-    platform::platform_store m_api{context().get_executor(), server().address(), m_log};
+    platform::platform_store m_api{context().get_executor(),
+                                   std::make_shared<store::service_address>(server().address()), m_log};
 };
 
 store::settled<store::object_list> list_configuration(platform_environment& environment) {
--- a/src/settings/tests/daemon_settings_tests.cpp
+++ b/src/settings/tests/daemon_settings_tests.cpp
@@ -1,5 +1,7 @@
 #include "settings/daemon_settings.h"
 
+#include "settings/changed_settings.h"
+
 #include <chrono>
 #include <string>
 #include <vector>
@@ -144,3 +146,34 @@
         REQUIRE(std::holds_alternative<std::vector<settings_error>>(parse_daemon_settings(text)));
     }
 }
+
+// Guards against settings that are read again and then not used (CONFIG).
+TEST_CASE("a running daemon takes the addresses and bounds that it can, and the rest at its next start",
+          "[settings]") {
+    daemon_settings before;
+    before.platform_address = "10.0.0.1:1";
+    before.deployment.emplace();
+    const auto none = take_changes(before, before);
+    CHECK_FALSE(none.has_taken);
+    CHECK_FALSE(none.waits_for_start);
+
+    auto read = before;
+    read.platform_address = "10.0.0.2:1";
+    read.deployment->backend_address = "10.0.0.3:1";
+    read.deployment->drain_bound = std::chrono::seconds(1);
+    read.deployment->stop_bound = std::chrono::seconds(9);
+    const auto taken = take_changes(before, read);
+    CHECK(taken.has_taken);
+    CHECK_FALSE(taken.waits_for_start);
+    CHECK(taken.in_force == read);
+
+    read.caller_address = "10.0.0.1:2";
+    read.deployment->service = "another";
+    const auto partly = take_changes(before, read);
+    CHECK(partly.has_taken);
+    CHECK(partly.waits_for_start);
+    CHECK(partly.in_force.caller_address == before.caller_address);
+    CHECK(partly.in_force.deployment->service == before.deployment->service);
+    read.deployment.reset();
+    CHECK(take_changes(before, read).in_force.deployment == before.deployment);
+}
--- a/src/store/internal/http_object_api.cpp
+++ b/src/store/internal/http_object_api.cpp
@@ -17,13 +17,14 @@
 
 } // namespace
 
-http_object_api::http_object_api(const boost::asio::any_io_executor& executor, std::string address)
+http_object_api::http_object_api(const boost::asio::any_io_executor& executor,
+                                 std::shared_ptr<const service_address> address)
     : m_client(executor), m_address(std::move(address)) {}
 
 template <class T, class Parser>
 void http_object_api::call(http_request&& request, std::chrono::milliseconds patience, Parser parse,
                            handler<T> done) {
-    m_client.send(m_address, std::move(request), patience,
+    m_client.send(m_address->current(), std::move(request), patience,
                   [parse, done = std::move(done)](core::result<http_reply> answered) {
                       done(read_reply<T>(std::move(answered), parse));
                   });
--- a/src/store/tests/http_environment.h
+++ b/src/store/tests/http_environment.h
@@ -13,7 +13,7 @@
     object_api& api() override { return m_api; }
 
 private:
-    http_object_api m_api{context().get_executor(), server().address()};
+    http_object_api m_api{context().get_executor(), std::make_shared<service_address>(server().address())};
 };
 
 } // namespace monsoonlift::store::tests
--- a/src/store/tests/object_api_contract_tests.cpp
+++ b/src/store/tests/object_api_contract_tests.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <memory>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -38,7 +39,8 @@
     for (const auto& each : unreachable) {
         INFO(each.address);
         boost::asio::io_context context(1);
-        store::http_object_api api(context.get_executor(), each.address);
+        store::http_object_api api(context.get_executor(),
+                                   std::make_shared<store::service_address>(each.address));
         store::settled<store::object> answer;
         api.get("a/x", 500ms, [&](core::result<store::object> outcome) {
             answer = store::settle_result(std::move(outcome));
