Take nothing more, and send nothing on, once a process is about to end

Cause: when the time of a planned stop was up, each cancelled idempotent attempt was sent to another gate once more, and for 300 ms more kept connections were served as before; then the process ended under both.

Change: from then on the entry refuses new calls unrun and sends nothing on; the process ends once its callers are answered. An exception in a worker is logged (1017) instead of ending the process without a line.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <random>
 #include <stdexcept>
 #include <thread>
@@ -84,16 +85,30 @@
         watch_settings();
 }
 
-void daemon::run() {
+bool daemon::run() {
     std::vector<std::thread> workers;
     for (std::size_t index = 1; index < m_settings.workers; ++index) {
-        workers.emplace_back([this] { m_io.run(); });
+        workers.emplace_back([this] { work(); });
     }
-    m_io.run();
+    work();
     for (auto& worker : workers) {
         worker.join();
     }
 }
+    return !m_has_failed;
+}
+
+void daemon::work() {
+    try {
+        m_io.run();
+    } catch (const std::exception& failure) {
+        m_has_failed = true;
+        m_log.write(logging::event_id::process_failed,
+                    {{"why", failure.what()},
+                     {"at_gate", std::to_string(m_gate.counters().in_flight)},
+                     {"at_entry", std::to_string(m_entry.counters().in_flight)}});
+        m_io.stop();
+    }
 
 daemon_addresses daemon::addresses() const {
     return {m_entry.address(), m_admin.address(), m_transport.self().address, m_membership->bound_address()};
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -23,8 +23,8 @@
 #include "settings/daemon_settings.h"
 #include "store/asio_scheduler.h"
 #include "store/budgeted_object_api.h"
-#include "transport/tcp_transport.h"
 #include "store/service_address.h"
+#include "transport/tcp_transport.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -64,8 +64,8 @@
     /// Starts all components and binds the membership address; throws if that fails.
     void start();
 
-    /// Runs the worker threads; returns when a planned stop has completed.
-    void run();
+    /// Runs the worker threads until a planned stop has completed; returns false if an error ended them.
+    [[nodiscard]] bool run();
 
     /// The addresses that the daemon listens on; call it after start().
     [[nodiscard]] daemon_addresses addresses() const;
@@ -73,6 +73,7 @@
 private:
     using control_strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
+    void work();
     void start_transport();
     void start_configuration();
     void start_homes();
@@ -92,13 +93,13 @@
     void await_signals();
     void await_hangup();
     void read_settings_again();
-    void take_frame(transport::frame message);
-    void take_unsent(const transport::unsent_frame& unsent);
-    void member_changed(const membership::member& changed);
 
     /// Reads the settings again if the file has changed, as it may without a signal; repeats itself.
     void watch_settings();
     void take_settings(const std::string& text);
+    void take_frame(transport::frame message);
+    void take_unsent(const transport::unsent_frame& unsent);
+    void member_changed(const membership::member& changed);
 
     /// Handle announcements and withdrawals on the admin port, the project's own interface for backend
     /// servers. announce() and withdraw() parse the request on any thread; the other two run on the control
@@ -143,9 +144,11 @@
     void on_phase_entered(lifecycle::phase now);
     void drain();
     [[nodiscard]] std::chrono::milliseconds drain_time() const;
+    [[nodiscard]] std::chrono::milliseconds share_of_stop_bound(double share) const;
     void log_overdue_drain();
     void wait_until_idle();
     void leave();
+    void end_once_answered();
     void end();
 
     const settings::daemon_settings m_settings; ///< As read at the start.
@@ -159,6 +162,8 @@
     boost::asio::signal_set m_signals;
     boost::asio::signal_set m_hangup;
     settings_source m_read_settings;
+    std::optional<std::string> m_settings_text; ///< As read last.
+    std::shared_ptr<store::service_address> m_platform_address;
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
     lifecycle::daemon_lifecycle m_lifecycle;
     metrics::metrics_registry m_metrics;
@@ -169,8 +174,6 @@
     configuration::configuration_holder m_configuration;
     configuration::http_peer_source m_peers;
     transport::tcp_transport m_transport;
-    std::optional<std::string> m_settings_text; ///< As read last.
-    std::shared_ptr<store::service_address> m_platform_address;
     const std::shared_ptr<gate::running_requests> m_running = std::make_shared<gate::running_requests>();
     gate::nested_budgets m_budgets;
     execution::execution_ledger m_ledger;
@@ -188,9 +191,11 @@
     std::uint64_t m_announcements = 0; ///< Received on the admin port and naming an instance.
     core::steady_time m_callers_expected_until;
     core::steady_time m_stop_deadline;
+    core::steady_time m_end_deadline;
     bool m_homes_handed_over = false;
     bool m_refuses_callers = false; ///< Set in a planned stop, once the platform sends no more callers.
     bool m_has_ended = false;
+    std::atomic<bool> m_has_failed = false; ///< An exception ended a worker thread.
     core::steady_time m_hand_over_deadline;
 };
 
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -19,6 +19,9 @@
 /// end in order within the bound.
 constexpr double platform_stop_share = 0.9;
 
+/// Share of the stop bound after which the process ends though callers are still being answered.
+constexpr double platform_end_share = 0.96;
+
 constexpr std::chrono::milliseconds platform_leave_timeout = 300ms;
 
 /// The platform polls the daemon's readiness once per second and stops sending callers after two refusals.
@@ -52,8 +55,8 @@
     m_hand_over_deadline = m_clock.now() + hand_over_timeout;
     if (m_settings.deployment) {
         m_callers_expected_until = m_clock.now() + platform_calls_after_stop;
-        m_stop_deadline = m_clock.now() + std::chrono::duration_cast<std::chrono::milliseconds>(
-                                              m_settings.deployment->stop_bound * platform_stop_share);
+        m_stop_deadline = m_clock.now() + share_of_stop_bound(platform_stop_share);
+        m_end_deadline = m_clock.now() + share_of_stop_bound(platform_end_share);
     }
     m_homes->drain([this] { boost::asio::post(m_control, [this] { m_homes_handed_over = true; }); });
     m_entry.close_connections_after_answers();
@@ -64,6 +67,11 @@
     });
 }
 
+std::chrono::milliseconds daemon::share_of_stop_bound(double share) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_current.get()->deployment->stop_bound *
+                                                                 share);
+}
+
 std::chrono::milliseconds daemon::drain_time() const {
     const auto rules = m_configuration.current();
     const auto backend = m_gate.backend();
@@ -104,7 +112,13 @@
             wait_until_idle();
             return;
         }
-        m_log.write(logging::event_id::drain_finished, {{"given_up", is_busy ? "yes" : "no"}});
+        m_log.write(logging::event_id::drain_finished,
+                    {{"given_up", is_busy ? "yes" : "no"},
+                     {"at_gate", std::to_string(m_gate.counters().in_flight)},
+                     {"at_entry", std::to_string(m_entry.counters().in_flight)}});
+        // NOTE: a call taken from now on, or sent on once more, would be cut by the end of the process.
+        m_entry.refuse_all_calls();
+        m_entry.close_idle_connections();
         if (is_busy) {
             m_entry.cancel_all_attempts();
         }
@@ -117,12 +131,22 @@
         m_membership->leave([] {});
         // NOTE: the store may be unavailable, so this doesn't wait for the member's object to be removed; the
         // next incarnation writes it anew.
-        m_scheduler.after(platform_leave_timeout, [this] { end(); });
+        m_scheduler.after(platform_leave_timeout, [this] { end_once_answered(); });
         return;
     }
     m_membership->leave([this] { boost::asio::post(m_control, [this] { end(); }); });
 }
 
+void daemon::end_once_answered() {
+    // NOTE: callers whose attempts were cancelled, or who called in these last moments, are being answered.
+    const bool out_of_time = m_clock.now() >= m_end_deadline;
+    if (m_entry.counters().in_flight == 0 || out_of_time) {
+        end();
+        return;
+    }
+    m_scheduler.after(idle_check_interval, [this] { end_once_answered(); });
+}
+
 void daemon::end() {
     if (std::exchange(m_has_ended, true)) {
         return;
@@ -132,7 +156,8 @@
     m_membership->stop();
     m_gate.stop();
     m_admin.stop();
-    m_log.write(logging::event_id::process_stopped, {});
+    m_log.write(logging::event_id::process_stopped,
+                {{"at_entry", std::to_string(m_entry.counters().in_flight)}});
     m_io.stop();
 }
 
--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
 #include <string>
 
 #include <unistd.h>
@@ -72,18 +73,20 @@
     core::system_clock clock;
     logging::log4cplus_event_log log(log_options_of(chosen), clock);
     try {
-        app::daemon process(
+        auto process = std::make_unique<app::daemon>(
             chosen, [path] { return read_file(path); }, log);
-        process.start();
-        const auto bound = process.addresses();
+        process->start();
+        const auto bound = process->addresses();
         log.write(logging::event_id::process_started, {{"fleet", chosen.fleet},
                                                        {"data_centre", chosen.data_centre},
                                                        {"caller", bound.caller},
                                                        {"admin", bound.admin},
                                                        {"transport", bound.transport},
                                                        {"membership", bound.membership}});
-        process.run();
-        return 0;
+        const bool has_stopped = process->run();
+        // NOTE: the process ends at once; to take everything apart first could outlast the time for its stop.
+        static_cast<void>(process.release());
+        return has_stopped ? 0 : 1;
     } catch (const std::exception& failure) {
         std::cerr << "monsoonliftd: " << failure.what() << '\n';
         return 1;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -88,6 +88,9 @@
     /// Refuses new root calls; nested calls, which requests in flight make, are still served.
     void refuse_root_calls();
 
+    /// Refuses every new call and every further attempt of those in flight: the process is about to end.
+    void refuse_all_calls();
+
     /// Stops accepting connections.
     void stop_accepting();
 
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -104,7 +104,7 @@
     } else {
         set_root_id(m_call.request ? *m_call.request : m_shared.routes.draw_root());
     }
-    if (m_shared.refuses_roots() && !m_call.parent) {
+    if (m_shared.refuses_all() || (m_shared.refuses_roots() && !m_call.parent)) {
         return stopping();
     }
     begin_context(*configuration);
@@ -212,6 +212,10 @@
 
 std::optional<problem> call_exchange::begin_attempt() {
     auto chosen = choose_destination();
+    // NOTE: the process would end under the attempt, and the caller's connection with it.
+    if (m_shared.refuses_all()) {
+        return stopping();
+    }
     if (auto* trouble = std::get_if<problem>(&chosen)) {
         return std::move(*trouble);
     }
--- a/src/entry/internal/entry_service.cpp
+++ b/src/entry/internal/entry_service.cpp
@@ -47,6 +47,10 @@
     m_state->refuse_root_calls();
 }
 
+void entry_service::refuse_all_calls() {
+    m_state->refuse_all_calls();
+}
+
 void entry_service::stop_accepting() {
     m_state->stop_accepting();
 }
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -31,6 +31,7 @@
     void start();
     void close_connections_after_answers() { m_closing = true; }
     void refuse_root_calls() { m_refuses_roots = true; }
+    void refuse_all_calls() { m_refuses_all = true; }
     void stop_accepting();
     void close_idle_connections();
     void cancel_all_attempts();
@@ -60,6 +61,9 @@
     /// Whether root calls are refused; nested calls are still served.
     [[nodiscard]] bool refuses_roots() const { return m_refuses_roots; }
 
+    /// Whether new calls and further attempts are refused, as the process is about to end.
+    [[nodiscard]] bool refuses_all() const { return m_refuses_all; }
+
     const entry_options options;
     transport::frame_sender& sender;
     gate::nested_budgets& budgets;
@@ -97,6 +101,7 @@
     network::listening_acceptor m_acceptor;
     std::atomic<bool> m_closing = false;
     std::atomic<bool> m_refuses_roots = false;
+    std::atomic<bool> m_refuses_all = false;
     std::atomic<std::uint64_t> m_next_call = 1;
     std::atomic<std::uint64_t> m_next_permit = 1;
 
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -92,6 +92,9 @@
     if (m_caller_gone) {
         return "the caller went away";
     }
+    if (m_shared.refuses_all()) {
+        return "this daemon is about to stop";
+    }
     if (m_shared.clock.now() >= m_call.context.deadline) {
         return "the deadline has passed";
     }
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -35,6 +35,7 @@
     farewell_acknowledged = 1014,
     farewell_not_recorded = 1015,
     past_farewell_known = 1016,
+    process_failed = 1017,
 
     // 2000: entry
     callers_not_accepted = 2000,
@@ -164,6 +165,8 @@
     // 2000: entry
     {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
      "Connections of callers can't be accepted, for example because no file descriptor is free."},
+    {event_id::process_failed, severity::error, "process_failed",
+     "An internal error ended the process: what it was and how many requests it had at its gate and entry."},
     {event_id::request_malformed, severity::info, "request_malformed",
      "A caller's request was refused because it is malformed or not defined in the configuration."},
     {event_id::calls_shed, severity::warning, "calls_shed",
