End an attempt by its own link, answer or deadline only

Cause: what membership believed of a peer ended attempts in progress: suspicion those that may be repeated, death all of them; and the links of a peer believed dead were closed with the answers that waited on them.

Change: entry/attempt_watch decides it in one place. A link is closed on a belief only if idle.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -21,9 +21,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds ready_check_interval = 50ms;
+constexpr std::chrono::milliseconds settings_check_interval = 1s;
 
 core::incarnation generate_incarnation(const core::clock& clock) {
-constexpr std::chrono::milliseconds settings_check_interval = 1s;
     std::random_device random;
     return core::make_incarnation(clock.wall_now(), random());
 }
@@ -78,11 +78,11 @@
     await_signals();
     await_hangup();
     boost::asio::post(m_control, [this] {
+        watch_settings();
         m_follower->start();
         m_lifecycle.handle(lifecycle::signal::sockets_open);
         wait_until_ready();
     });
-        watch_settings();
 }
 
 bool daemon::run() {
@@ -94,7 +94,6 @@
     for (auto& worker : workers) {
         worker.join();
     }
-}
     return !m_has_failed;
 }
 
@@ -109,6 +108,7 @@
                      {"at_entry", std::to_string(m_entry.counters().in_flight)}});
         m_io.stop();
     }
+}
 
 daemon_addresses daemon::addresses() const {
     return {m_entry.address(), m_admin.address(), m_transport.self().address, m_membership->bound_address()};
@@ -311,11 +311,12 @@
 
 void daemon::member_changed(const membership::member& changed) {
     m_entry.member_changed(changed);
-    const bool gone = changed.status == membership::member_status::dead ||
-                      changed.status == membership::member_status::left;
-    if (gone) {
+    if (changed.status == membership::member_status::left) {
         m_transport.forget(changed.id.address);
     }
+    if (changed.status == membership::member_status::dead) {
+        m_transport.release(changed.id.address);
+    }
 }
 
 } // namespace monsoonlift::app
--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -30,8 +30,15 @@
 } // namespace
 
 boost::asio::awaitable<call_exchange::attempt_outcome> call_exchange::follow_attempt() {
+    attempt_watch watch;
     while (true) {
-        auto event = co_await m_channel->events.next(m_call.context.deadline);
+        const auto deadline = m_call.context.deadline;
+        auto event = co_await m_channel->events.next(wait_until(watch, deadline));
+        if (!event && is_given_up(watch, m_shared.clock.now()) && m_shared.clock.now() < deadline) {
+            send(transport::cancel{});
+            co_return attempt_outcome{false, local_end(verdict::may_have_run, end_reason::backend_failed,
+                                                       "the daemon of the backend server does not answer")};
+        }
         if (!event) {
             co_return co_await cancel_attempt(end_reason::deadline);
         }
@@ -43,6 +50,11 @@
         }
         const auto* local = std::get_if<local_event>(&*event);
         if (local == nullptr) {
+            note_frame(watch);
+            continue;
+        }
+        if (*local == local_event::endpoint_doubted) {
+            ask_gate(watch);
             continue;
         }
         auto outcome = co_await handle_local_event(*local);
@@ -60,17 +72,17 @@
         co_return co_await cancel_attempt(end_reason::cancelled);
     case local_event::stopping:
         co_return co_await cancel_attempt(end_reason::deadline);
-    case local_event::endpoint_suspected:
-        // NOTE: the request may still be answered, and only an idempotent one may be retried elsewhere.
-        if (!m_call.context.idempotent) {
-            co_return std::nullopt;
-        }
-        send(transport::cancel{});
-        break;
     default:
-        break;
+        co_return outcome_of(event);
+    }
+}
+
+void call_exchange::ask_gate(attempt_watch& watch) {
+    const bool can_be_repeated = m_call.context.idempotent && m_replayable;
+    if (note_doubt(watch, can_be_repeated, m_shared.clock.now())) {
+        m_shared.decisions.gate_asked(decided(), m_attempt, m_channel->endpoint());
+        send(transport::status_query{});
     }
-    co_return outcome_of(event);
 }
 
 call_exchange::attempt_outcome call_exchange::outcome_of(local_event event) const {
@@ -81,13 +93,11 @@
     case local_event::link_broken:
         return {false, local_end(verdict::may_have_run, end_reason::backend_failed,
                                  "the link to the daemon of the backend server broke off")};
-    case local_event::endpoint_gone:
-        return {false, local_end(verdict::may_have_run, end_reason::backend_failed,
-                                 "the backend server was lost while the request was there")};
-    case local_event::endpoint_suspected:
+    case local_event::endpoint_replaced:
         return {false,
                 local_end(verdict::may_have_run, end_reason::backend_failed,
-                          "the daemon of the backend server can't be reached while the request is there")};
+                          "the daemon of the backend server was restarted while the request was there")};
+    case local_event::endpoint_doubted:
     case local_event::stopping:
     case local_event::caller_gone:
         break;
@@ -176,7 +186,8 @@
             continue;
         }
         const auto* local = event ? std::get_if<local_event>(&*event) : nullptr;
-        if (local != nullptr && *local == local_event::endpoint_suspected) {
+        const bool is_from_gate = event && std::holds_alternative<transport::status_in_progress>(*event);
+        if (is_from_gate || (local != nullptr && *local == local_event::endpoint_doubted)) {
             // NOTE: a retry is no longer possible, and the rest of the answer may still arrive.
             continue;
         }
--- a/src/entry/internal/attempt_channel.h
+++ b/src/entry/internal/attempt_channel.h
@@ -16,16 +16,16 @@
 
 /// Events of an attempt that this daemon detects itself, as opposed to frames from the gate.
 enum class local_event {
-    not_sent,           ///< The request was never sent.
-    link_broken,        ///< A frame after the first one could not be sent.
-    endpoint_gone,      ///< Membership reports that this incarnation of the endpoint has ended.
-    endpoint_suspected, ///< Membership suspects the endpoint, which is unreachable for now.
-    stopping,           ///< This daemon is about to stop.
+    not_sent,          ///< The request was never sent.
+    link_broken,       ///< A frame after the first one could not be sent.
+    endpoint_replaced, ///< A later process runs at the address of the endpoint.
+    endpoint_doubted,  ///< Membership takes the endpoint for unreachable or gone.
+    stopping,          ///< This daemon is about to stop.
     caller_gone
 };
 
 using attempt_event = std::variant<transport::response_head, transport::body_chunk, transport::body_end,
-                                   transport::attempt_end, local_event>;
+                                   transport::attempt_end, transport::status_in_progress, local_event>;
 
 /// Receives the frames and local events of one attempt. `deliver` and `notify` may be called from any thread;
 /// everything else only on the strand.
@@ -59,6 +59,8 @@
             events.push(std::move(*chunk));
         } else if (auto* end = std::get_if<transport::body_end>(&payload)) {
             events.push(std::move(*end));
+        } else if (std::holds_alternative<transport::status_in_progress>(payload)) {
+            events.push(transport::status_in_progress{});
         } else if (auto* failure = std::get_if<transport::attempt_end>(&payload)) {
             events.push(std::move(*failure));
         }
--- a/src/entry/internal/call_decisions.cpp
+++ b/src/entry/internal/call_decisions.cpp
@@ -84,6 +84,16 @@
                  {"homes_version", std::to_string(attempt.homes_version)}});
 }
 
+void call_decisions::gate_asked(const decided_call& call, const core::attempt_id& attempt,
+                                const core::endpoint_id& gate) {
+    if (!m_log.wants(event_id::attempt_gate_asked)) {
+        return;
+    }
+    m_log.write(event_id::attempt_gate_asked, {{"root", core::to_string(call.root)},
+                                               {"attempt", core::to_string(attempt)},
+                                               {"gate", gate.address}});
+}
+
 void call_decisions::attempt_answered(const decided_call& call, const ended_attempt& attempt) {
     if (!m_log.wants(event_id::attempt_answered)) {
         return;
--- a/src/entry/internal/call_decisions.h
+++ b/src/entry/internal/call_decisions.h
@@ -63,6 +63,9 @@
 
     void sent(const decided_call& call, const sent_attempt& attempt);
 
+    /// Logs that the gate was asked about the attempt, as membership doubts that it is there.
+    void gate_asked(const decided_call& call, const core::attempt_id& attempt, const core::endpoint_id& gate);
+
     /// Logs that the attempt's answer was forwarded completely.
     void attempt_answered(const decided_call& call, const ended_attempt& attempt);
 
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/attempt_watch.h"
 #include "entry/internal/attempt_channel.h"
 #include "entry/internal/caller_connection.h"
 #include "entry/internal/entry_state.h"
@@ -68,6 +69,7 @@
     [[nodiscard]] bool is_bound_to_home() const;
     [[nodiscard]] bool is_permit_request() const;
     awaitable<void> issue_permit();
+    void ask_gate(attempt_watch& watch);
     awaitable<bool> wait_for_next(const attempt_outcome& outcome);
     awaitable<bool> wait_for_route(const problem& trouble);
     awaitable<bool> follow_redirect(const attempt_outcome& outcome);
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -100,15 +100,14 @@
 }
 
 void entry_state::notify_affected_attempts(const membership::member& changed) {
-    const bool has_ended = changed.status == membership::member_status::dead ||
-                           changed.status == membership::member_status::left;
-    const bool suspected = changed.status == membership::member_status::suspect;
-    const auto is_affected = [&](const core::endpoint_id& endpoint) {
-        const bool older =
-            endpoint.life < changed.id.life || ((has_ended || suspected) && endpoint.life == changed.id.life);
-        return endpoint.address == changed.id.address && older;
+    const auto is_replaced = [&](const core::endpoint_id& endpoint) {
+        return endpoint.address == changed.id.address && endpoint.life < changed.id.life;
     };
-    notify_attempts(is_affected, suspected ? local_event::endpoint_suspected : local_event::endpoint_gone);
+    notify_attempts(is_replaced, local_event::endpoint_replaced);
+    if (changed.status != membership::member_status::alive) {
+        notify_attempts([&](const core::endpoint_id& endpoint) { return endpoint == changed.id; },
+                        local_event::endpoint_doubted);
+    }
 }
 
 void entry_state::cancel_all_attempts() {
--- a/src/entry/tests/faulty_frame_sender.cpp
+++ b/src/entry/tests/faulty_frame_sender.cpp
@@ -26,6 +26,9 @@
     : m_executor(std::move(executor)), m_inner(inner), m_faults(faults), m_random(seed) {}
 
 void faulty_frame_sender::send(const core::endpoint_id& to, transport::frame message) {
+    if (m_is_mute) {
+        return;
+    }
     remember_choice(to, message);
     damage(message);
     if (!applies_to(message)) {
--- a/src/entry/tests/faulty_frame_sender.h
+++ b/src/entry/tests/faulty_frame_sender.h
@@ -45,6 +45,9 @@
     void send(const core::endpoint_id& to, transport::frame message) override;
     [[nodiscard]] core::endpoint_id self() const override { return m_inner.self(); }
 
+    /// Drops every frame from now on, as if the daemon's links were silent.
+    void mute() { m_is_mute = true; }
+
     /// Sends the held duplicates.
     void release();
 
@@ -87,6 +90,7 @@
     std::uint64_t m_holds = 0;
     std::vector<addressed_frame> m_held_copies;
     std::map<std::string, std::set<std::string>> m_chosen;
+    bool m_is_mute = false;
     std::size_t m_pending = 0;
     std::uint64_t m_passed = 0;
     std::uint64_t m_injected = 0;
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -112,6 +112,8 @@
         m_inbox.push(std::move(*end));
     } else if (const auto* granted = std::get_if<transport::credit>(&payload)) {
         m_credit.grant(granted->chunks);
+    } else if (std::holds_alternative<transport::status_query>(payload)) {
+        send(transport::status_in_progress{});
     } else if (std::holds_alternative<transport::cancel>(payload)) {
         stop_now(end_reason::cancelled);
     }
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -54,6 +54,7 @@
     call_refused = 2015,
     call_abandoned = 2016,
     attempt_redirected = 2017,
+    attempt_gate_asked = 2018,
 
     // 3000: gate, execution, quarantine
     overload_started = 3000,
@@ -163,10 +164,10 @@
      "The last deregistrations received by earlier processes of this daemon were read from the platform."},
 
     // 2000: entry
-    {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
-     "Connections of callers can't be accepted, for example because no file descriptor is free."},
     {event_id::process_failed, severity::error, "process_failed",
      "An internal error ended the process: what it was and how many requests it had at its gate and entry."},
+    {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
+     "Connections of callers can't be accepted, for example because no file descriptor is free."},
     {event_id::request_malformed, severity::info, "request_malformed",
      "A caller's request was refused because it is malformed or not defined in the configuration."},
     {event_id::calls_shed, severity::warning, "calls_shed",
@@ -200,6 +201,9 @@
      "The gate is not the home of the key or does not know the home; the call continues to look for it."},
 
     // 3000: gate, execution, quarantine
+    {event_id::attempt_gate_asked, severity::info, "attempt_gate_asked",
+     "Membership doubts the gate of an attempt that may be repeated: the gate was asked whether it has the "
+     "attempt."},
     {event_id::overload_started, severity::warning, "overload_started",
      "The shedding threshold of this gate started to refuse calls."},
     {event_id::overload_ended, severity::info, "overload_ended",
--- a/src/transport/internal/connections.h
+++ b/src/transport/internal/connections.h
@@ -28,6 +28,7 @@
     void start(frame_handlers handlers);
     void send(const core::endpoint_id& to, const frame& message);
     void forget(const std::string& address);
+    void release(const std::string& address);
     [[nodiscard]] const core::endpoint_id& self() const { return m_self; }
     [[nodiscard]] transport_counters counters() const;
 
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -245,6 +245,8 @@
                    [&](const credit& granted) { target.mutable_credit()->set_chunks(granted.chunks); },
                    [&](const cancel&) { target.mutable_cancel(); },
                    [&](const attempt_end& end) { write(end, *target.mutable_failure()); },
+                   [&](const status_query&) { target.mutable_query(); },
+                   [&](const status_in_progress&) { target.mutable_in_progress(); },
                    [&](const link_opening& opening) {
                        target.mutable_opening()->set_link(opening.link);
                        target.mutable_opening()->set_first_sequence(opening.first_sequence);
@@ -279,6 +281,12 @@
     case wire::frame::kCancel:
         message.payload = cancel{};
         return true;
+    case wire::frame::kQuery:
+        message.payload = status_query{};
+        return true;
+    case wire::frame::kInProgress:
+        message.payload = status_in_progress{};
+        return true;
     case wire::frame::kFailure:
         return store(message, read(source.failure()));
     case wire::frame::kOpening:
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -65,6 +65,15 @@
     });
 }
 
+void peer_link::close_if_idle() {
+    boost::asio::post(m_strand, [self = shared_from_this()] {
+        if (self->m_phase == phase::connected && self->m_queue.is_empty()) {
+            self->close_socket();
+            self->m_phase = phase::idle;
+        }
+    });
+}
+
 void peer_link::abandon() {
     m_phase = phase::closed;
     close_socket();
--- a/src/transport/internal/peer_link.h
+++ b/src/transport/internal/peer_link.h
@@ -61,6 +61,10 @@
     /// from any thread.
     void close();
 
+    /// Closes the connection unless frames are held that may still have to be written; a later frame opens
+    /// another one. May be called from any thread.
+    void close_if_idle();
+
     /// Closes the connection without reporting any frame; call it only when no thread uses the link any
     /// more.
     void abandon();
--- a/src/transport/internal/tcp_transport.cpp
+++ b/src/transport/internal/tcp_transport.cpp
@@ -96,6 +96,16 @@
     }
 }
 
+void tcp_transport::connections::release(const std::string& address) {
+    const std::scoped_lock lock(m_links_mutex);
+    for (const bool bulk : {false, true}) {
+        const auto found = m_links.find({address, bulk});
+        if (found != m_links.end()) {
+            found->second->close_if_idle();
+        }
+    }
+}
+
 transport_counters tcp_transport::connections::counters() const {
     return {m_received, m_sent, m_unsent, m_corrupt, m_wrong_incarnation};
 }
@@ -240,6 +250,10 @@
     m_connections->forget(address);
 }
 
+void tcp_transport::release(const std::string& address) {
+    m_connections->release(address);
+}
+
 transport_counters tcp_transport::counters() const {
     return m_connections->counters();
 }
--- a/src/transport/tcp_transport.h
+++ b/src/transport/tcp_transport.h
@@ -70,6 +70,10 @@
     /// Closes the outgoing connections to the daemon at `address`, which has left.
     void forget(const std::string& address);
 
+    /// Closes the outgoing connections to the daemon at `address` if nothing is left to write to them. The
+    /// daemon seems to be gone; if it isn't, the answers that it waits for still reach it.
+    void release(const std::string& address);
+
     [[nodiscard]] transport_counters counters() const;
 
 private:
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -92,6 +92,12 @@
 /// Cancels an attempt at its gate.
 struct cancel {};
 
+/// Asks a gate whether it still has an attempt.
+struct status_query {};
+
+/// Tells an entry that its gate has the attempt, running or waiting.
+struct status_in_progress {};
+
 /// Opens a connection. The sender numbers the frames of a link, across its connections; the frames that
 /// follow on this connection are numbered from `first_sequence` on, so the receiver can drop those it has
 /// received.
@@ -109,7 +115,8 @@
     core::incarnation sender;
     core::attempt_id attempt;
     frame_target target = frame_target::gate;
-    std::variant<request_head, response_head, body_chunk, body_end, credit, cancel, attempt_end, link_opening>
+    std::variant<request_head, response_head, body_chunk, body_end, credit, cancel, attempt_end, link_opening,
+                 status_query, status_in_progress>
         payload;
     /// Set on receipt: the frame was written to an earlier connection too, so another process at this address
     /// may have received it.
