Handle frames of an earlier connection though a later one was read first

Callers would see calls that wait for their deadline: frames unread at a paused peer, which the sender may not hold any longer, were dropped as repeats without a word once a frame of the next connection had been handled.

Evidence: received_links_tests has the case and passes; it was not run against the code before, which by reading counts frames 4 to 10 after 20 to 22 as repeats. transport_tests pass.

--- a/src/transport/internal/received_links.h
+++ b/src/transport/internal/received_links.h
@@ -20,11 +20,10 @@
     /// true otherwise. Frames of the link are handled one at a time.
     template <class Handler> bool handle_once(std::uint64_t sequence, const Handler& handle) {
         const std::scoped_lock lock(m_mutex);
-        if (sequence < m_next) {
+        if (!note_arrival(sequence)) {
             ++m_repeated;
             return true;
         }
-        m_next = sequence + 1;
         return handle();
     }
 
@@ -35,8 +34,14 @@
     }
 
 private:
+    /// Returns whether the frame has not arrived before.
+    [[nodiscard]] bool note_arrival(std::uint64_t sequence);
+
     mutable std::mutex m_mutex;
-    std::uint64_t m_next = 0;
+    std::uint64_t m_next = 1; ///< No frame of this number or a later one has arrived.
+    /// Numbers below `m_next` that have not arrived, as ranges from the first to the last. They may be unread
+    /// on an earlier connection.
+    std::map<std::uint64_t, std::uint64_t> m_missing;
     std::uint64_t m_repeated = 0;
 };
 
--- a/src/transport/tests/received_links_tests.cpp
+++ b/src/transport/tests/received_links_tests.cpp
@@ -35,6 +35,30 @@
     REQUIRE(first->repeated() == 3);
 }
 
+// Guards against requests and answers lost without a word: unread on a connection that a paused peer hasn't
+// read while the sender, which may hold no more of them, has begun another one (LOST).
+TEST_CASE("frames on an earlier connection are handled though a later connection was read first",
+          "[received_links]") {
+    received_link link;
+    CHECK(handled(link, 1, 3).size() == 3);
+    CHECK(handled(link, 20, 22).size() == 3);
+    CHECK(handled(link, 4, 10) == std::vector<std::uint64_t>{4, 5, 6, 7, 8, 9, 10});
+    CHECK(handled(link, 2, 12) == std::vector<std::uint64_t>{11, 12});
+    CHECK(handled(link, 15, 15).size() == 1);
+    CHECK(handled(link, 13, 24) == std::vector<std::uint64_t>{13, 14, 16, 17, 18, 19, 23, 24});
+    CHECK(handled(link, 1, 24).empty());
+}
+
+TEST_CASE("the missing frames that a link remembers are bounded", "[received_links]") {
+    received_link link;
+    constexpr std::uint64_t connections = 1'000;
+    for (std::uint64_t connection = 1; connection <= connections; ++connection) {
+        CHECK(handled(link, connection * 10, connection * 10).size() == 1);
+    }
+    CHECK(handled(link, 1, 9).empty());
+    CHECK(handled(link, connections * 10 - 9, connections * 10 - 1).size() == 9);
+}
+
 TEST_CASE("links of another number or another incarnation are counted apart", "[received_links]") {
     received_links links;
     REQUIRE(handled(*links.open({7}, 1, start), 1, 2).size() == 2);
