Bound what every reader of HTTP holds before it can be parsed

Cause: only the gate's read buffer had a bound; the limits of heads and bodies don't count extensions, sizes and trailers.

The admin and heartbeat ports say 413 or 400 instead of closing without a word.

--- a/src/admin/internal/admin_server.cpp
+++ b/src/admin/internal/admin_server.cpp
@@ -1,5 +1,6 @@
 #include "admin/admin_server.h"
 
+#include "core/http_read_buffer.h"
 #include "network/address_text.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,7 +11,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -18,9 +18,12 @@
 #include <boost/beast/http/write.hpp>
 #include <openssl/crypto.h>
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
+#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -37,6 +40,10 @@
 constexpr std::uint64_t body_limit_bytes = 1024 * 1024;
 constexpr std::chrono::seconds idle_timeout = 30s;
 
+/// How long a client whose message was refused may take to read the answer.
+constexpr std::chrono::seconds refusal_timeout = 2s;
+constexpr std::size_t discard_bytes = 16 * 1024;
+
 struct route_entry {
     access needed = access::open;
     std::variant<admin_handler, deferred_handler> handler;
@@ -68,6 +75,20 @@
             R"({"type":"about:blank","title":")" + title + R"(","status":)" + std::to_string(status) + "}"};
 }
 
+/// Returns the refusal of a message that can't be read; nothing if its sender has closed the connection.
+std::optional<admin_response> refusal_of(boost::system::error_code failure) {
+    const bool is_too_long = failure == http::error::buffer_overflow || failure == http::error::body_limit ||
+                             failure == http::error::header_limit;
+    if (is_too_long) {
+        return refusal(413, "The message is too long");
+    }
+    const bool is_about_http =
+        failure.category() == http::make_error_code(http::error::bad_method).category();
+    const bool has_ended = failure == http::error::end_of_stream || failure == http::error::partial_message;
+    return is_about_http && !has_ended ? std::optional(refusal(400, "This is not an HTTP/1.1 message"))
+                                       : std::nullopt;
+}
+
 } // namespace
 
 namespace internal {
@@ -119,7 +140,7 @@
     }
 
     boost::asio::awaitable<void> session(boost::beast::tcp_stream stream) {
-        boost::beast::flat_buffer buffer;
+        core::http_read_buffer buffer;
         bool keep_open = true;
         while (keep_open) {
             stream.expires_after(idle_timeout);
@@ -127,6 +148,7 @@
             parser.body_limit(body_limit_bytes);
             const auto [failure, bytes_read] = co_await http::async_read(stream, buffer, parser, to_tuple);
             if (failure) {
+                co_await refuse_message(stream, failure);
                 co_return;
             }
             auto response = co_await answer(parser.get());
@@ -136,6 +158,35 @@
         }
     }
 
+    /// Tells a client whose message can't be read why, and closes the connection. Says nothing to one that
+    /// has closed it.
+    static boost::asio::awaitable<void> refuse_message(boost::beast::tcp_stream& stream,
+                                                       boost::system::error_code failure) {
+        const auto reason = refusal_of(failure);
+        if (!reason) {
+            co_return;
+        }
+        http::response<http::string_body> response;
+        response.version(11);
+        response.result(reason->status);
+        response.set(http::field::content_type, reason->content_type);
+        response.body() = reason->body;
+        response.content_length(response.body().size());
+        response.keep_alive(false);
+        stream.expires_after(refusal_timeout);
+        co_await http::async_write(stream, response, to_tuple);
+        boost::system::error_code ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        // NOTE: closing a socket with unread bytes would reset the connection before the client has read the
+        // answer.
+        std::array<char, discard_bytes> unread{};
+        boost::system::error_code ended;
+        while (!ended) {
+            std::tie(ended, std::ignore) =
+                co_await stream.async_read_some(boost::asio::buffer(unread), to_tuple);
+        }
+    }
+
     boost::asio::awaitable<http::response<http::string_body>>
     answer(http::request<http::string_body>& request) {
         const std::string target(request.target());
--- a/src/admin/tests/admin_server_tests.cpp
+++ b/src/admin/tests/admin_server_tests.cpp
@@ -5,6 +5,7 @@
 #include "network/testing/failing_source.h"
 #include "store/testing/manual_scheduler.h"
 #include "testing/manual_clock.h"
+#include "testing/pouring_peer.h"
 #include "testing/recording_log.h"
 
 #include <boost/asio/io_context.hpp>
@@ -117,3 +118,46 @@
     run_until([&] { return ended == 2; });
     CHECK_THAT(answers[0], Catch::StartsWith("HTTP/1.0 200") && Catch::EndsWith("first"));
 }
+
+// Guards against a heartbeat or a request of administration whose bytes without end take all memory (LOST).
+TEST_CASE("a message without end gets an error and its connection is closed, and others are served",
+          "[admin]") {
+    struct endless_case {
+        std::string beginning;
+        std::string repeated;
+        std::string status;
+    };
+    const std::string chunked = "POST /health HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto tried =
+        GENERATE_COPY(values<endless_case>({{chunked + "5;", "x", "413"},
+                                            {chunked + "5", "0", "413"},
+                                            {chunked + "0\r\n", "X-Trailer: x\r\n", "413"},
+                                            {chunked, "5\r\nright\r\n", "413"},
+                                            {"GET /health HTTP/1.1\r\n", "X-Field: x\r\n", "413"},
+                                            {"noise", "noise", "413"},
+                                            {"noise\r\n\r\n", "noise", "400"}}));
+    CAPTURE(tried.beginning, tried.repeated);
+    exhausted_port port;
+    admin::admin_server server(port.io, "127.0.0.1:0", "secret", port.clock, port.log);
+    server.route("GET", "/health", admin::access::open, [](const admin::admin_request&) {
+        return admin::admin_response{200, "text/plain", "up"};
+    });
+    server.start();
+    tcp::socket connected(port.io);
+    connected.connect(network::parse_address(server.address()));
+    testing::pouring_peer client(std::move(connected), tried.beginning, tried.repeated);
+    client.start();
+    port.run_until(
+        [&] { return client.received().find("\r\n\r\n") != std::string::npos || client.has_ended(); });
+    CHECK_THAT(client.received(), Catch::StartsWith("HTTP/1.1 " + tried.status));
+    client.stop();
+    tcp::socket other(port.io);
+    other.connect(network::parse_address(server.address()));
+    boost::asio::write(other, boost::asio::buffer(std::string("GET /health HTTP/1.0\r\n\r\n")));
+    std::string answer;
+    bool ended = false;
+    boost::asio::async_read(other, boost::asio::dynamic_buffer(answer),
+                            [&](const boost::system::error_code&, std::size_t) { ended = true; });
+    port.run_until([&] { return ended; });
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.0 200"));
+}
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -50,12 +50,13 @@
 }
 
 problem incomplete_body() {
-    return {400,
-            verdict::not_run,
-            "body-incomplete",
-            "The request body is not whole",
-            "the request body ended early or is malformed",
-            {}};
+    return {
+        400,
+        verdict::not_run,
+        "body-incomplete",
+        "The request body is not whole",
+        "the request body ended early, is malformed or has a chunk extension or a trailer that is too long",
+        {}};
 }
 
 } // namespace
@@ -211,11 +212,11 @@
 }
 
 std::optional<problem> call_exchange::begin_attempt() {
-    auto chosen = choose_destination();
     // NOTE: the process would end under the attempt, and the caller's connection with it.
     if (m_shared.refuses_all()) {
         return stopping();
     }
+    auto chosen = choose_destination();
     if (auto* trouble = std::get_if<problem>(&chosen)) {
         return std::move(*trouble);
     }
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/http_read_buffer.h"
 #include "entry/caller_protocol.h"
 #include "entry/request_parsing.h"
 #include "entry/types/problem.h"
@@ -7,7 +8,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -102,7 +102,7 @@
     void check_caller_closed();
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    core::http_read_buffer m_buffer;
     std::uint32_t m_head_limit;
     const caller_protocol& m_protocol;
     std::optional<parser> m_parser;
--- a/src/gate/internal/backend_pool.h
+++ b/src/gate/internal/backend_pool.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/http_read_buffer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include <chrono>
 #include <memory>
@@ -15,15 +15,12 @@
 
 namespace monsoonlift::gate::internal {
 
-/// Largest part of an answer that is buffered before it can be parsed: its head, or the head of a chunk.
-inline constexpr std::size_t max_unparsed_bytes = 256 * 1024;
-
 /// One keep-alive connection to the backend server.
 struct backend_connection {
     explicit backend_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer{max_unparsed_bytes};
+    core::http_read_buffer buffer;
     std::string address;
     bool has_answered = false;    ///< An answer was read; later bytes may repeat an earlier answer.
     core::steady_time idle_since; ///< Time at which it was put into the pool.
--- a/src/store/internal/http_exchange.h
+++ b/src/store/internal/http_exchange.h
@@ -6,12 +6,12 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/error.h"
+#include "core/http_read_buffer.h"
 #include "store/http_client.h"
 #include "store/internal/connection_pool.h"
 
@@ -42,7 +42,7 @@
     http_client::handler m_done;
     connection_pool::stream_ptr m_stream;
     bool m_reused = false;
-    boost::beast::flat_buffer m_buffer;
+    core::http_read_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
 };
 
