Read configuration texts that are JSON as JSON

Cause: the translated document is JSON, which was read with the YAML parser.

Change: settings::text_node holds the values of either; what is JSON is parsed as such. Aliases of YAML are copied within bounds, as they may contain themselves or multiply.

--- a/src/configuration/internal/document_reader.cpp
+++ b/src/configuration/internal/document_reader.cpp
@@ -4,8 +4,6 @@
 #include <set>
 #include <utility>
 
-#include <yaml-cpp/yaml.h>
-
 #include "configuration/internal/route_reader.h"
 #include "configuration/internal/service_reader.h"
 #include "configuration/limits.h"
--- a/src/settings/internal/yaml_reader.cpp
+++ b/src/settings/internal/yaml_reader.cpp
@@ -11,22 +11,25 @@
 
 namespace {
 
-int line_of(const YAML::Node& node) {
-    const YAML::Mark mark = node.Mark();
-    return mark.is_null() ? 0 : mark.line + 1;
+bool is_scalar(const text_node* node) {
+    return node != nullptr && node->type == text_node::kind::scalar;
 }
 
-std::string describe(const YAML::Node& node) {
-    if (!node.IsDefined()) {
+std::string describe(const text_node* node) {
+    if (node == nullptr) {
         return "nothing";
     }
-    if (node.IsScalar()) {
-        return "\"" + node.Scalar() + "\"";
-    }
-    if (node.IsSequence()) {
+    switch (node->type) {
+    case text_node::kind::scalar:
+        return "\"" + node->scalar + "\"";
+    case text_node::kind::list:
         return "a list";
+    case text_node::kind::map:
+        return "a map";
+    case text_node::kind::nothing:
+        break;
     }
-    return node.IsMap() ? "a map" : "nothing";
+    return "nothing";
 }
 
 std::string join(const std::vector<std::string>& words) {
@@ -37,12 +40,12 @@
     return text;
 }
 
-template <class Number> std::optional<Number> parse_number(const YAML::Node& node) {
-    if (!node.IsScalar()) {
+template <class Number> std::optional<Number> parse_number(const text_node* node) {
+    if (!is_scalar(node)) {
         return std::nullopt;
     }
     Number value{};
-    const std::string& text = node.Scalar();
+    const std::string& text = node->scalar;
     const char* end = text.data() + text.size();
     const auto [rest, fault] = std::from_chars(text.data(), end, value);
     if (fault != std::errc() || rest != end) {
@@ -59,17 +62,17 @@
 
 } // namespace
 
-yaml_reader::yaml_reader(const YAML::Node& node, std::string path, std::vector<settings_error>& errors)
-    : m_node(node), m_path(std::move(path)), m_errors(&errors) {}
+yaml_reader::yaml_reader(const text_node& node, std::string path, std::vector<settings_error>& errors)
+    : m_node(&node), m_path(std::move(path)), m_errors(&errors) {}
 
 void yaml_reader::refuse_unknown_keys(const std::vector<std::string>& known) {
     std::vector<std::string> seen;
-    for (const auto& pair : m_node) {
-        const std::string key = pair.first.IsScalar() ? pair.first.Scalar() : std::string("?");
+    for (const auto& entry : m_node->entries) {
+        const std::string key = is_scalar(&entry.key) ? entry.key.scalar : std::string("?");
         const bool repeated = std::find(seen.begin(), seen.end(), key) != seen.end();
         seen.push_back(key);
         if (repeated) {
-            m_errors->push_back({child_path(key), line_of(pair.first), "the key twice", "each key once"});
+            m_errors->push_back({child_path(key), entry.key.line, "the key twice", "each key once"});
             continue;
         }
         if (std::find(known.begin(), known.end(), key) != known.end()) {
@@ -79,26 +82,26 @@
         if (const auto nearest = internal::nearest_name(key, known); nearest.has_value()) {
             allowed = "\"" + *nearest + "\" is the nearest known key; " + allowed;
         }
-        m_errors->push_back({child_path(key), line_of(pair.first), "unknown key \"" + key + "\"", allowed});
+        m_errors->push_back({child_path(key), entry.key.line, "unknown key \"" + key + "\"", allowed});
     }
 }
 
 bool yaml_reader::has(std::string_view key) const {
-    return child(key).IsDefined();
+    return child(key) != nullptr;
 }
 
 std::string yaml_reader::required_string(std::string_view key) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined() || !node.IsScalar() || node.Scalar().empty()) {
+    const auto* node = child(key);
+    if (!is_scalar(node) || node->scalar.empty()) {
         report(key, describe(node), "a text that is not empty");
         return {};
     }
-    return node.Scalar();
+    return node->scalar;
 }
 
 std::string yaml_reader::optional_string(std::string_view key, std::string fallback) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined()) {
+    const auto* node = child(key);
+    if (node == nullptr) {
         return fallback;
     }
     return required_string(key);
@@ -106,24 +109,24 @@
 
 std::string yaml_reader::one_of(std::string_view key, const std::vector<std::string>& allowed,
                                 std::string fallback) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined()) {
+    const auto* node = child(key);
+    if (node == nullptr) {
         return fallback;
     }
-    if (!node.IsScalar() || std::find(allowed.begin(), allowed.end(), node.Scalar()) == allowed.end()) {
+    if (!is_scalar(node) || std::find(allowed.begin(), allowed.end(), node->scalar) == allowed.end()) {
         report(key, describe(node), "one of " + join(allowed));
         return fallback;
     }
-    return node.Scalar();
+    return node->scalar;
 }
 
 std::uint64_t yaml_reader::whole_number(std::string_view key, std::uint64_t lowest, std::uint64_t highest,
                                         std::optional<std::uint64_t> fallback) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined() && fallback.has_value()) {
+    const auto* node = child(key);
+    if (node == nullptr && fallback.has_value()) {
         return *fallback;
     }
-    const auto value = node.IsDefined() ? parse_number<std::uint64_t>(node) : std::nullopt;
+    const auto value = parse_number<std::uint64_t>(node);
     if (!value.has_value() || *value < lowest || *value > highest) {
         report(key, describe(node), range_text("a whole number", lowest, highest));
         return lowest;
@@ -133,11 +136,11 @@
 
 double yaml_reader::number(std::string_view key, double lowest, double highest,
                            std::optional<double> fallback) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined() && fallback.has_value()) {
+    const auto* node = child(key);
+    if (node == nullptr && fallback.has_value()) {
         return *fallback;
     }
-    const auto value = node.IsDefined() ? parse_number<double>(node) : std::nullopt;
+    const auto value = parse_number<double>(node);
     const bool within = value.has_value() && *value >= lowest && *value <= highest;
     if (!within) {
         report(key, describe(node), range_text("a number", lowest, highest));
@@ -147,11 +150,11 @@
 }
 
 bool yaml_reader::boolean(std::string_view key, std::optional<bool> fallback) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined() && fallback.has_value()) {
+    const auto* node = child(key);
+    if (node == nullptr && fallback.has_value()) {
         return *fallback;
     }
-    const std::string text = node.IsDefined() && node.IsScalar() ? node.Scalar() : std::string();
+    const std::string text = is_scalar(node) ? node->scalar : std::string();
     if (text != "true" && text != "false") {
         report(key, describe(node), "true or false");
         return false;
@@ -162,13 +165,13 @@
 std::chrono::milliseconds yaml_reader::duration(std::string_view key, std::chrono::milliseconds lowest,
                                                 std::chrono::milliseconds highest,
                                                 std::optional<std::chrono::milliseconds> fallback) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined() && fallback.has_value()) {
+    const auto* node = child(key);
+    if (node == nullptr && fallback.has_value()) {
         return *fallback;
     }
     std::optional<std::chrono::milliseconds> value;
-    if (node.IsDefined() && node.IsScalar()) {
-        value = internal::parse_duration(node.Scalar());
+    if (is_scalar(node)) {
+        value = internal::parse_duration(node->scalar);
     }
     if (!value.has_value() || *value < lowest || *value > highest) {
         report(key, describe(node),
@@ -180,42 +183,42 @@
 }
 
 std::vector<std::string> yaml_reader::string_list(std::string_view key) {
-    const YAML::Node node = child(key);
+    const auto* node = child(key);
     std::vector<std::string> values;
-    if (!node.IsDefined()) {
+    if (node == nullptr) {
         return values;
     }
-    if (!node.IsSequence()) {
+    if (node->type != text_node::kind::list) {
         report(key, describe(node), "a list of texts");
         return values;
     }
-    for (const auto& item : node) {
-        if (!item.IsScalar() || item.Scalar().empty()) {
+    for (const auto& item : node->items) {
+        if (!is_scalar(&item) || item.scalar.empty()) {
             const std::string place = child_path(key) + "[" + std::to_string(values.size()) + "]";
-            m_errors->push_back({place, line_of(item), describe(item), "a text that is not empty"});
+            m_errors->push_back({place, item.line, describe(&item), "a text that is not empty"});
             values.emplace_back();
             continue;
         }
-        values.push_back(item.Scalar());
+        values.push_back(item.scalar);
     }
     return values;
 }
 
 std::vector<yaml_reader> yaml_reader::map_list(std::string_view key) {
-    const YAML::Node node = child(key);
+    const auto* node = child(key);
     std::vector<yaml_reader> readers;
-    if (!node.IsDefined()) {
+    if (node == nullptr) {
         return readers;
     }
-    if (!node.IsSequence()) {
+    if (node->type != text_node::kind::list) {
         report(key, describe(node), "a list of maps");
         return readers;
     }
     std::size_t index = 0;
-    for (const auto& item : node) {
+    for (const auto& item : node->items) {
         const std::string place = child_path(key) + "[" + std::to_string(index++) + "]";
-        if (!item.IsMap()) {
-            m_errors->push_back({place, line_of(item), describe(item), "a map"});
+        if (item.type != text_node::kind::map) {
+            m_errors->push_back({place, item.line, describe(&item), "a map"});
             continue;
         }
         readers.emplace_back(item, place, *m_errors);
@@ -224,45 +227,29 @@
 }
 
 std::optional<yaml_reader> yaml_reader::map(std::string_view key) {
-    const YAML::Node node = child(key);
-    if (!node.IsDefined()) {
+    const auto* node = child(key);
+    if (node == nullptr) {
         return std::nullopt;
     }
-    if (!node.IsMap()) {
+    if (node->type != text_node::kind::map) {
         report(key, describe(node), "a map");
         return std::nullopt;
     }
-    return yaml_reader(node, child_path(key), *m_errors);
+    return yaml_reader(*node, child_path(key), *m_errors);
 }
 
 void yaml_reader::report(std::string_view key, std::string found, std::string allowed) {
-    const YAML::Node node = child(key);
-    const int line = node.IsDefined() ? line_of(node) : line_of(m_node);
+    const auto* node = child(key);
+    const int line = node != nullptr ? node->line : m_node->line;
     m_errors->push_back({child_path(key), line, std::move(found), std::move(allowed)});
 }
 
-YAML::Node yaml_reader::child(std::string_view key) const {
-    const YAML::Node& map = m_node;
-    return map.IsMap() ? map[std::string(key)] : YAML::Node(YAML::NodeType::Undefined);
+const text_node* yaml_reader::child(std::string_view key) const {
+    return find(*m_node, key);
 }
 
 std::string yaml_reader::child_path(std::string_view key) const {
     return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
 }
 
-std::optional<YAML::Node> load_map(const std::string& text, const std::string& path,
-                                   std::vector<settings_error>& errors) {
-    constexpr const char* allowed = "a YAML map";
-    try {
-        YAML::Node root = YAML::Load(text);
-        if (root.IsMap()) {
-            return root;
-        }
-        errors.push_back({path, 1, "no map", allowed});
-    } catch (const YAML::Exception& fault) {
-        errors.push_back({path, fault.mark.line + 1, fault.msg, allowed});
-    }
-    return std::nullopt;
-}
-
 } // namespace monsoonlift::settings
--- a/src/settings/tests/daemon_settings_tests.cpp
+++ b/src/settings/tests/daemon_settings_tests.cpp
@@ -1,6 +1,7 @@
 #include "settings/daemon_settings.h"
 
 #include "settings/changed_settings.h"
+#include "settings/text_node.h"
 
 #include <chrono>
 #include <string>
@@ -177,3 +178,46 @@
     read.deployment.reset();
     CHECK(take_changes(before, read).in_force.deployment == before.deployment);
 }
+
+TEST_CASE("a text that is JSON is read as the same values as YAML", "[settings]") {
+    const std::string yaml =
+        "a: 1\nb: [x, {c: true}, -2.5]\nd: null\ne: \"\\u00e4 \\\"q\\\"\"\nf: 18446744073709551615\n";
+    const std::string json =
+        R"({"a": 1, "b": ["x", {"c": true}, -2.5], "d": null, "e": "\u00e4 \"q\"", "f": 18446744073709551615})";
+    std::vector<settings_error> errors;
+    const auto first = load_map(yaml, "", errors);
+    const auto second = load_map(json, "", errors);
+    REQUIRE(first);
+    REQUIRE(second);
+    for (const std::string key : {"a", "e", "f"}) {
+        INFO(key);
+        CHECK(find(*first, key)->scalar == find(*second, key)->scalar);
+    }
+    CHECK(find(*second, "b")->items[0].scalar == "x");
+    CHECK(find(find(*second, "b")->items[1], "c")->scalar == "true");
+    CHECK(std::stod(find(*second, "b")->items[2].scalar) == -2.5);
+    CHECK(find(*second, "d")->type == text_node::kind::nothing);
+    CHECK(find(*second, "none") == nullptr);
+    CHECK(load_map("{a: 1}", "", errors));
+    CHECK(errors.empty());
+    CHECK_FALSE(load_map("{\"a\": ", "", errors));
+    CHECK(errors.size() == 1);
+}
+
+TEST_CASE("YAML whose aliases contain themselves or multiply is refused", "[settings]") {
+    std::string multiplied = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n";
+    for (int level = 1; level < 12; ++level) {
+        const auto before = "*a" + std::to_string(level - 1);
+        const auto name = "a" + std::to_string(level);
+        multiplied += name + ": &" + name + " [";
+        for (int copy = 0; copy < 9; ++copy) {
+            multiplied += before + ", ";
+        }
+        multiplied += before + "]\n";
+    }
+    for (const std::string& text : {std::string("a: &x [*x]"), multiplied}) {
+        std::vector<settings_error> errors;
+        CHECK_FALSE(load_map(text, "", errors));
+        CHECK(errors.size() == 1);
+    }
+}
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -1,6 +1,7 @@
 /// Validating reader for YAML maps; collects every error instead of stopping at the first.
 #pragma once
 
+#include "settings/text_node.h"
 #include "settings/types/settings_error.h"
 
 #include <chrono>
@@ -10,16 +11,14 @@
 #include <string_view>
 #include <vector>
 
-#include <yaml-cpp/yaml.h>
-
 namespace monsoonlift::settings {
 
 /// Reads the values of one YAML map. Nested readers add their errors to the same list.
 class yaml_reader {
 public:
-    /// Creates a reader for `node`, whose path in the document is `path`; errors are appended to `errors`,
-    /// which must outlive the reader.
-    yaml_reader(const YAML::Node& node, std::string path, std::vector<settings_error>& errors);
+    /// Creates a reader for `node`, whose path in the document is `path`; errors are appended to `errors`.
+    /// Both must outlive the reader.
+    yaml_reader(const text_node& node, std::string path, std::vector<settings_error>& errors);
 
     /// Reports every key of the map that is not in `known`, with the most similar known key if one is close.
     void refuse_unknown_keys(const std::vector<std::string>& known);
@@ -71,17 +70,12 @@
     [[nodiscard]] const std::string& path() const { return m_path; }
 
 private:
-    [[nodiscard]] YAML::Node child(std::string_view key) const;
+    [[nodiscard]] const text_node* child(std::string_view key) const;
     [[nodiscard]] std::string child_path(std::string_view key) const;
 
-    YAML::Node m_node;
+    const text_node* m_node;
     std::string m_path;
     std::vector<settings_error>* m_errors;
 };
 
-/// Parses a YAML text whose root is a map. Returns nothing and adds an error at `path` if it is malformed or
-/// not a map.
-[[nodiscard]] std::optional<YAML::Node> load_map(const std::string& text, const std::string& path,
-                                                 std::vector<settings_error>& errors);
-
 } // namespace monsoonlift::settings
