Tell in the counts of a gate how late its process ran

Change: 3008 has lag_ms, the longest lateness of the gate's timer since the line before, and is written too when that is 100 ms or more.

--- a/src/gate/internal/gate_events.cpp
+++ b/src/gate/internal/gate_events.cpp
@@ -1,6 +1,7 @@
 #include "gate/internal/gate_events.h"
 
 #include "admission/shed_level_text.h"
+#include "logging/number_text.h"
 
 namespace monsoonlift::gate::internal {
 
@@ -8,6 +9,11 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/// A process that runs later than this makes calls late.
+constexpr std::chrono::milliseconds notable_lag = 100ms;
+
 std::string seconds_text(std::chrono::nanoseconds time) {
     return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(time).count());
 }
@@ -42,7 +48,8 @@
 }
 
 void gate_events::counted(const gate_interval& interval) {
-    if (interval.shed + interval.server_refused == 0) {
+    const bool was_late = interval.largest_lag >= notable_lag;
+    if (interval.shed + interval.server_refused == 0 && !was_late) {
         return;
     }
     m_log.write(event_id::gate_counted, {{"arrived", std::to_string(interval.arrived)},
@@ -53,7 +60,8 @@
                                          {"running", std::to_string(interval.load.running)},
                                          {"waiting", std::to_string(interval.load.waiting)},
                                          {"limit", std::to_string(interval.load.limit)},
-                                         {"level", admission::to_string(interval.load.level)}});
+                                         {"level", admission::to_string(interval.load.level)},
+                                         {"lag_ms", logging::milliseconds_text(interval.largest_lag)}});
 }
 
 void gate_events::cancelled(const gate_class& call_class, const core::attempt_id& attempt,
--- a/src/gate/internal/gate_events.h
+++ b/src/gate/internal/gate_events.h
@@ -21,6 +21,8 @@
     std::uint64_t server_refused = 0; ///< Connection refused, refusal answered, or status 503 or 429.
     std::uint64_t failed = 0;  ///< Had a slot but got no answer, even if the backend server refused it.
     routing::load_report load; ///< Load at the end of the interval.
+    /// Longest time by which a timer of the gate fired late: events wait as long for this process to run.
+    std::chrono::nanoseconds largest_lag{0};
 };
 
 /// Logs the events of a gate, throttled so that none is written for every call. Thread-safe.
@@ -31,7 +33,7 @@
     /// Logs changes of the gate's load.
     void load_changed(const load_changes& changes, const gate_classes& classes);
 
-    /// Logs the counts of an interval, if requests were refused in it.
+    /// Logs the counts of an interval, if requests were refused in it or the process was late.
     void counted(const gate_interval& interval);
 
     /// Logs that the entry cancelled a call, before or after the call got a slot.
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -2,6 +2,7 @@
 
 #include "transfer/body_digest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoonlift::gate {
@@ -284,6 +285,7 @@
 }
 
 void gate_service::state::tick_later() {
+    m_tick_due = m_clock.now() + tick_interval;
     m_timer.expires_after(tick_interval);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& failure) {
         if (!failure && !self->m_stopped) {
@@ -295,6 +297,7 @@
 
 void gate_service::state::tick() {
     const auto now = m_clock.now();
+    m_largest_lag = std::max<std::chrono::nanoseconds>(m_largest_lag, now - m_tick_due);
     apply(m_table.withdraw_if_left(now));
     apply(m_table.tick(now));
     m_events.load_changed(m_load_watch.update(m_table.report(), now), m_classes);
@@ -316,10 +319,11 @@
         return;
     }
     m_next_counts = now + counts_interval;
-    const internal::gate_interval total{m_arrived, m_answered, m_shed, m_server_refused, m_failed, report()};
+    const internal::gate_interval total{m_arrived, m_answered, m_shed, m_server_refused,
+                                        m_failed,  report(),   {}};
     m_events.counted({total.arrived - m_last_logged.arrived, total.answered - m_last_logged.answered,
                       total.shed - m_last_logged.shed, total.server_refused - m_last_logged.server_refused,
-                      total.failed - m_last_logged.failed, total.load});
+                      total.failed - m_last_logged.failed, total.load, std::exchange(m_largest_lag, {})});
     m_last_logged = total;
 }
 
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -98,6 +98,8 @@
     std::atomic<std::uint64_t> m_server_refused = 0; ///< See gate_interval::server_refused.
     internal::gate_interval m_last_logged;           ///< Totals at the last logged interval.
     core::steady_time m_next_counts;
+    core::steady_time m_tick_due;
+    std::chrono::nanoseconds m_largest_lag{0}; ///< Since the last logged interval.
 };
 
 } // namespace monsoonlift::gate
--- a/src/gate/tests/gate_events_tests.cpp
+++ b/src/gate/tests/gate_events_tests.cpp
@@ -54,17 +54,21 @@
     CHECK(gate.log.lines[3].fields["seconds"] == "90");
 }
 
-TEST_CASE("an interval is logged only if requests were refused in it, with counts by who refused them",
+TEST_CASE("an interval is logged only if requests were refused in it or the process was late",
           "[gate][events]") {
     gate_under_test gate;
-    gate.events.counted({900, 900, 0, 0, 3, {}});
+    gate.events.counted({900, 900, 0, 0, 3, {}, 99ms});
     CHECK(gate.log.lines.empty());
-    gate.events.counted({900, 410, 7, 480, 483, {{1, 40}, 20, 4, 22}});
+    gate.events.counted({900, 410, 7, 480, 483, {{1, 40}, 20, 4, 22}, 3ms});
     REQUIRE(gate.log.lines.size() == 1);
     CHECK(gate.log.lines[0].id == event_id::gate_counted);
     CHECK(gate.log.lines[0].fields["shed"] == "7");
     CHECK(gate.log.lines[0].fields["server_refused"] == "480");
     CHECK(gate.log.lines[0].fields["limit"] == "22");
+    CHECK(gate.log.lines[0].fields["lag_ms"] == "3.000");
+    gate.events.counted({900, 900, 0, 0, 3, {}, 100ms});
+    REQUIRE(gate.log.lines.size() == 2);
+    CHECK(gate.log.lines[1].fields["lag_ms"] == "100.000");
 }
 
 TEST_CASE("no event is written if the load has not changed", "[gate][events]") {
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -221,7 +221,9 @@
     {event_id::backend_broke_off, severity::error, "backend_broke_off",
      "The local backend server closed a connection before its answer was complete."},
     {event_id::gate_counted, severity::warning, "gate_counted",
-     "Outcomes of the requests of about one second at this gate, if any was refused."},
+     "Outcomes of the requests of about one second at this gate and how late its process ran, if any was "
+     "refused "
+     "or it was late."},
     {event_id::attempt_started, severity::info, "attempt_started",
      "An attempt got a slot: how long it waited, how many requests are running and how many may."},
     {event_id::attempt_not_admitted, severity::warning, "attempt_not_admitted",
