Let a handler's exception end that handler alone, not the process

An exception that left any handler left io_context::run, so the process ended with all its calls. The loop now goes on with the next handler and writes 1018; the transport hands a frame whose handling failed to its owner, writes 6008 and reads on. Number 1017 is retired.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -1,13 +1,13 @@
 #include "app/monsoonliftd/daemon.h"
 
 #include "app/monsoonliftd/daemon_options.h"
+#include "network/run_handlers.h"
 #include "settings/changed_settings.h"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <csignal>
-#include <exception>
 #include <random>
 #include <stdexcept>
 #include <thread>
@@ -85,7 +85,7 @@
     });
 }
 
-bool daemon::run() {
+void daemon::run() {
     std::vector<std::thread> workers;
     for (std::size_t index = 1; index < m_settings.workers; ++index) {
         workers.emplace_back([this] { work(); });
@@ -94,20 +94,18 @@
     for (auto& worker : workers) {
         worker.join();
     }
-    return !m_has_failed;
 }
 
 void daemon::work() {
-    try {
-        m_io.run();
-    } catch (const std::exception& failure) {
-        m_has_failed = true;
-        m_log.write(logging::event_id::process_failed,
-                    {{"why", failure.what()},
-                     {"at_gate", std::to_string(m_gate.counters().in_flight)},
-                     {"at_entry", std::to_string(m_entry.counters().in_flight)}});
-        m_io.stop();
-    }
+    network::run_handlers(m_io, [this](const std::string& why) { note_failure("a handler", why); });
+}
+
+void daemon::note_failure(const std::string& work, const std::string& why) {
+    m_log.write(logging::event_id::handler_failed,
+                {{"work", work},
+                 {"why", why},
+                 {"at_gate", std::to_string(m_gate.counters().in_flight)},
+                 {"at_entry", std::to_string(m_entry.counters().in_flight)}});
 }
 
 daemon_addresses daemon::addresses() const {
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -64,8 +64,8 @@
     /// Starts all components and binds the membership address; throws if that fails.
     void start();
 
-    /// Runs the worker threads until a planned stop has completed; returns false if an error ended them.
-    [[nodiscard]] bool run();
+    /// Runs the worker threads until a planned stop has completed.
+    void run();
 
     /// The addresses that the daemon listens on; call it after start().
     [[nodiscard]] daemon_addresses addresses() const;
@@ -74,6 +74,8 @@
     using control_strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
     void work();
+    /// Writes that an internal error ended one piece of `work`; safe to call from any thread.
+    void note_failure(const std::string& work, const std::string& why);
     void start_transport();
     void start_configuration();
     void start_homes();
@@ -195,7 +197,6 @@
     bool m_homes_handed_over = false;
     bool m_refuses_callers = false; ///< Set in a planned stop, once the platform sends no more callers.
     bool m_has_ended = false;
-    std::atomic<bool> m_has_failed = false; ///< An exception ended a worker thread.
     core::steady_time m_hand_over_deadline;
 };
 
--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -30,7 +30,7 @@
 
 The log goes to standard output, one JSON object per line; the line process_started has the addresses that the
 process listens on.
-Exit codes: 0 planned stop completed, 1 failed to start or aborted, 2 invalid settings.
+Exit codes: 0 planned stop completed, 1 failed to start, 2 invalid settings.
 )";
 
 constexpr int exit_bad_settings = 2;
@@ -83,10 +83,10 @@
                                                        {"admin", bound.admin},
                                                        {"transport", bound.transport},
                                                        {"membership", bound.membership}});
-        const bool has_stopped = process->run();
+        process->run();
         // NOTE: the process ends at once; to take everything apart first could outlast the time for its stop.
         static_cast<void>(process.release());
-        return has_stopped ? 0 : 1;
+        return 0;
     } catch (const std::exception& failure) {
         std::cerr << "monsoonliftd: " << failure.what() << '\n';
         return 1;
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -35,7 +35,8 @@
     farewell_acknowledged = 1014,
     farewell_not_recorded = 1015,
     past_farewell_known = 1016,
-    process_failed = 1017,
+    // 1017 was written when an internal error ended the process; none does any more.
+    handler_failed = 1018,
 
     // 2000: entry
     callers_not_accepted = 2000,
@@ -112,6 +113,7 @@
     peers_not_accepted = 6005,
     answer_crossed = 6006,
     peer_not_connected = 6007,
+    frame_failed = 6008,
 };
 
 /// Catalogue entry of one event.
@@ -163,9 +165,12 @@
     {event_id::past_farewell_known, severity::notice, "past_farewell_known",
      "The last deregistrations received by earlier processes of this daemon were read from the platform."},
 
+    {event_id::handler_failed, severity::error, "handler_failed",
+     "An internal error ended one piece of work: what it was, what the work was, and how many requests the "
+     "process had "
+     "at its gate and entry. The process goes on."},
+
     // 2000: entry
-    {event_id::process_failed, severity::error, "process_failed",
-     "An internal error ended the process: what it was and how many requests it had at its gate and entry."},
     {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
      "Connections of callers can't be accepted, for example because no file descriptor is free."},
     {event_id::request_malformed, severity::info, "request_malformed",
@@ -309,6 +314,10 @@
      "The backend server sent the answer to another request; it was dropped."},
     {event_id::peer_not_connected, severity::warning, "peer_not_connected",
      "A connection to another daemon could not be opened: the reason and how long it was tried."},
+    {event_id::frame_failed, severity::error, "frame_failed",
+     "An internal error came up while a frame was handled: its attempt, the part that it was for, and what "
+     "it was. "
+     "Later frames are handled."},
 });
 
 } // namespace monsoonlift::logging
--- a/src/transport/internal/connections.h
+++ b/src/transport/internal/connections.h
@@ -41,7 +41,9 @@
     void report_cut(const std::string& address, const internal::outgoing_frame& message);
     void log_loss(const std::string& address, const internal::outgoing_frame& message, loss_reason why);
     [[nodiscard]] bool receive(std::string_view bytes, internal::link_position& position);
+    [[nodiscard]] bool receive_new(std::string_view bytes, internal::link_position& position);
     [[nodiscard]] bool receive_frame(std::string_view bytes, internal::link_position& position);
+    void report_failed(std::string_view bytes, const std::string& why);
     [[nodiscard]] bool open_link(core::incarnation sender, const link_opening& opening,
                                  internal::link_position& position);
     void drop_misdirected(const frame& message);
--- a/src/transport/internal/tcp_transport.cpp
+++ b/src/transport/internal/tcp_transport.cpp
@@ -1,5 +1,6 @@
 #include "transport/tcp_transport.h"
 
+#include "core/contain.h"
 #include "logging/number_text.h"
 #include "transport/frame_codec.h"
 #include "transport/internal/connections.h"
@@ -162,6 +163,28 @@
 }
 
 bool tcp_transport::connections::receive(std::string_view bytes, internal::link_position& position) {
+    bool goes_on = true;
+    core::contain([&] { goes_on = receive_new(bytes, position); },
+                  [&](const std::string& why) { report_failed(bytes, why); });
+    return goes_on;
+}
+
+void tcp_transport::connections::report_failed(std::string_view bytes, const std::string& why) {
+    const auto message = decode(bytes, m_clock.now());
+    if (!message) {
+        m_log.write(logging::event_id::frame_failed, {{"why", why}});
+        return;
+    }
+    m_log.write(logging::event_id::frame_failed,
+                {{"attempt", core::to_string(message->attempt)},
+                 {"at", message->target == frame_target::gate ? "gate" : "entry"},
+                 {"why", why}});
+    if (m_handlers.failed) {
+        m_handlers.failed(*message);
+    }
+}
+
+bool tcp_transport::connections::receive_new(std::string_view bytes, internal::link_position& position) {
     if (!position.link) {
         return receive_frame(bytes, position);
     }
--- a/src/transport/tcp_transport.h
+++ b/src/transport/tcp_transport.h
@@ -34,6 +34,9 @@
     std::function<void(const unsent_frame&)> cut; ///< The connection broke mid-frame; the frame can't arrive.
     /// Receives frames meant for an earlier incarnation at this address, which are dropped. May be empty.
     std::function<void(const frame&)> misdirected = {};
+    /// Receives a frame whose handling ended with an exception, so it has not had all its effects. The
+    /// connection goes on with the next frame. May be empty.
+    std::function<void(const frame&)> failed = {};
 };
 
 /// Frame counts since the start of the transport.
--- a/src/transport/tests/tcp_transport_tests.cpp
+++ b/src/transport/tests/tcp_transport_tests.cpp
@@ -1,7 +1,10 @@
+#include "testing/recording_log.h"
 #include "transport/tests/two_daemons.h"
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace monsoonlift;
 using namespace monsoonlift::transport;
 using namespace monsoonlift::transport::testing;
@@ -109,3 +112,39 @@
     daemons.left.send(daemons.right.self(), credit_frame(1));
     REQUIRE(daemons.right_seen.frames(1).size() == 1);
 }
+
+TEST_CASE("a frame whose handling fails takes no later frame of its connection with it",
+          "[transport][contain]") {
+    boost::asio::io_context io;
+    core::system_clock clock;
+    monsoonlift::testing::recording_log log;
+    tcp_transport sender(io, {"127.0.0.1:0"}, {1}, clock, log);
+    tcp_transport receiver(io, {"127.0.0.1:0"}, {2}, clock, log);
+    std::vector<std::uint64_t> handled;
+    std::vector<std::uint64_t> failed;
+    recorder unused;
+    sender.start(unused.handlers());
+    auto handlers = unused.handlers();
+    handlers.received = [&](const frame& message) {
+        if (message.attempt.call == 2) {
+            throw std::runtime_error("no memory left");
+        }
+        handled.push_back(message.attempt.call);
+    };
+    handlers.failed = [&](const frame& message) {
+        failed.push_back(message.attempt.call);
+    };
+    receiver.start(std::move(handlers));
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+        sender.send(receiver.self(), credit_frame(call));
+    }
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (handled.size() < 2 && std::chrono::steady_clock::now() < end) {
+        io.run_one_for(std::chrono::milliseconds(10));
+    }
+    CHECK(handled == std::vector<std::uint64_t>{1, 3});
+    CHECK(failed == std::vector<std::uint64_t>{2});
+    REQUIRE(log.lines.size() == 1);
+    CHECK(log.lines.front().id == logging::event_id::frame_failed);
+    CHECK(log.lines.front().fields.at("why") == "no memory left");
+}
