Keep internal errors of the log from ending the process or a call

An exception on the log's writer thread, or in its once-a-second report, ended the process by std::terminate without a line, and one in write() ended whatever was being logged. Both are contained and counted as lines left out.

--- a/src/logging/event_log.h
+++ b/src/logging/event_log.h
@@ -24,7 +24,8 @@
     event_log& operator=(const event_log&) = delete;
     virtual ~event_log() = default;
 
-    /// Writes one event. Never blocks on whoever reads the log. Safe to call from any thread.
+    /// Writes one event. Never blocks on whoever reads the log, and throws nothing: a line that an internal
+    /// error keeps from being written counts as left out. Safe to call from any thread.
     virtual void write(event_id id, std::initializer_list<field> fields) = 0;
 
     /// Whether a line for that event would be written now. A line that the line budget or the output queue
@@ -32,8 +33,8 @@
     /// call from any thread.
     [[nodiscard]] virtual bool wants(event_id /*id*/) { return true; }
 
-    /// Number of lines left out since the start because of the line budget or the output queue. Safe to call
-    /// from any thread.
+    /// Number of lines left out since the start because of the line budget, the output queue or an internal
+    /// error. Safe to call from any thread.
     [[nodiscard]] virtual std::uint64_t left_out() const { return 0; }
 };
 
--- a/src/logging/internal/log4cplus_event_log.cpp
+++ b/src/logging/internal/log4cplus_event_log.cpp
@@ -7,6 +7,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include "core/contain.h"
 #include "logging/event_format.h"
 
 namespace monsoonlift::logging {
@@ -106,6 +107,10 @@
 }
 
 void log4cplus_event_log::write(event_id id, std::initializer_list<field> fields) {
+    core::contain([&] { write_line(id, fields); }, [this](const std::string&) { ++m_failed_lines; });
+}
+
+void log4cplus_event_log::write_line(event_id id, std::initializer_list<field> fields) {
     if (!is_enabled(id)) {
         return;
     }
@@ -135,7 +140,7 @@
 
 std::uint64_t log4cplus_event_log::left_out() const {
     const std::scoped_lock lock(m_mutex);
-    return m_left_out.total();
+    return m_left_out.total() + m_failed_lines + m_sink->writer.failures();
 }
 
 bool log4cplus_event_log::is_enabled(event_id id) const {
--- a/src/logging/internal/output_writer.cpp
+++ b/src/logging/internal/output_writer.cpp
@@ -1,6 +1,9 @@
 #include "logging/output_writer.h"
 
+#include "core/contain.h"
+
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <climits>
 #include <condition_variable>
@@ -58,6 +61,7 @@
         : descriptor(to), capacity(most), idle(std::move(when_idle)) {}
 
     void run();
+    void write_next();
     [[nodiscard]] std::string next_bytes();
     void write_bytes(std::string_view rest);
     [[nodiscard]] bool write_piece(std::string_view& rest);
@@ -73,6 +77,7 @@
     bool ending = false;
     bool given_up = false; ///< No more lines are written: the owner's wait timed out or a write failed.
     bool ended = false;
+    std::atomic<std::uint64_t> failures = 0;
     std::function<void()> idle;
     std::chrono::steady_clock::time_point next_idle = std::chrono::steady_clock::now() + idle_interval;
 };
@@ -80,9 +85,7 @@
 void output_writer::state::run() {
     block_broken_pipe_signal();
     while (true) {
-        const auto bytes = next_bytes();
-        write_bytes(bytes);
-        call_idle();
+        core::contain([this] { write_next(); }, [this](const std::string&) { ++failures; });
         const std::scoped_lock lock(mutex);
         if (ending && (lines.empty() || given_up)) {
             ended = true;
@@ -92,6 +95,12 @@
     }
 }
 
+void output_writer::state::write_next() {
+    const auto bytes = next_bytes();
+    write_bytes(bytes);
+    call_idle();
+}
+
 std::string output_writer::state::next_bytes() {
     std::unique_lock lock(mutex);
     changed.wait_until(lock, next_idle, [this] { return ending || !lines.empty(); });
@@ -181,6 +190,10 @@
     return true;
 }
 
+std::uint64_t output_writer::failures() const {
+    return m_state->failures;
+}
+
 bool output_writer::is_reader_gone() const {
     return m_state->is_given_up();
 }
--- a/src/logging/log4cplus_event_log.h
+++ b/src/logging/log4cplus_event_log.h
@@ -6,6 +6,7 @@
 #include "logging/line_budget.h"
 #include "logging/output_writer.h"
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -37,6 +38,7 @@
 private:
     struct sink;
 
+    void write_line(event_id id, std::initializer_list<field> fields);
     [[nodiscard]] bool is_enabled(event_id id) const;
     [[nodiscard]] bool has_queue_room(importance line_importance) const;
     void report_left_out();
@@ -50,6 +52,7 @@
     line_budget m_budget;
     left_out_counts m_left_out;
     bool m_ending = false;
+    std::atomic<std::uint64_t> m_failed_lines = 0; ///< Lines that an internal error kept from being written.
 
     /// Last member: its thread may call report_left_out() until it is destroyed.
     std::unique_ptr<sink> m_sink;
--- a/src/logging/output_writer.h
+++ b/src/logging/output_writer.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,7 +16,7 @@
 public:
     /// `descriptor` must stay open for the writer's lifetime. At most `capacity` lines are queued, and as
     /// many more are being written. `idle` is called about once per second on the writer's thread, whether or
-    /// not lines are written.
+    /// not lines are written; an exception that leaves it is counted and ends that call alone.
     output_writer(int descriptor, std::size_t capacity, std::function<void()> idle);
 
     /// Waits a limited time for queued lines to be written, then stops; a stalled reader does not block it
@@ -31,6 +32,9 @@
     /// Whether the reader has closed its end or writing failed; no more lines are accepted then.
     [[nodiscard]] bool is_reader_gone() const;
 
+    /// Number of times that an internal error interrupted the thread since the start.
+    [[nodiscard]] std::uint64_t failures() const;
+
     /// Whether a line can be queued so that `reserved` places of the queue stay free.
     [[nodiscard]] bool has_room(std::size_t reserved) const;
 
--- a/src/logging/tests/event_log_tests.cpp
+++ b/src/logging/tests/event_log_tests.cpp
@@ -3,6 +3,7 @@
 #include "logging/tests/output_pipe.h"
 #include "testing/manual_clock.h"
 
+#include <stdexcept>
 #include <string>
 
 #include <boost/json/object.hpp>
@@ -80,3 +81,17 @@
     CHECK(test.log.left_out() >= 2);
     CHECK_FALSE(test.log.wants(event_id::call_accepted));
 }
+
+TEST_CASE("a line that can't be composed counts as left out and doesn't end what was logged",
+          "[events][threads][contain]") {
+    class failing_clock final : public core::clock {
+    public:
+        [[nodiscard]] core::steady_time now() const override { return {}; }
+        [[nodiscard]] core::wall_time wall_now() const override { throw std::runtime_error("no clock"); }
+    };
+    output_pipe pipe;
+    const failing_clock clock;
+    log4cplus_event_log log({"d1", "info", 100, pipe.writer()}, clock);
+    CHECK_NOTHROW(log.write(event_id::call_refused, {}));
+    CHECK(log.left_out() == 1);
+}
--- a/src/logging/tests/output_writer_tests.cpp
+++ b/src/logging/tests/output_writer_tests.cpp
@@ -2,6 +2,8 @@
 
 #include "logging/tests/output_pipe.h"
 
+#include <atomic>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -72,3 +74,20 @@
     CHECK_FALSE(writer.push("nor this"));
     CHECK_FALSE(writer.has_room(0));
 }
+
+TEST_CASE("a report that fails on the writer's thread ends neither the process nor the log",
+          "[events][threads][contain]") {
+    output_pipe pipe;
+    std::atomic<int> reports = 0;
+    output_writer writer(pipe.writer(), capacity, [&] {
+        if (++reports == 1) {
+            throw std::runtime_error("no memory left");
+        }
+    });
+    while (reports < 2) {
+        std::this_thread::yield();
+    }
+    REQUIRE(writer.push("later"));
+    CHECK(pipe.read_line() == "later");
+    CHECK(writer.failures() == 1);
+}
