Begin again with a later incarnation where peers take the predecessor for the later one

What callers saw: daemons that ended by themselves 3.5 s after their start, with answers of 502 and 504 to requests that reached no server. Cause: incarnations are ordered by the time of day. Change: a record of the same name is the predecessor's; the process makes another daemon with an incarnation above it, at once if it doesn't serve yet, else after a planned stop. Another process at the address stops it as before.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -23,16 +23,18 @@
 constexpr std::chrono::milliseconds ready_check_interval = 50ms;
 constexpr std::chrono::milliseconds settings_check_interval = 1s;
 
-core::incarnation generate_incarnation(const core::clock& clock) {
+core::incarnation generate_incarnation(const core::clock& clock, core::incarnation predecessor) {
     std::random_device random;
-    return core::make_incarnation(clock.wall_now(), random());
+    return core::make_incarnation(clock.wall_now(), random(), predecessor);
 }
 
 } // namespace
 
-daemon::daemon(settings::daemon_settings chosen, settings_source read_again, logging::event_log& log)
-    : m_settings(std::move(chosen)), m_current(m_settings), m_incarnation(generate_incarnation(m_clock)),
-      m_log(log), m_io(static_cast<int>(m_settings.workers)), m_control(boost::asio::make_strand(m_io)),
+daemon::daemon(settings::daemon_settings chosen, settings_source read_again, logging::event_log& log,
+               core::incarnation predecessor)
+    : m_settings(std::move(chosen)), m_current(m_settings),
+      m_incarnation(generate_incarnation(m_clock, predecessor)), m_log(log),
+      m_io(static_cast<int>(m_settings.workers)), m_control(boost::asio::make_strand(m_io)),
       m_timer(m_control), m_signals(m_control, SIGTERM, SIGINT), m_hangup(m_control, SIGHUP),
       m_read_settings(std::move(read_again)), m_settings_text(m_read_settings()),
       m_platform_address(std::make_shared<store::service_address>(m_settings.platform_address)),
@@ -85,7 +87,7 @@
     });
 }
 
-void daemon::run() {
+std::optional<core::incarnation> daemon::run() {
     std::vector<std::thread> workers;
     for (std::size_t index = 1; index < m_settings.workers; ++index) {
         workers.emplace_back([this] { work(); });
@@ -94,6 +96,7 @@
     for (auto& worker : workers) {
         worker.join();
     }
+    return m_is_stop_requested ? std::nullopt : m_predecessor;
 }
 
 void daemon::work() {
@@ -213,8 +216,8 @@
     hooks.on_peer_revision = [this](const std::string& admin_address, std::uint64_t revision) {
         m_follower->on_peer_revision(admin_address, revision);
     };
-    hooks.on_superseded = [this] {
-        boost::asio::post(m_control, [this] { stop_gracefully(); });
+    hooks.on_superseded = [this](const membership::member& later) {
+        boost::asio::post(m_control, [this, later] { take_later_incarnation(later); });
     };
     hooks.on_rumor = [this](const membership::rumor& received) {
         m_crashes.receive_rumor(received.topic, received.payload);
@@ -239,6 +242,7 @@
 void daemon::await_signals() {
     m_signals.async_wait([this](const boost::system::error_code& failure, int) {
         if (!failure) {
+            m_is_stop_requested = true;
             stop_gracefully();
         }
     });
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -55,8 +55,9 @@
 class daemon {
 public:
     /// Creates all components and binds the TCP addresses; throws if one can't be bound. `log` outlives the
-    /// daemon.
-    daemon(settings::daemon_settings chosen, settings_source read_again, logging::event_log& log);
+    /// daemon. Its incarnation is later than `predecessor`.
+    daemon(settings::daemon_settings chosen, settings_source read_again, logging::event_log& log,
+           core::incarnation predecessor = {});
     ~daemon();
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
@@ -64,8 +65,10 @@
     /// Starts all components and binds the membership address; throws if that fails.
     void start();
 
-    /// Runs the worker threads until a planned stop has completed.
-    void run();
+    /// Runs the worker threads until a planned stop has completed. Returns the incarnation of the daemon's
+    /// predecessor if peers took that for the later one: the process should go on with another daemon, made
+    /// with it.
+    [[nodiscard]] std::optional<core::incarnation> run();
 
     /// The addresses that the daemon listens on; call it after start().
     [[nodiscard]] daemon_addresses addresses() const;
@@ -143,6 +146,9 @@
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
     void stop_gracefully();
+
+    /// Ends this daemon, at once if it doesn't serve yet, as peers know a later incarnation at its address.
+    void take_later_incarnation(const membership::member& later);
     void on_phase_entered(lifecycle::phase now);
     void drain();
     [[nodiscard]] std::chrono::milliseconds drain_time() const;
@@ -197,6 +203,8 @@
     bool m_homes_handed_over = false;
     bool m_refuses_callers = false; ///< Set in a planned stop, once the platform sends no more callers.
     bool m_has_ended = false;
+    bool m_is_stop_requested = false;               ///< By the platform or an operator.
+    std::optional<core::incarnation> m_predecessor; ///< Taken by peers for the later one.
     core::steady_time m_hand_over_deadline;
 };
 
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -38,6 +38,18 @@
     m_lifecycle.handle(lifecycle::signal::stop_requested);
 }
 
+void daemon::take_later_incarnation(const membership::member& later) {
+    if (membership::is_predecessor(later, m_settings.name)) {
+        m_predecessor = later.id.life;
+    }
+    const bool serves = m_phase == lifecycle::phase::serving || m_phase == lifecycle::phase::draining;
+    if (m_predecessor && !serves) {
+        end();
+        return;
+    }
+    stop_gracefully();
+}
+
 void daemon::on_phase_entered(lifecycle::phase now) {
     m_phase = now;
     if (now == lifecycle::phase::draining) {
--- a/src/app/monsoonliftd/main.cpp
+++ b/src/app/monsoonliftd/main.cpp
@@ -9,6 +9,8 @@
 #include <iterator>
 #include <memory>
 #include <string>
+#include <utility>
+#include <variant>
 
 #include <unistd.h>
 
@@ -69,24 +71,45 @@
     return settings::parse_daemon_settings(*text);
 }
 
+void log_start(const app::daemon& process, const settings::daemon_settings& chosen, logging::event_log& log) {
+    const auto bound = process.addresses();
+    log.write(logging::event_id::process_started, {{"fleet", chosen.fleet},
+                                                   {"data_centre", chosen.data_centre},
+                                                   {"caller", bound.caller},
+                                                   {"admin", bound.admin},
+                                                   {"transport", bound.transport},
+                                                   {"membership", bound.membership}});
+}
+
+/// Runs a daemon, and another one with a later incarnation whenever peers took the predecessor of one for the
+/// later process. Returns the exit code.
+int run_daemons(settings::daemon_settings chosen, const std::string& path, logging::event_log& log) {
+    core::incarnation predecessor;
+    while (true) {
+        auto process = std::make_unique<app::daemon>(
+            chosen, [path] { return read_file(path); }, log, predecessor);
+        process->start();
+        log_start(*process, chosen, log);
+        const auto found = process->run();
+        if (!found) {
+            // NOTE: the process ends at once; to take everything apart first could outlast the time for its
+            // stop.
+            static_cast<void>(process.release());
+            return 0;
+        }
+        predecessor = *found;
+        auto read = read_settings(path);
+        if (auto* changed = std::get_if<settings::daemon_settings>(&read)) {
+            chosen = std::move(*changed);
+        }
+    }
+}
+
 int serve(const settings::daemon_settings& chosen, const std::string& path) {
     core::system_clock clock;
     logging::log4cplus_event_log log(log_options_of(chosen), clock);
     try {
-        auto process = std::make_unique<app::daemon>(
-            chosen, [path] { return read_file(path); }, log);
-        process->start();
-        const auto bound = process->addresses();
-        log.write(logging::event_id::process_started, {{"fleet", chosen.fleet},
-                                                       {"data_centre", chosen.data_centre},
-                                                       {"caller", bound.caller},
-                                                       {"admin", bound.admin},
-                                                       {"transport", bound.transport},
-                                                       {"membership", bound.membership}});
-        process->run();
-        // NOTE: the process ends at once; to take everything apart first could outlast the time for its stop.
-        static_cast<void>(process.release());
-        return 0;
+        return run_daemons(chosen, path, log);
     } catch (const std::exception& failure) {
         std::cerr << "monsoonliftd: " << failure.what() << '\n';
         return 1;
--- a/src/core/tests/call_ids_tests.cpp
+++ b/src/core/tests/call_ids_tests.cpp
@@ -52,3 +52,12 @@
     const auto lowest_of_next = make_incarnation(started + 1ms, 0);
     REQUIRE(highest < lowest_of_next);
 }
+
+TEST_CASE("an incarnation is smaller than its predecessor's because the time of day was set back",
+          "[call_ids]") {
+    using namespace std::chrono_literals;
+    const monsoonlift::core::wall_time started{std::chrono::hours(24 * 365 * 57)};
+    const auto predecessor = make_incarnation(started, 7);
+    REQUIRE(predecessor < make_incarnation(started - 4s, 7, predecessor));
+    REQUIRE(make_incarnation(started + 4s, 7, predecessor) == make_incarnation(started + 4s, 7));
+}
--- a/src/core/types/call_ids.cpp
+++ b/src/core/types/call_ids.cpp
@@ -1,5 +1,7 @@
 #include "core/types/call_ids.h"
 
+#include <algorithm>
+
 #include <boost/algorithm/hex.hpp>
 #include <xxhash.h>
 
@@ -13,11 +15,13 @@
 
 } // namespace
 
-incarnation make_incarnation(wall_time started, std::uint64_t random) {
+incarnation make_incarnation(wall_time started, std::uint64_t random, incarnation predecessor) {
     const auto since_epoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(started.time_since_epoch());
     const std::uint64_t random_mask = (std::uint64_t{1} << random_bits) - 1;
-    return {static_cast<std::uint64_t>(since_epoch.count()) << random_bits | (random & random_mask)};
+    const std::uint64_t by_time =
+        static_cast<std::uint64_t>(since_epoch.count()) << random_bits | (random & random_mask);
+    return {std::max(by_time, predecessor.value + 1)};
 }
 
 std::string to_string(const attempt_id& id) {
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -266,7 +266,9 @@
      "A member did not refute the suspicion in time and is considered dead."},
     {event_id::member_left, severity::info, "member_left", "A member left after a planned stop."},
     {event_id::address_taken, severity::error, "address_taken",
-     "A newer process uses this process's address; this process stops serving."},
+     "Peers know a later process at this process's address. If that was its own predecessor, it begins again "
+     "with a "
+     "later incarnation; otherwise it stops serving."},
     {event_id::backend_announced, severity::notice, "backend_announced",
      "The local backend server announced itself."},
     {event_id::backend_silent, severity::warning, "backend_silent",
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -239,7 +239,7 @@
     m_log.write(event_id::address_taken,
                 {{"address", m_state.self.id.address}, {"other_name", m_state.superseded_by->name}});
     if (m_hooks.on_superseded) {
-        m_hooks.on_superseded();
+        m_hooks.on_superseded(*m_state.superseded_by);
     }
 }
 
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -50,8 +50,9 @@
     std::function<std::uint64_t()> own_revision;
     /// A peer has a later configuration revision; its /configuration is at this admin address.
     std::function<void(const std::string& admin_address, std::uint64_t revision)> on_peer_revision;
-    /// Another process with a later incarnation has this daemon's address: stop serving.
-    std::function<void()> on_superseded;
+    /// Peers know a later incarnation at this daemon's address; called once. Its record tells whether it was
+    /// this daemon's predecessor or is another process.
+    std::function<void(const member& later)> on_superseded;
     /// Called once for each rumor, whether spread by another daemon or by this one.
     std::function<void(const rumor&)> on_rumor;
     /// Passes the backend server deregistrations that an earlier process of this daemon recorded; empty if
--- a/src/membership/tests/membership_service_tests.cpp
+++ b/src/membership/tests/membership_service_tests.cpp
@@ -72,7 +72,7 @@
         hooks.on_peer_revision = [&one](const std::string& admin, std::uint64_t revision) {
             one.peer_revisions.emplace(admin, revision);
         };
-        hooks.on_superseded = [&one] {
+        hooks.on_superseded = [&one](const member&) {
             one.superseded = true;
         };
         hooks.on_rumor = [&one](const rumor& received) {
--- a/src/membership/types/member.cpp
+++ b/src/membership/types/member.cpp
@@ -9,6 +9,11 @@
            std::tie(known.id.life, known.update_number, known.status);
 }
 
+bool is_predecessor(const member& later, const std::string& own_name) {
+    // NOTE: records of members that are not alive may come without their name.
+    return later.name == own_name || (later.name.empty() && later.status != member_status::alive);
+}
+
 bool is_present(const member& candidate) {
     return candidate.status == member_status::alive || candidate.status == member_status::suspect;
 }
--- a/src/membership/types/member.h
+++ b/src/membership/types/member.h
@@ -29,6 +29,11 @@
 /// True if `candidate` replaces `known`; both are records for the same transport address.
 [[nodiscard]] bool supersedes(const member& candidate, const member& known);
 
+/// True if `later`, a record of a later incarnation at `self`'s address, is of `self`'s predecessor: a
+/// process of the same name, which can't run beside it. This happens if the time of day was set back between
+/// their starts.
+[[nodiscard]] bool is_predecessor(const member& later, const std::string& own_name);
+
 /// True if the member is considered up: alive or suspected.
 [[nodiscard]] bool is_present(const member& candidate);
 
