Let an internal error at the gate end one call, with its slot and its answer

Cause: start(), refuse(), finish(), apply() and tick() ran their steps one after another, and the first that threw took the rest with it; the upload to the backend server was spawned detached, so its failure told nobody. The verdict is not_run only if nothing was sent and its record was closed; an internal error counts neither against the backend server nor against the concurrency limit.

--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -40,6 +40,16 @@
     }
 }
 
+constexpr std::string_view broken_off = "an internal error broke the call off";
+
+/// Whether the payload from a gate is the last one of its attempt.
+bool ends_attempt(const decltype(transport::frame::payload)& payload) {
+    const auto* head = std::get_if<transport::response_head>(&payload);
+    const auto* end = std::get_if<transport::body_end>(&payload);
+    return std::holds_alternative<transport::attempt_end>(payload) || (head != nullptr && head->total) ||
+           (end != nullptr && end->end);
+}
+
 std::string value_of(const std::vector<transport::header>& headers, std::string_view name) {
     const auto found = std::find_if(headers.begin(), headers.end(), [name](const transport::header& field) {
         return boost::beast::iequals(field.name, {name.data(), name.size()});
@@ -60,44 +70,102 @@
 
 void gate_call::start(ended_handler ended) {
     m_ended = std::move(ended);
-    m_class.admitted.add();
-    m_env.decisions.started(decided(), waited(), [this] { return m_env.table.report(); });
-    boost::asio::co_spawn(
-        m_strand, [self = shared_from_this()] { return self->run(); },
-        [self = shared_from_this()](const std::exception_ptr& failure) {
-            if (failure) {
-                self->fail(self->verdict_so_far(), end_reason::backend_failed,
-                           "an internal error broke the call off");
-                self->finish();
-            }
+    const bool started = try_step("the start of a run", [this] {
+        m_class.admitted.add();
+        m_env.decisions.started(decided(), waited(), [this] { return m_env.table.report(); });
+        boost::asio::co_spawn(
+            m_strand, [self = shared_from_this()] { return self->run(); },
+            [self = shared_from_this()](const std::exception_ptr& failure) {
+                if (failure) {
+                    self->note_failure(failure);
+                    self->finish();
+                }
+            });
+    });
+    if (!started) {
+        boost::asio::dispatch(m_strand, [self = shared_from_this()] {
+            self->note_failure(nullptr);
+            self->finish();
         });
+    }
 }
 
-void gate_call::refuse(end_reason reason) {
-    if (!m_execution_begun && !m_head.context.idempotent) {
-        m_env.ledger.refuse(m_attempt, m_head.expires);
-    }
-    end_execution();
-    m_class.count_refusal(reason);
-    if (reason == end_reason::cancelled) {
-        m_env.events.cancelled(m_class, m_attempt, "it waited for a slot");
+void gate_call::note_failure(const std::exception_ptr& failure) {
+    if (failure) {
+        logging::report_failure(m_env.log, {"a run", m_attempt, m_head.context.root}, failure);
     }
+    m_failed = true;
+    m_answered = false;
+    m_end.run = verdict_so_far();
+    m_end.reason = m_stopped.value_or(end_reason::backend_failed);
+    try_step("the end of a run", [this] { fail(m_end.run, m_end.reason, std::string(broken_off)); });
+}
+
+void gate_call::refuse(end_reason reason) {
     transport::attempt_end end;
     end.run = verdict::not_run;
     end.reason = reason;
-    end.detail = describe(reason);
-    end.load = m_env.table.report();
     end.nested_attempts = 0;
-    if (reason == end_reason::shed) {
+    const bool is_refused = try_step("the record of a refusal", [this] {
+        if (!m_execution_begun && !m_head.context.idempotent) {
+            m_env.ledger.refuse(m_attempt, m_head.expires);
+        }
+        end_record();
+    });
+    if (!is_refused) {
+        end.run = verdict::may_have_run;
+    }
+    try_step("the end of an admission", [this] { end_admission(); });
+    try_step("a refusal", [this, &end] { note_refusal(end); });
+    tell(end);
+}
+
+void gate_call::note_refusal(transport::attempt_end& end) {
+    end.detail = describe(end.reason);
+    end.load = m_env.table.report();
+    if (end.reason == end_reason::shed) {
         end.retry_after = m_env.table.retry_after();
     }
+    m_class.count_refusal(end.reason);
+    if (end.reason == end_reason::cancelled) {
+        m_env.events.cancelled(m_class, m_attempt, "it waited for a slot");
+    }
     m_env.decisions.not_admitted(decided(), waited(), end);
-    send(std::move(end));
+}
+
+void gate_call::break_off_arrival() {
+    // NOTE: without an open record, an earlier request with the same key may have run.
+    const bool is_unrun = m_head.context.idempotent || m_execution_begun;
+    const bool is_abandoned = try_step("the record of an arrival", [this] { end_record(); });
+    try_step("the end of an admission", [this] { end_admission(); });
+    transport::attempt_end end;
+    end.run = is_unrun && is_abandoned ? verdict::not_run : verdict::may_have_run;
+    end.reason = end_reason::backend_failed;
+    try_step("the end of an arrival", [&end] { end.detail = broken_off; });
+    tell(end);
+}
+
+void gate_call::tell(const transport::attempt_end& end) {
+    if (m_told) {
+        return;
+    }
+    const bool is_sent = try_step("the end of an attempt", [&] { send(end); });
+    if (is_sent) {
+        return;
+    }
+    transport::attempt_end short_end;
+    short_end.run = end.run;
+    short_end.reason = end.reason;
+    try_step("the end of an attempt", [&] { send(std::move(short_end)); });
 }
 
 void gate_call::received(decltype(transport::frame::payload) payload) {
     boost::asio::dispatch(m_strand, [self = shared_from_this(), payload = std::move(payload)]() mutable {
-        self->on_payload(std::move(payload));
+        const bool handled =
+            self->try_step("a frame of a run", [&] { self->on_payload(std::move(payload)); });
+        if (!handled) {
+            self->break_off_now();
+        }
     });
 }
 
@@ -105,6 +173,20 @@
     boost::asio::post(m_strand, [self = shared_from_this(), reason] { self->stop_now(reason); });
 }
 
+void gate_call::break_off() {
+    boost::asio::post(m_strand, [self = shared_from_this()] { self->break_off_now(); });
+}
+
+void gate_call::note_upload_failure(const std::exception_ptr& failure) {
+    logging::report_failure(m_env.log, {"an upload", m_attempt, m_head.context.root}, failure);
+    break_off_now();
+}
+
+void gate_call::break_off_now() {
+    m_failed = m_failed || !m_stopped;
+    stop_now(end_reason::backend_failed);
+}
+
 void gate_call::on_payload(decltype(transport::frame::payload) payload) {
     if (auto* chunk = std::get_if<transport::body_chunk>(&payload)) {
         m_inbox.push(std::move(*chunk));
@@ -219,17 +301,23 @@
 void gate_call::fail(verdict run, end_reason reason, std::string detail) {
     m_end.run = run;
     m_end.reason = m_stopped.value_or(reason);
-    m_end.detail = m_stopped ? describe(*m_stopped) : std::move(detail);
+    if (m_failed) {
+        m_end.detail = broken_off;
+    } else {
+        m_end.detail = m_stopped ? describe(*m_stopped) : std::move(detail);
+    }
     if (m_end.reason == end_reason::deadline) {
         m_report.outcome = concurrency::run_outcome::timed_out;
-    } else if (m_stopped) {
+    } else if (m_stopped || m_failed) {
         m_report.outcome = concurrency::run_outcome::cancelled;
     }
 }
 
 transport::attempt_end gate_call::complete_end() {
-    m_end.nested_level = m_env.budgets.strictest_level(m_run);
-    m_end.nested_attempts = m_env.budgets.close(m_run);
+    if (!m_end.nested_attempts) {
+        m_end.nested_level = m_env.budgets.strictest_level(m_run);
+        m_end.nested_attempts = m_env.budgets.close(m_run);
+    }
     m_end.load = m_env.table.report();
     m_end.service_time = std::chrono::duration_cast<std::chrono::microseconds>(m_report.service_time);
     return m_end;
@@ -262,19 +350,30 @@
     if (std::exchange(m_finished, true)) {
         return;
     }
-    unregister_running();
+    // NOTE: each step is tried whatever becomes of the others, so that the slot is free in the end.
+    try_step("the end of a run", [this] { unregister_running(); });
+    try_step("the end of a run", [this] { close_inputs(); });
+    m_report.answered = m_answered;
+    m_report.broken =
+        m_sent && !m_answered && !m_stopped && !m_failed && m_end.reason == end_reason::backend_failed;
+    try_step("the line of a run", [this] { note_end(); });
+    try_step("the end of an admission", [this] { end_admission(); });
+    const bool is_recorded = try_step("the record of a run", [this] { end_record(); });
+    if (!is_recorded && !m_answered) {
+        m_end.run = verdict::may_have_run;
+    }
+    if (!m_told) {
+        try_step("the end of a run", [this] { complete_end(); });
+        tell(m_end);
+    }
+    try_step("the connection of a run", [this] { give_connection_back(); });
+    try_step("the slot of a run", [this] { std::exchange(m_ended, nullptr)(m_report); });
+}
+
+void gate_call::close_inputs() {
     m_watchdog->stop();
     m_inbox.close();
     m_credit.close();
-    m_report.answered = m_answered;
-    m_report.broken = m_sent && !m_answered && !m_stopped && m_end.reason == end_reason::backend_failed;
-    note_end();
-    end_execution();
-    if (!m_answered) {
-        send(complete_end());
-    }
-    give_connection_back();
-    std::exchange(m_ended, nullptr)(m_report);
 }
 
 void gate_call::give_connection_back() {
@@ -300,7 +399,9 @@
     message.target = transport::frame_target::entry;
     message.payload = std::move(payload);
     message.expires = transport::known_call_expiry(m_head.context.deadline, m_env.clock.now());
+    const bool is_last = ends_attempt(message.payload);
     m_env.sender.send(m_entry, std::move(message));
+    m_told = m_told || is_last;
 }
 
 } // namespace monsoonlift::gate::internal
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -5,6 +5,7 @@
 #include "gate/internal/backend_pool.h"
 #include "gate/internal/gate_class.h"
 #include "gate/internal/gate_events.h"
+#include "logging/contained_step.h"
 #include "transfer/async_queue.h"
 #include "transfer/body_digest.h"
 #include "transfer/body_receiver.h"
@@ -17,11 +18,13 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 namespace monsoonlift::gate::internal {
@@ -71,18 +74,26 @@
     /// answered from the record, or dropped if it copies an attempt that is being served.
     [[nodiscard]] bool begin_execution();
 
-    /// Runs the request, for which the caller has acquired a slot. `ended` is called once, on the strand.
+    /// Runs the request, for which the caller has acquired a slot. `ended` is called once, on the strand,
+    /// also if an internal error ends the run.
     void start(ended_handler ended);
 
-    /// Ends the attempt with the verdict that the request did not run and never will.
+    /// Ends the attempt with the verdict that the request did not run and never will, or may have run if an
+    /// internal error leaves that open. Throws nothing.
     void refuse(transport::end_reason reason);
 
+    /// Ends an attempt that an internal error broke off before it started or waited. Throws nothing.
+    void break_off_arrival();
+
     /// Handles the payload of a frame of this attempt.
     void received(decltype(transport::frame::payload) payload);
 
     /// Aborts the run and closes its connection to the backend server.
     void stop(transport::end_reason reason);
 
+    /// Aborts the run because of an internal error.
+    void break_off();
+
 private:
     using body_item = std::variant<transport::body_chunk, transport::body_end>;
     using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -100,6 +111,8 @@
     void replay(const execution::stored_answer& answer);
     void keep_answer(const transport::response_head& answer);
     void end_execution();
+    void end_admission();
+    void end_record();
     awaitable<void> exchange();
 
     /// Sends the request and reads the head of its answer; false if none was received.
@@ -138,11 +151,24 @@
     void on_payload(decltype(transport::frame::payload) payload);
     void stop_now(transport::end_reason reason);
     void fail(core::verdict run, transport::end_reason reason, std::string detail);
-    [[nodiscard]] transport::attempt_end complete_end();
+    transport::attempt_end complete_end();
+    void note_refusal(transport::attempt_end& end);
     void note_end();
+    void note_failure(const std::exception_ptr& failure);
+    void note_upload_failure(const std::exception_ptr& failure);
+    void break_off_now();
+
+    /// Sends the end of the attempt to its entry; after an internal error, without its details.
+    void tell(const transport::attempt_end& end);
+
+    /// Runs a step that must not keep later ones from being run; false if an internal error ended it.
+    template <class Step> bool try_step(std::string_view work, Step&& step) const {
+        return logging::contain(m_env.log, {work, m_attempt, m_head.context.root}, std::forward<Step>(step));
+    }
     [[nodiscard]] decided_attempt decided() const;
     [[nodiscard]] std::chrono::nanoseconds waited() const { return m_env.clock.now() - m_arrived; }
     void finish();
+    void close_inputs();
     void give_connection_back();
     void send(decltype(transport::frame::payload) payload);
 
@@ -178,6 +204,8 @@
     bool m_uploaded = false;        ///< The complete request was written to the connection.
     bool m_answered = false;        ///< The complete answer was read and is being sent to the entry.
     bool m_finished = false;
+    bool m_told = false;   ///< The entry was sent the last frame of the attempt.
+    bool m_failed = false; ///< An internal error broke the run off.
     std::optional<transport::end_reason> m_stopped;
     core::steady_time m_sent_at;
     run_report m_report;
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -5,7 +5,6 @@
 #include "transfer/http_headers.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -43,7 +42,12 @@
         co_await write_complete_request();
     } else {
         boost::asio::co_spawn(
-            m_strand, [self = shared_from_this()] { return self->upload(); }, boost::asio::detached);
+            m_strand, [self = shared_from_this()] { return self->upload(); },
+            [self = shared_from_this()](const std::exception_ptr& failure) {
+                if (failure) {
+                    self->note_upload_failure(failure);
+                }
+            });
     }
     co_return co_await read_head();
 }
@@ -292,9 +296,9 @@
     if (m_parser->is_done()) {
         head.total = transfer::total_of(head.body);
         head.end = complete_end();
-        m_answered = true;
         keep_answer(head);
         send(std::move(head));
+        m_answered = true;
         co_return;
     }
     m_answer_digest.add(head.body);
@@ -322,8 +326,8 @@
             send(std::move(chunk));
         }
     }
-    m_answered = true;
     send(transport::body_end{m_answer_digest.total(), complete_end()});
+    m_answered = true;
 }
 
 boost::asio::awaitable<bool> gate_call::read_body(std::string& into, std::size_t limit, bool fill) {
--- a/src/gate/internal/gate_execution.cpp
+++ b/src/gate/internal/gate_execution.cpp
@@ -203,9 +203,17 @@
 }
 
 void gate_call::end_execution() {
+    end_admission();
+    end_record();
+}
+
+void gate_call::end_admission() {
     if (std::exchange(m_admitted, false)) {
         m_env.crashes.end(m_fingerprint, ending_of(m_report));
     }
+}
+
+void gate_call::end_record() {
     if (!std::exchange(m_execution_begun, false)) {
         return;
     }
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -1,5 +1,6 @@
 #include "gate/internal/gate_state.h"
 
+#include "logging/contained_step.h"
 #include "transfer/body_digest.h"
 
 #include <algorithm>
@@ -81,6 +82,14 @@
         refuse_run({run, end_reason::body_damaged});
         return;
     }
+    const bool handled =
+        logging::contain(m_env.log, {"an arrival", message.attempt}, [&] { admit(fresh, run); });
+    if (!handled) {
+        break_off_arrival(run);
+    }
+}
+
+void gate_service::state::admit(const call& fresh, std::uint64_t run) {
     if (!try_admit(fresh)) {
         static_cast<void>(forget(run));
         ++m_refused;
@@ -89,6 +98,15 @@
     apply(m_table.arrive(run, fresh->head().service, fresh->head().context, m_clock.now()));
 }
 
+void gate_service::state::break_off_arrival(std::uint64_t run) {
+    static_cast<void>(m_table.cancel(run));
+    const auto known = forget(run);
+    if (known) {
+        ++m_failed;
+        known->break_off_arrival();
+    }
+}
+
 bool gate_service::state::try_admit(const call& fresh) {
     return fresh->check_crash_guard() && fresh->begin_execution();
 }
@@ -136,20 +154,37 @@
         refuse_run(refused);
     }
     for (const auto run : changes.started) {
-        start_run(run);
+        const bool started =
+            logging::contain(m_env.log, {"the start of a run"}, [this, run] { start_run(run); });
+        if (!started) {
+            logging::contain(m_env.log, {"the end of a start"}, [this, run] { break_off_start(run); });
+        }
     }
 }
 
 void gate_service::state::start_run(std::uint64_t run) {
     const auto known = find(run);
     if (!known) {
-        apply(m_table.finish(concurrency::run_outcome::cancelled, {}, m_clock.now()));
+        free_slot({concurrency::run_outcome::cancelled});
         return;
     }
     known->start(
         [self = shared_from_this(), run](const internal::run_report& report) { self->ended(run, report); });
 }
 
+void gate_service::state::break_off_start(std::uint64_t run) {
+    const auto known = forget(run);
+    if (known) {
+        ++m_failed;
+        known->break_off_arrival();
+        free_slot({concurrency::run_outcome::cancelled});
+    }
+}
+
+void gate_service::state::free_slot(const internal::run_report& report) {
+    apply(m_table.finish(report.outcome, report.service_time, m_clock.now()));
+}
+
 void gate_service::state::refuse_run(const refusal& refused) {
     const auto known = forget(refused.run);
     if (known) {
@@ -166,9 +201,10 @@
         ++m_server_refused;
     }
     if (report.broken) {
-        probe_backend(probes_after_abort);
+        logging::contain(m_env.log, {"a probe of the backend server"},
+                         [this] { probe_backend(probes_after_abort); });
     }
-    apply(m_table.finish(report.outcome, report.service_time, m_clock.now()));
+    free_slot(report);
 }
 
 gate_service::state::call gate_service::state::find(const core::attempt_id& attempt) const {
@@ -298,19 +334,28 @@
 void gate_service::state::tick() {
     const auto now = m_clock.now();
     m_largest_lag = std::max<std::chrono::nanoseconds>(m_largest_lag, now - m_tick_due);
-    apply(m_table.withdraw_if_left(now));
-    apply(m_table.tick(now));
-    m_events.load_changed(m_load_watch.update(m_table.report(), now), m_classes);
-    log_counts(now);
-    if (now >= m_next_cleanup) {
-        m_next_cleanup = now + cleanup_interval;
-        forget_old_attempts(now);
-        m_env.ledger.expire();
-        m_env.crashes.expire();
-        const bool silent = m_backend_silence.look(now);
-        if (silent && m_table.backend()) {
-            withdraw();
-        }
+    // NOTE: each step is tried whatever becomes of the others, and the next tick comes in any case.
+    const auto step = [this](const auto& work) {
+        logging::contain(m_env.log, {"a tick of the gate"}, work);
+    };
+    step([&] { apply(m_table.withdraw_if_left(now)); });
+    step([&] { apply(m_table.tick(now)); });
+    step([&] { m_events.load_changed(m_load_watch.update(m_table.report(), now), m_classes); });
+    step([&] { log_counts(now); });
+    if (now < m_next_cleanup) {
+        return;
+    }
+    m_next_cleanup = now + cleanup_interval;
+    step([&] { forget_old_attempts(now); });
+    step([&] { m_env.ledger.expire(); });
+    step([&] { m_env.crashes.expire(); });
+    step([&] { withdraw_if_silent(now); });
+}
+
+void gate_service::state::withdraw_if_silent(core::steady_time now) {
+    const bool silent = m_backend_silence.look(now);
+    if (silent && m_table.backend()) {
+        withdraw();
     }
 }
 
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -45,14 +45,21 @@
     };
 
     void arrived(const transport::frame& message, transport::request_head head);
+    void admit(const call& fresh, std::uint64_t run);
     [[nodiscard]] bool try_admit(const call& fresh);
+
+    /// Ends an attempt whose arrival an internal error broke off, unless it has ended or starts.
+    void break_off_arrival(std::uint64_t run);
     void probe_backend(unsigned probes);
     void probed(bool refused, unsigned probes_left);
     [[nodiscard]] call remember(const transport::frame& message, transport::request_head head,
                                 std::uint64_t run);
     void cancelled(const transport::frame& message);
+    /// Carries out each change; one that fails ends its own call alone.
     void apply(const gate_changes& changes);
     void start_run(std::uint64_t run);
+    void break_off_start(std::uint64_t run);
+    void free_slot(const internal::run_report& report);
     void withdraw();
     void refuse_run(const refusal& refused);
     void ended(std::uint64_t run, const internal::run_report& report);
@@ -61,6 +68,7 @@
     [[nodiscard]] call forget(std::uint64_t run);
     void tick_later();
     void tick();
+    void withdraw_if_silent(core::steady_time now);
     void forget_old_attempts(core::steady_time now);
 
     /// Logs once per second the request counts since the previous call that logged.
--- a/src/gate/internal/gate_table.cpp
+++ b/src/gate/internal/gate_table.cpp
@@ -103,6 +103,7 @@
         start_in_order(changes);
         return changes;
     }
+    changes.started.reserve(1);
     if (m_queue.length == 0 && concurrency::try_acquire(m_limit, now)) {
         admission::record_wait(m_overload, std::chrono::nanoseconds::zero(), now);
         changes.started.push_back(run);
@@ -207,8 +208,8 @@
 
 void gate_table::start_in_order(gate_changes& changes) {
     while (!m_in_order.empty() && m_limit.running < m_limit.bounds.slots) {
-        ++m_limit.running;
         changes.started.push_back(m_in_order.front());
+        ++m_limit.running;
         m_in_order.pop_front();
     }
 }
--- a/src/gate/tests/gate_fixture.cpp
+++ b/src/gate/tests/gate_fixture.cpp
@@ -1,5 +1,7 @@
 #include "gate/tests/gate_fixture.h"
 
+#include "core/contain.h"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <catch2/catch.hpp>
@@ -50,7 +52,7 @@
     constexpr auto longest_wait = 20s;
     const auto end = std::chrono::steady_clock::now() + longest_wait;
     while (!reached() && std::chrono::steady_clock::now() < end) {
-        io.run_one_for(20ms);
+        core::contain([this] { io.run_one_for(20ms); }, [this](const std::string&) { ++handlers_failed; });
     }
     return reached();
 }
--- a/src/gate/tests/gate_fixture.h
+++ b/src/gate/tests/gate_fixture.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "gate/gate_service.h"
 #include "metrics/metrics_registry.h"
-#include "testing/silent_log.h"
+#include "testing/failing_log.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -42,6 +42,7 @@
     [[nodiscard]] bool read_request(boost::asio::ip::tcp::socket& connection);
 
     /// Runs until `reached` returns true; false if it does not within 20 s, which is ample on any machine.
+    /// Goes on after a handler that fails, as the daemon does.
     [[nodiscard]] bool run_until(const std::function<bool()>& reached);
 
     /// Runs until no call is in flight at the gate; false after 20 s.
@@ -50,7 +51,7 @@
     boost::asio::io_context io;
     boost::asio::ip::tcp::acceptor backend{io, {boost::asio::ip::address_v4::loopback(), 0}};
     const core::clock& clock;
-    testing::silent_log log;
+    testing::failing_log log;
     recording_sender sender;
     std::vector<execution::crash_report> reports; ///< Crash reports that the gate sent to other daemons.
     execution::execution_ledger ledger{clock, sender.self(), {}};
@@ -58,6 +59,7 @@
     metrics::metrics_registry registry;
     execution::crash_guard crashes;
     gate_service service;
+    unsigned handlers_failed = 0; ///< Handlers that an exception has left.
 };
 
 } // namespace monsoonlift::gate::tests
--- /dev/null
+++ b/src/testing/failing_log.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "logging/event_log.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <stdexcept>
+
+namespace monsoonlift::testing {
+
+/// Counts how often each event was written, and throws in place of one write. Thread-safe.
+class failing_log final : public logging::event_log {
+public:
+    void write(logging::event_id id, std::initializer_list<logging::field> /*fields*/) override {
+        const std::scoped_lock lock(m_mutex);
+        ++m_counts[id];
+        if (m_armed != id || --m_writes_left > 0) {
+            return;
+        }
+        m_armed.reset();
+        m_has_failed = true;
+        throw std::runtime_error("the log is armed to fail");
+    }
+
+    /// Makes the next write of that event throw, or a later one: the `write`-th from now, counted from 1.
+    void arm(logging::event_id id, std::uint64_t write = 1) {
+        const std::scoped_lock lock(m_mutex);
+        m_armed = id;
+        m_writes_left = write;
+    }
+
+    /// Whether a write has thrown.
+    [[nodiscard]] bool has_failed() const {
+        const std::scoped_lock lock(m_mutex);
+        return m_has_failed;
+    }
+
+    [[nodiscard]] std::uint64_t count(logging::event_id id) const {
+        const std::scoped_lock lock(m_mutex);
+        const auto found = m_counts.find(id);
+        return found == m_counts.end() ? 0 : found->second;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<logging::event_id, std::uint64_t> m_counts;
+    std::optional<logging::event_id> m_armed;
+    std::uint64_t m_writes_left = 0;
+    bool m_has_failed = false;
+};
+
+} // namespace monsoonlift::testing
