Let an internal error at the entry end one call, with an answer

Cause: caller_session::serve_request passed the exception on without breaking the exchange off; the upload was spawned detached; a frame's handler that failed on the strand of its call told nobody. Why it works: an exception of run() is caught by the session, which tells the gate, closes the attempt, returns the budget and gives the caller a problem document (500, not_run only if nothing was sent for it), or resets the connection if its answer had begun; in_flight is held by an object of the session. An upload or frame that fails ends the attempt by the new local event broken_off, which also cancels it at the gate.

--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -72,6 +72,9 @@
         co_return co_await cancel_attempt(end_reason::cancelled);
     case local_event::stopping:
         co_return co_await cancel_attempt(end_reason::deadline);
+    case local_event::broken_off:
+        send(transport::cancel{});
+        co_return outcome_of(event);
     default:
         co_return outcome_of(event);
     }
@@ -97,6 +100,9 @@
         return {false,
                 local_end(verdict::may_have_run, end_reason::backend_failed,
                           "the daemon of the backend server was restarted while the request was there")};
+    case local_event::broken_off:
+        return {false, local_end(verdict::may_have_run, end_reason::backend_failed,
+                                 "an internal error broke the attempt off")};
     case local_event::endpoint_doubted:
     case local_event::stopping:
     case local_event::caller_gone:
--- a/src/entry/internal/attempt_channel.h
+++ b/src/entry/internal/attempt_channel.h
@@ -21,6 +21,7 @@
     endpoint_replaced, ///< A later process runs at the address of the endpoint.
     endpoint_doubted,  ///< Membership takes the endpoint for unreachable or gone.
     stopping,          ///< This daemon is about to stop.
+    broken_off,        ///< An internal error lost a frame of the attempt or ended its upload.
     caller_gone
 };
 
@@ -38,7 +39,7 @@
 
     void deliver(decltype(transport::frame::payload) payload) {
         boost::asio::dispatch(m_strand, [self = shared_from_this(), payload = std::move(payload)]() mutable {
-            self->take(std::move(payload));
+            self->take_or_break_off(std::move(payload));
         });
     }
 
@@ -50,6 +51,15 @@
     transfer::credit_gate credit;
 
 private:
+    void take_or_break_off(decltype(transport::frame::payload) payload) {
+        try {
+            take(std::move(payload));
+        } catch (...) {
+            notify(local_event::broken_off);
+            throw;
+        }
+    }
+
     void take(decltype(transport::frame::payload) payload) {
         if (const auto* granted = std::get_if<transport::credit>(&payload)) {
             credit.grant(granted->chunks);
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -2,10 +2,10 @@
 #include "entry/internal/attempt_result.h"
 
 #include "entry/internal/attempt_problem.h"
+#include "logging/contained_step.h"
 #include "transfer/body_digest.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -119,6 +119,7 @@
 }
 
 void call_exchange::begin_context(const configuration::document& configuration) {
+    m_has_budget = true;
     if (!m_call.parent) {
         m_call.context.attempts_left = configuration.retries.attempts_per_root;
         m_shared.routes.set_retry_ratio(configuration.retries.ratio);
@@ -130,6 +131,9 @@
 }
 
 void call_exchange::return_budget() {
+    if (!std::exchange(m_has_budget, false)) {
+        return;
+    }
     if (!m_call.parent) {
         m_shared.routes.give_back(m_call.context.attempts_left);
         return;
@@ -224,9 +228,11 @@
     m_attempt = {m_shared.sender.self().life, m_call_number, m_attempts + m_redirects};
     m_attempt_began = m_shared.clock.now();
     m_answer_status = 0;
+    m_lent_attempts = 0;
     m_channel = std::make_shared<attempt_channel>(m_connection->strand(), endpoint);
-    m_shared.routes.record_sent(endpoint, m_attempts == 0);
     m_shared.open(m_attempt, m_channel);
+    m_shared.routes.record_sent(endpoint, m_attempts == 0);
+    m_is_attempt_open = true;
     ++m_attempts;
     ++m_shared.attempts;
     m_shared.decisions.sent(decided(), {m_attempt, endpoint, m_route_reason, m_evidence, m_homes_version});
@@ -260,7 +266,13 @@
             [self = shared_from_this(), channel = m_channel, attempt = m_attempt] {
                 return self->upload(channel, attempt);
             },
-            boost::asio::detached);
+            [self = shared_from_this(), channel = m_channel,
+             attempt = m_attempt](const std::exception_ptr& failure) {
+                if (failure) {
+                    logging::report_failure(self->m_shared.log, {"an upload", attempt}, failure);
+                    channel->events.push(local_event::broken_off);
+                }
+            });
     }
 }
 
@@ -295,23 +307,28 @@
 }
 
 void call_exchange::end_attempt(const attempt_outcome& outcome) {
+    const auto& end = outcome.end;
+    close_attempt(end);
+    m_shared.counts.count(m_call.service, outcome_kind_of(end.reason, m_answer_status));
+    note_levels(end);
+    m_tried.push_back(m_channel->endpoint());
+    if (outcome.settled) {
+        note_settled(outcome);
+        count_end(end);
+    }
+}
+
+void call_exchange::close_attempt(const transport::attempt_end& end) {
+    m_is_attempt_open = false;
     m_shared.close(m_attempt);
     m_channel->credit.close();
     m_channel->events.close();
-    const auto& end = outcome.end;
     m_nested_attempts += end.nested_attempts.value_or(m_lent_attempts);
     retry::settle(m_call.context, m_lent_attempts, end.nested_attempts);
     const auto now = m_shared.clock.now();
     auto result = to_attempt_result(end, m_answer_status, m_caller_gone, now - m_attempt_began);
     result.kind = m_call.kind;
     m_shared.routes.record_result(m_channel->endpoint(), result, now);
-    m_shared.counts.count(m_call.service, outcome_kind_of(end.reason, m_answer_status));
-    note_levels(end);
-    m_tried.push_back(m_channel->endpoint());
-    if (outcome.settled) {
-        note_settled(outcome);
-        count_end(end);
-    }
 }
 
 void call_exchange::note_levels(const transport::attempt_end& end) {
@@ -343,6 +360,7 @@
 
 void call_exchange::count_end(const transport::attempt_end& end) {
     const bool is_answered = end.reason == end_reason::answered;
+    m_is_counted = true;
     ++(is_answered ? m_shared.answered : m_shared.failed);
     if (is_answered) {
         m_class->count_end(call_outcome::answered, end.run);
@@ -367,6 +385,7 @@
 }
 
 boost::asio::awaitable<void> call_exchange::refuse(const problem& trouble) {
+    m_is_counted = true;
     ++(trouble.run == verdict::not_run ? m_shared.refused : m_shared.failed);
     if (m_caller_gone) {
         count_abandoned(trouble.run);
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,10 @@
     /// request.
     boost::asio::awaitable<void> run();
 
+    /// Ends the call after an exception has left run(): the gate is told, budgets return, and the caller gets
+    /// a problem document, or a reset connection if its answer had begun.
+    boost::asio::awaitable<void> break_off(std::exception_ptr failure);
+
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
@@ -87,6 +92,10 @@
     [[nodiscard]] attempt_outcome abort_answer(std::string_view why);
     [[nodiscard]] attempt_outcome outcome_of(local_event event) const;
     void end_attempt(const attempt_outcome& outcome);
+    void close_attempt(const transport::attempt_end& end);
+    void break_off_attempt();
+    [[nodiscard]] core::verdict verdict_after_failure() const;
+    void count_broken(const problem& trouble);
     void count_end(const transport::attempt_end& end);
 
     /// Records the shedding thresholds that the attempt met: those of a root call for later root calls of its
@@ -124,6 +133,9 @@
     std::string m_first_bytes; ///< First part of the request body, kept so that the request can be resent.
     bool m_replayable = true;
     bool m_caller_gone = false;
+    bool m_has_budget = false;      ///< Retries were taken from a budget, to be returned in the end.
+    bool m_is_attempt_open = false; ///< Frames of the attempt arrive, and routing counts it as in flight.
+    bool m_is_counted = false;      ///< The call is part of the totals of calls that ended.
     core::steady_time m_began;
     std::uint64_t m_call_number = 0;
     route_reason m_route_reason = route_reason::load;
--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -46,6 +46,7 @@
 boost::asio::awaitable<caller_connection::head_outcome> caller_connection::read_head() {
     m_request = {};
     m_request_id.reset();
+    m_answered = answer_state::none;
     m_parser.emplace();
     m_parser->header_limit(m_head_limit);
     m_parser->body_limit(boost::none);
@@ -137,8 +138,9 @@
     } else {
         response.content_length(response.body().size());
     }
+    m_answered = answer_state::begun;
     const auto [failure, written] = co_await http::async_write(m_socket, response, to_tuple);
-    m_can_go_on = m_can_go_on && !failure;
+    note_written(failure);
     co_return !failure;
 }
 
@@ -154,6 +156,7 @@
         m_response->keep_alive(false);
     }
     m_serializer.emplace(*m_response);
+    m_answered = answer_state::begun;
     co_return co_await write_piece(head.body);
 }
 
@@ -173,10 +176,17 @@
     body.size = 0;
     body.more = false;
     const auto [failure, written] = co_await http::async_write(m_socket, *m_serializer, to_tuple);
-    m_can_go_on = m_can_go_on && !failure;
+    note_written(failure);
     co_return !failure;
 }
 
+void caller_connection::note_written(const boost::system::error_code& failure) {
+    m_can_go_on = m_can_go_on && !failure;
+    if (!failure) {
+        m_answered = answer_state::complete;
+    }
+}
+
 boost::asio::awaitable<bool> caller_connection::write_problem(const problem& trouble,
                                                               std::uint32_t attempts) {
     auto head = m_protocol.tell(trouble);
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -57,6 +57,10 @@
     /// Sets the id that every answer to the current request carries.
     void set_request_id(const core::root_id& id) { m_request_id = id; }
 
+    /// How much of an answer to the current request was written.
+    enum class answer_state { none, begun, complete };
+    [[nodiscard]] answer_state answered() const { return m_answered; }
+
     /// Writes a complete answer, head and body.
     awaitable<bool> write_answer(transport::response_head head, answer_labels labels);
 
@@ -98,6 +102,7 @@
     void fill_response(boost::beast::http::response<Body>& response, const transport::response_head& head,
                        answer_labels labels);
     void store_request();
+    void note_written(const boost::system::error_code& failure);
     void wait_for_readable();
     void check_caller_closed();
 
@@ -111,6 +116,7 @@
     std::optional<buffer_response> m_response;
     std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> m_serializer;
     std::function<void()> m_on_closed;
+    answer_state m_answered = answer_state::none;
     bool m_watching = false;
     bool m_close_after_answer = false;
     bool m_can_go_on = true;
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 
+#include <atomic>
+#include <cstdint>
+#include <exception>
 #include <utility>
 
 namespace monsoonlift::entry::internal {
@@ -15,6 +18,18 @@
 
 constexpr std::chrono::seconds close_timeout = 2s;
 
+/// Counts a call as in flight as long as it lives.
+class in_flight_mark {
+public:
+    explicit in_flight_mark(std::atomic<std::uint64_t>& count) : m_count(count) { ++m_count; }
+    in_flight_mark(const in_flight_mark&) = delete;
+    in_flight_mark& operator=(const in_flight_mark&) = delete;
+    ~in_flight_mark() { --m_count; }
+
+private:
+    std::atomic<std::uint64_t>& m_count;
+};
+
 } // namespace
 
 caller_session::caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
@@ -71,10 +86,17 @@
 
 boost::asio::awaitable<void> caller_session::serve_request() {
     ++m_shared.calls;
-    ++m_shared.in_flight;
+    const in_flight_mark mark(m_shared.in_flight);
     auto exchange = std::make_shared<call_exchange>(m_shared, m_keep_alive, m_connection, m_watchdog);
-    co_await exchange->run();
-    --m_shared.in_flight;
+    std::exception_ptr failure;
+    try {
+        co_await exchange->run();
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    if (failure) {
+        co_await exchange->break_off(failure);
+    }
 }
 
 boost::asio::awaitable<void> caller_session::refuse_head(caller_connection::head_outcome outcome) {
--- a/src/entry/internal/home_exchange.cpp
+++ b/src/entry/internal/home_exchange.cpp
@@ -171,6 +171,7 @@
     const auto permit =
         execution::make_permit(std::get<core::endpoint_id>(chosen), m_shared.sender.self().life,
                                m_shared.next_permit(), m_shared.clock.wall_now());
+    m_is_counted = true;
     ++m_shared.answered;
     m_class->count_end(call_outcome::answered, verdict::ran);
     constexpr unsigned created = 201;
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -1,5 +1,6 @@
 #include "entry/tests/wired_fleet.h"
 
+#include "core/contain.h"
 #include "gate/misdirected_request.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -198,7 +199,8 @@
 bool wired_fleet::run_until(const std::function<bool()>& reached) {
     const auto end = std::chrono::steady_clock::now() + longest_wait * 2;
     while (!reached() && std::chrono::steady_clock::now() < end) {
-        m_io.run_one_for(step);
+        core::contain([this] { m_io.run_one_for(step); },
+                      [this](const std::string&) { ++m_handlers_failed; });
     }
     return reached();
 }
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -8,39 +8,19 @@
 #include "execution/execution_ledger.h"
 #include "gate/gate_service.h"
 #include "metrics/metrics_registry.h"
+#include "testing/failing_log.h"
 #include "transport/tcp_transport.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <vector>
 
 namespace monsoonlift::entry::testing {
 
-/// A log that counts how often each event was written. Thread-safe.
-class counting_log final : public logging::event_log {
-public:
-    void write(logging::event_id id, std::initializer_list<logging::field>) override {
-        const std::scoped_lock lock(m_mutex);
-        ++m_counts[id];
-    }
-
-    [[nodiscard]] std::uint64_t count(logging::event_id id) const {
-        const std::scoped_lock lock(m_mutex);
-        const auto found = m_counts.find(id);
-        return found == m_counts.end() ? 0 : found->second;
-    }
-
-private:
-    mutable std::mutex m_mutex;
-    std::map<logging::event_id, std::uint64_t> m_counts;
-};
-
 /// Makes the acceptor for an entry's callers.
 using acceptor_maker = std::function<network::listening_acceptor(boost::asio::io_context&)>;
 
@@ -77,16 +57,17 @@
     [[nodiscard]] loopback_backend& backend() { return m_backend; }
     [[nodiscard]] execution::execution_ledger& ledger() { return m_ledger; }
     [[nodiscard]] entry_service& entry() { return m_entry; }
-    [[nodiscard]] const counting_log& log() const { return m_log; }
+    [[nodiscard]] monsoonlift::testing::failing_log& log() { return m_log; }
     [[nodiscard]] transport::transport_counters totals() const { return m_transport.counters(); }
     [[nodiscard]] gate::gate_counters gate_totals() const { return m_gate.counters(); }
+    [[nodiscard]] routing::load_report gate_load() const { return m_gate.report(); }
 
     /// Announces the backend server to the gate.
     void announce();
 
 private:
     core::system_clock m_clock;
-    counting_log m_log;
+    monsoonlift::testing::failing_log m_log;
     metrics::metrics_registry m_metrics;
     loopback_backend m_backend;
     transport::tcp_transport m_transport;
@@ -118,7 +99,8 @@
     /// Runs the handlers that are ready, without waiting.
     void run_ready() { m_io.poll(); }
 
-    /// Runs until `reached` returns true; returns false if it doesn't within 60 s.
+    /// Runs until `reached` returns true; returns false if it doesn't within 60 s. Goes on after a handler
+    /// that fails, as the daemon does.
     bool run_until(const std::function<bool()>& reached);
 
     /// Runs until no frame is in transit and no gate has work; returns false if that takes over 60 s.
@@ -127,6 +109,9 @@
     /// Number of runs of a POST target at all backend servers.
     [[nodiscard]] std::uint64_t runs(const std::string& target) const;
 
+    /// Number of handlers that an exception has left.
+    [[nodiscard]] unsigned handlers_failed() const { return m_handlers_failed; }
+
     /// Number of faults injected by all senders.
     [[nodiscard]] std::uint64_t injected() const;
 
@@ -135,6 +120,7 @@
     void connect_members();
 
     boost::asio::io_context m_io;
+    unsigned m_handlers_failed = 0;
     std::weak_ptr<const configuration::document> m_rules;
     std::vector<std::unique_ptr<wired_daemon>> m_daemons;
 };
