Go on accepting after a connection whose handler throws

What callers saw: nothing yet (found by reading). Since an exception no longer ends the process, so an accept loop that re-arms itself last would end with the handler that threw, and nobody would reach the daemon any more. Both new tests of the acceptor failed before (no accept pending after the failure) and pass now.

--- a/src/network/acceptor.h
+++ b/src/network/acceptor.h
@@ -28,7 +28,7 @@
 
 /// Accepts one connection after another. After a failure it waits before it tries again: when the process has
 /// no file descriptors left, the connection stays queued, and accepting would fail again immediately in an
-/// endless loop.
+/// endless loop. It goes on after a handler that throws; the exception leaves the completion handler.
 class acceptor : public std::enable_shared_from_this<acceptor> {
 public:
     /// Delay before accepting is tried again after a failure.
@@ -48,6 +48,8 @@
     void accept_next();
     void handle_accept(const boost::system::error_code& failure, boost::asio::ip::tcp::socket socket);
     void accept_later(const std::string& why);
+    void report(const std::string& why);
+    void accept_after_pause();
 
     std::shared_ptr<connection_source> m_source;
     std::shared_ptr<store::scheduler> m_scheduler;
--- a/src/network/internal/acceptor.cpp
+++ b/src/network/internal/acceptor.cpp
@@ -1,5 +1,6 @@
 #include "network/acceptor.h"
 
+#include "core/go_on.h"
 #include "network/tcp_source.h"
 #include "store/asio_scheduler.h"
 
@@ -41,14 +42,20 @@
         accept_later(failure.message());
         return;
     }
-    m_handlers.accepted(std::move(socket));
-    accept_next();
+    core::run_then([&] { m_handlers.accepted(std::move(socket)); }, [this] { accept_next(); });
 }
 
 void acceptor::accept_later(const std::string& why) {
+    core::run_then([&] { report(why); }, [this] { accept_after_pause(); });
+}
+
+void acceptor::report(const std::string& why) {
     if (const auto left_out = m_failures.take()) {
         m_handlers.failed(why, *left_out);
     }
+}
+
+void acceptor::accept_after_pause() {
     m_scheduler->after(pause, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->m_stopped) {
--- a/src/network/tests/acceptor_tests.cpp
+++ b/src/network/tests/acceptor_tests.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -67,8 +68,16 @@
     acceptor_fixture() { under_test->start(handlers()); }
 
     acceptor_handlers handlers() {
-        return {[this](const tcp::socket&) { ++accepted; },
+        return {[this](const tcp::socket&) {
+                    ++accepted;
+                    if (accepted == failing_connection) {
+                        throw std::runtime_error("no memory left");
+                    }
+                },
                 [this](const std::string& why, std::uint64_t left_out) {
+                    if (failing_report) {
+                        throw std::runtime_error("no memory left");
+                    }
                     reported.push_back({why, left_out});
                 }};
     }
@@ -82,6 +91,8 @@
     std::shared_ptr<store::testing::manual_scheduler> scheduler =
         std::make_shared<store::testing::manual_scheduler>(clock);
     int accepted = 0;
+    int failing_connection = 0; ///< Number of the connection whose handler throws; 0 for none.
+    bool failing_report = false;
     std::vector<reported_failure> reported;
     std::shared_ptr<acceptor> under_test = std::make_shared<acceptor>(source, scheduler, clock);
 };
@@ -115,6 +126,26 @@
     CHECK(loop.source->accept_calls == failures + 2);
 }
 
+TEST_CASE("nothing is accepted after a connection whose handler throws", "[acceptor]") {
+    acceptor_fixture loop;
+    loop.failing_connection = 2;
+    loop.source->end({});
+    CHECK_THROWS_WITH(loop.source->end({}), "no memory left");
+    REQUIRE(loop.source->is_waiting());
+    loop.source->end({});
+    CHECK(loop.accepted == 3);
+}
+
+TEST_CASE("accepting ends with a failure whose report throws", "[acceptor]") {
+    acceptor_fixture loop;
+    loop.failing_report = true;
+    CHECK_THROWS_WITH(loop.fail(), "no memory left");
+    loop.scheduler->run_for(acceptor::pause);
+    REQUIRE(loop.source->is_waiting());
+    loop.source->end({});
+    CHECK(loop.accepted == 1);
+}
+
 TEST_CASE("failures are reported more than once in ten seconds or with a wrong count", "[acceptor]") {
     acceptor_fixture loop;
     const auto why = loop.out_of_descriptors.message();
