Keep membership going after a step that throws

What callers saw: nothing yet (found by reading). The tick and the reading of datagrams re-armed themselves last, so that since one exception would end membership alone: peers take the daemon for dead though it serves. Both go on now (core::run_then); the steps of a tick, the changes of a batch, rumours and the handlers of a change fail each by itself (core::for_each_apart); a farewell that fails in part still reaches its end, on which a planned stop waits.

--- a/src/membership/internal/member_directory.cpp
+++ b/src/membership/internal/member_directory.cpp
@@ -1,5 +1,7 @@
 #include "membership/member_directory.h"
 
+#include "core/go_on.h"
+
 #include <algorithm>
 
 namespace monsoonlift::membership {
@@ -33,9 +35,7 @@
             *found = changed;
         }
     }
-    for (const auto& handler : m_handlers) {
-        handler(changed);
-    }
+    core::for_each_apart(m_handlers, [&](const change_handler& handler) { handler(changed); });
 }
 
 void member_directory::forget(const std::string& address) {
--- a/src/membership/internal/membership_runtime.cpp
+++ b/src/membership/internal/membership_runtime.cpp
@@ -1,5 +1,6 @@
 #include "membership/internal/membership_runtime.h"
 
+#include "core/go_on.h"
 #include "membership/internal/udp_address.h"
 #include "membership/message_codec.h"
 
@@ -108,21 +109,34 @@
 }
 
 void membership_runtime::on_tick() {
+    using self = membership_runtime;
+    constexpr std::array steps{&self::tell_revision, &self::note_running,   &self::check_backend,
+                               &self::probe,         &self::check_join,     &self::check_groups,
+                               &self::check_object,  &self::publish_changes};
+    const auto run_steps = [this, &steps] {
+        core::for_each_apart(steps, [this](auto step) { (this->*step)(); });
+    };
+    core::run_then(run_steps, [this] {
+        if (!m_stopped) {
+            schedule_tick();
+        }
+    });
+}
+
+void membership_runtime::tell_revision() {
     if (m_hooks.own_revision) {
         send(set_revision(m_state, m_hooks.own_revision()));
     }
+}
+
+void membership_runtime::note_running() {
     if (m_object != nullptr) {
         m_object->note_running();
     }
-    check_backend();
+}
+
+void membership_runtime::probe() {
     send(tick(m_state, m_clock.now()));
-    check_join();
-    check_groups();
-    check_object();
-    publish_changes();
-    if (!m_stopped) {
-        schedule_tick();
-    }
 }
 
 void membership_runtime::check_backend() {
@@ -160,12 +174,16 @@
             if (!self || self->m_stopped || fault == boost::asio::error::operation_aborted) {
                 return;
             }
-            if (!fault) {
-                self->on_datagram(bytes);
-            }
-            if (!self->m_stopped) {
-                self->receive_next();
-            }
+            const auto handle = [&self, &fault, bytes] {
+                if (!fault) {
+                    self->on_datagram(bytes);
+                }
+            };
+            core::run_then(handle, [&self] {
+                if (!self->m_stopped) {
+                    self->receive_next();
+                }
+            });
         });
 }
 
@@ -220,30 +238,31 @@
 
 void membership_runtime::publish_changes() {
     const swim_changes changes = take_changes(m_state);
-    for (const member& changed : changes.changed) {
-        publish(changed);
-    }
-    for (const std::string& address : changes.expired) {
-        m_directory.forget(address);
-    }
-    store_self();
-    for (const rumor& received : changes.new_rumors) {
-        if (m_hooks.on_rumor) {
-            m_hooks.on_rumor(received);
+    const std::array<std::function<void()>, 4> steps{
+        [&] { publish(changes); },
+        [this] { store_self(); },
+        [&] { report_rumors(changes.new_rumors); },
+        [this] { report_superseded(); },
+    };
+    core::for_each_apart(steps, [](const auto& step) { step(); });
+}
+
+void membership_runtime::publish(const swim_changes& changes) {
+    const auto forget_expired = [&] {
+        for (const std::string& address : changes.expired) {
+            m_directory.forget(address);
         }
-    }
-    if (!m_state.superseded_by || m_superseded) {
-        return;
-    }
-    m_superseded = true;
-    m_log.write(event_id::address_taken,
-                {{"address", m_state.self.id.address}, {"other_name", m_state.superseded_by->name}});
-    if (m_hooks.on_superseded) {
-        m_hooks.on_superseded();
-    }
+    };
+    core::run_then(
+        [&] { core::for_each_apart(changes.changed, [this](const member& one) { publish(one); }); },
+        forget_expired);
 }
 
 void membership_runtime::publish(const member& changed) {
+    core::run_then([&] { log_change(changed); }, [&] { m_directory.store(changed); });
+}
+
+void membership_runtime::log_change(const member& changed) {
     const std::optional<member> before = m_directory.find(changed.id.address);
     const bool is_new_status =
         !before || before->status != changed.status || before->id.life != changed.id.life;
@@ -252,7 +271,28 @@
             event_of(changed.status),
             {{"member", changed.name}, {"address", changed.id.address}, {"service", changed.service}});
     }
-    m_directory.store(changed);
+}
+
+void membership_runtime::report_rumors(const std::vector<rumor>& received) {
+    if (m_hooks.on_rumor) {
+        core::for_each_apart(received, m_hooks.on_rumor);
+    }
+}
+
+void membership_runtime::report_superseded() {
+    if (!m_state.superseded_by || m_superseded) {
+        return;
+    }
+    m_superseded = true;
+    const auto write_line = [this] {
+        m_log.write(event_id::address_taken,
+                    {{"address", m_state.self.id.address}, {"other_name", m_state.superseded_by->name}});
+    };
+    core::run_then(write_line, [this] {
+        if (m_hooks.on_superseded) {
+            m_hooks.on_superseded();
+        }
+    });
 }
 
 void membership_runtime::store_self() {
@@ -282,8 +322,14 @@
 }
 
 void membership_runtime::leave(std::function<void()> done) {
-    send(announce_self(m_state, {}, true, member_status::left));
-    store_self();
+    const auto say_farewell = [this] {
+        send(announce_self(m_state, {}, true, member_status::left));
+        store_self();
+    };
+    core::run_then(say_farewell, [this, &done] { leave_later(std::move(done)); });
+}
+
+void membership_runtime::leave_later(std::function<void()> done) {
     auto pause = std::make_shared<boost::asio::steady_timer>(m_strand, leave_pause);
     pause->async_wait([self = shared_from_this(), pause, done = std::move(done)](
                           const boost::system::error_code&) { self->leave_object(done); });
--- a/src/membership/internal/membership_runtime.h
+++ b/src/membership/internal/membership_runtime.h
@@ -54,6 +54,9 @@
     void begin();
     void schedule_tick();
     void on_tick();
+    void tell_revision();
+    void note_running();
+    void probe();
     void check_backend();
     void check_join();
     void check_groups();
@@ -67,7 +70,12 @@
     void report_peer_revision(const swim_message& message);
     void send(const std::vector<outgoing_message>& messages);
     void publish_changes();
+    void publish(const swim_changes& changes);
     void publish(const member& changed);
+    void log_change(const member& changed);
+    void report_rumors(const std::vector<rumor>& received);
+    void report_superseded();
+    void leave_later(std::function<void()> done);
     void store_self();
     void handle_listed_peers(const std::vector<std::string>& peers);
     void leave_object(std::function<void()> done);
--- a/src/membership/tests/membership_service_tests.cpp
+++ b/src/membership/tests/membership_service_tests.cpp
@@ -1,5 +1,6 @@
 #include "membership/membership_service.h"
 
+#include "core/contain.h"
 #include "core/system_clock.h"
 #include "store/testing/fake_object_api.h"
 #include "store/testing/manual_scheduler.h"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <memory>
 #include <set>
+#include <stdexcept>
 
 using namespace monsoonlift::membership;
 using monsoonlift::core::system_clock;
@@ -38,9 +40,17 @@
     std::uint64_t revision = 0;
     std::set<std::pair<std::string, std::uint64_t>> peer_revisions;
     std::vector<rumor> rumors;
+    int ticks = 0;
+    int failing_tick = 0; ///< Number of the tick that throws; 0 for none.
+    bool fails_at_peer_revision = false;
+    std::set<std::uint64_t> failing_rumors; ///< Topics of rumours whose handler throws.
     std::unique_ptr<membership_service> service;
 };
 
+[[noreturn]] void fail() {
+    throw std::runtime_error("no memory left");
+}
+
 struct fixture {
     boost::asio::io_context io;
     system_clock clock;
@@ -67,15 +77,25 @@
         options.limits.gossip_interval = 20ms;
         membership_hooks hooks;
         hooks.own_revision = [&one] {
+            ++one.ticks;
+            if (one.ticks == one.failing_tick) {
+                fail();
+            }
             return one.revision;
         };
         hooks.on_peer_revision = [&one](const std::string& admin, std::uint64_t revision) {
+            if (std::exchange(one.fails_at_peer_revision, false)) {
+                fail();
+            }
             one.peer_revisions.emplace(admin, revision);
         };
         hooks.on_superseded = [&one] {
             one.superseded = true;
         };
         hooks.on_rumor = [&one](const rumor& received) {
+            if (one.failing_rumors.contains(received.topic)) {
+                fail();
+            }
             one.rumors.push_back(received);
         };
         platforms.push_back(std::make_unique<monsoonlift::store::testing::fake_object_api>(store, scheduler));
@@ -90,11 +110,24 @@
         constexpr auto patience = 30s;
         const auto end = std::chrono::steady_clock::now() + patience;
         while (!reached() && std::chrono::steady_clock::now() < end) {
-            io.run_one_for(100ms);
+            run_one();
             scheduler.run_for(1ms);
         }
         return reached();
     }
+
+    /// Runs one handler as a daemon's loop does, if the test expects failures.
+    void run_one() {
+        if (!goes_on_after_failures) {
+            io.run_one_for(100ms);
+            return;
+        }
+        monsoonlift::core::contain([this] { io.run_one_for(100ms); },
+                                   [this](const std::string&) { ++failures; });
+    }
+
+    bool goes_on_after_failures = false;
+    int failures = 0;
 };
 
 bool knows(const daemon& one, const std::string& address,
@@ -213,3 +246,71 @@
         CHECK_FALSE(refused.start());
     }
 }
+
+TEST_CASE("a tick that throws ends the ticks", "[membership_service]") {
+    fixture fleet;
+    fleet.goes_on_after_failures = true;
+    auto& first = fleet.start(7100, {});
+    first.failing_tick = 2;
+    REQUIRE(fleet.run_until([&] { return fleet.failures == 1; }));
+    CHECK(fleet.run_until([&] { return first.ticks >= 5; }));
+    CHECK(fleet.failures == 1);
+}
+
+TEST_CASE("a datagram whose handler throws is the last that a daemon receives", "[membership_service]") {
+    fixture fleet;
+    fleet.goes_on_after_failures = true;
+    auto& first = fleet.start(7100, {});
+    auto& second = fleet.start(7200, {first.service->bound_address()});
+    REQUIRE(fleet.run_until([&] { return knows(first, "127.0.0.1:7200", is_alive); }));
+    first.fails_at_peer_revision = true;
+    second.revision = 4;
+    REQUIRE(fleet.run_until([&] { return fleet.failures == 1; }));
+    CHECK(fleet.run_until([&] { return first.peer_revisions.contains({"127.0.0.1:7201", 4}); }));
+}
+
+TEST_CASE("a handler of a member's change that throws hides the change from the next handler",
+          "[membership_service]") {
+    fixture fleet;
+    fleet.goes_on_after_failures = true;
+    auto& first = fleet.start(7100, {});
+    fleet.start(7200, {first.service->bound_address()});
+    fleet.start(7300, {first.service->bound_address()});
+    REQUIRE(fleet.run_until([&] { return first.directory.members().size() == 3; }));
+    auto& last = fleet.start(7500, {first.service->bound_address()});
+    last.directory.on_change([](const member& changed) {
+        if (changed.id.address == "127.0.0.1:7100") {
+            fail();
+        }
+    });
+    std::set<std::string> seen;
+    last.directory.on_change([&seen](const member& changed) { seen.insert(changed.id.address); });
+    REQUIRE(fleet.run_until([&] { return fleet.failures > 0; }));
+    CHECK(fleet.run_until([&] { return last.directory.members().size() == 4; }));
+    CHECK(seen.contains("127.0.0.1:7100"));
+}
+
+TEST_CASE("a rumour whose handler throws hides the rumours that came with it", "[membership_service]") {
+    fixture fleet;
+    fleet.goes_on_after_failures = true;
+    auto& first = fleet.start(7100, {});
+    first.failing_rumors = {1};
+    for (std::uint32_t topic = 1; topic <= 3; ++topic) {
+        first.service->spread({topic, "report"});
+    }
+    auto& second = fleet.start(7200, {first.service->bound_address()});
+    second.failing_rumors = {1};
+    CHECK(fleet.run_until([&] { return second.rumors.size() == 2 && first.rumors.size() == 2; }));
+}
+
+TEST_CASE("a daemon whose farewell fails in part never leaves", "[membership_service]") {
+    fixture fleet;
+    fleet.goes_on_after_failures = true;
+    auto& first = fleet.start(7100, {});
+    REQUIRE(fleet.run_until([&] { return first.ticks >= 1; }));
+    first.directory.on_change([](const member&) { fail(); });
+    bool has_left = false;
+    first.service->leave([&has_left] { has_left = true; });
+    CHECK(fleet.run_until([&] { return has_left; }));
+    CHECK(fleet.failures == 1);
+}
