Count the bounds of a planned stop from when its signal can have come

What callers saw: a daemon that stood still when its SIGTERM came (a suspended VM, or a handler that held up the control strand) was killed at the end of its grace with the calls that it had taken; requests that ran at a backend server ended with a closed connection (LOST).

Cause: drain() counted the time in which callers are expected (2.5 s), the stop (0.9) and the end (0.96 of the grace) from the moment at which the signal was handled. The platform counts from the moment at which it sent it. After a standstill of 2.6 s the daemon took roots until 5.1 s and would have ended at 8.3 s, but is killed at 6 s.

Evidence: the new case of late_in_grace_process_tests (SIGSTOP, SIGTERM, SIGCONT after 2.6 s, work of 3.5 s) failed on the code before: "late-27 ran and got no answer".

Time in which the steady clock itself stands still is not covered.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -79,6 +79,7 @@
     await_hangup();
     boost::asio::post(m_control, [this] {
         watch_settings();
+        record_turns();
         m_follower->start();
         m_lifecycle.handle(lifecycle::signal::sockets_open);
         wait_until_ready();
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -15,6 +15,7 @@
 #include "gate/misdirected_request.h"
 #include "lifecycle/daemon_lifecycle.h"
 #include "lifecycle/drain_watch.h"
+#include "lifecycle/run_record.h"
 #include "logging/event_log.h"
 #include "membership/member_directory.h"
 #include "membership/membership_service.h"
@@ -142,12 +143,16 @@
     void log_deregistration(const core::departed_incarnation& leaving, const char* how, const char* outcome);
     [[nodiscard]] admin::admin_response ready() const;
     [[nodiscard]] std::string status() const;
+    /// Notes each turn of the control strand; repeats itself.
+    void record_turns();
     void stop_gracefully();
     void on_phase_entered(lifecycle::phase now);
     void drain();
     [[nodiscard]] std::chrono::milliseconds drain_time() const;
     [[nodiscard]] std::chrono::milliseconds share_of_stop_bound(double share) const;
     void log_overdue_drain();
+    void set_stop_deadlines();
+    void refuse_unexpected_callers();
     void wait_until_idle();
     void leave();
     void end_once_answered();
@@ -187,12 +192,13 @@
     std::unique_ptr<membership::membership_service> m_membership;
     std::unique_ptr<execution::home_keeper> m_homes;
     lifecycle::drain_watch m_drain_watch{m_clock};
+    lifecycle::run_record m_turns = lifecycle::begin_record(m_clock.now()); ///< Of the control strand.
     std::optional<platform::local_server> m_platform_server; ///< Set only on the users' platform.
     gate::backend_incarnations m_backend_incarnations;       ///< Of the local backend server.
     std::optional<gate::backend_server> m_last_ready;        ///< Latest ready announcement that was not late.
     std::uint64_t m_announcements = 0; ///< Received on the admin port and naming an instance.
     core::steady_time m_callers_expected_until;
-    core::steady_time m_stop_deadline;
+    core::steady_time m_stop_deadline = core::steady_time::max(); ///< Set only on the users' platform.
     core::steady_time m_end_deadline;
     bool m_homes_handed_over = false;
     bool m_refuses_callers = false; ///< Set in a planned stop, once the platform sends no more callers.
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoonlift::app {
@@ -33,6 +34,11 @@
 
 } // namespace
 
+void daemon::record_turns() {
+    lifecycle::note_turn(m_turns, m_clock.now());
+    m_scheduler.after(lifecycle::turn_interval, [this] { record_turns(); });
+}
+
 void daemon::stop_gracefully() {
     m_log.write(logging::event_id::process_stopping, {});
     m_lifecycle.handle(lifecycle::signal::stop_requested);
@@ -53,20 +59,29 @@
     m_drain_watch.begin(drain_time());
     m_membership->drain();
     m_hand_over_deadline = m_clock.now() + hand_over_timeout;
-    if (m_settings.deployment) {
-        m_callers_expected_until = m_clock.now() + platform_calls_after_stop;
-        m_stop_deadline = m_clock.now() + share_of_stop_bound(platform_stop_share);
-        m_end_deadline = m_clock.now() + share_of_stop_bound(platform_end_share);
-    }
+    set_stop_deadlines();
     m_homes->drain([this] { boost::asio::post(m_control, [this] { m_homes_handed_over = true; }); });
     m_entry.close_connections_after_answers();
-    m_timer.expires_after(drain_grace_of(*m_current.get()));
+    refuse_unexpected_callers();
+    m_timer.expires_at(std::min(m_clock.now() + drain_grace_of(*m_current.get()), m_stop_deadline));
     m_timer.async_wait([this](const boost::system::error_code&) {
         m_gate.drain();
         wait_until_idle();
     });
 }
 
+void daemon::set_stop_deadlines() {
+    if (!m_settings.deployment) {
+        return;
+    }
+    // NOTE: the platform kills the process at the stop bound after it sent the signal, not after this process
+    // took it.
+    const auto arrived = lifecycle::earliest_arrival(m_turns, m_clock.now());
+    m_callers_expected_until = arrived + platform_calls_after_stop;
+    m_stop_deadline = arrived + share_of_stop_bound(platform_stop_share);
+    m_end_deadline = arrived + share_of_stop_bound(platform_end_share);
+}
+
 std::chrono::milliseconds daemon::share_of_stop_bound(double share) const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_current.get()->deployment->stop_bound *
                                                                  share);
@@ -87,19 +102,25 @@
     }
 }
 
+void daemon::refuse_unexpected_callers() {
+    const bool callers_expected = !m_settings.deployment || m_clock.now() < m_callers_expected_until;
+    if (callers_expected || std::exchange(m_refuses_callers, true)) {
+        return;
+    }
+    // NOTE: the platform kills a process that stops too slowly, together with the calls it accepted last, so
+    // new root calls are refused. New connections are still accepted: they may carry nested calls of requests
+    // in flight here.
+    m_entry.refuse_root_calls();
+    m_entry.close_idle_connections();
+}
+
 void daemon::wait_until_idle() {
     m_timer.expires_after(idle_check_interval);
     m_timer.async_wait([this](const boost::system::error_code&) {
         // NOTE: requests in flight may still make nested calls, so the entry accepts until the gate is empty.
         const bool gate_idle = m_gate.counters().in_flight == 0;
         const bool callers_expected = m_settings.deployment && m_clock.now() < m_callers_expected_until;
-        if (m_settings.deployment && !callers_expected && !std::exchange(m_refuses_callers, true)) {
-            // NOTE: the platform kills a process that stops too slowly, together with the calls it accepted
-            // last, so new root calls are refused. New connections are still accepted: they may carry nested
-            // calls of requests in flight here.
-            m_entry.refuse_root_calls();
-            m_entry.close_idle_connections();
-        }
+        refuse_unexpected_callers();
         if (gate_idle && !callers_expected) {
             m_entry.stop_accepting();
         }
--- a/src/app/monsoonliftd/tests/late_in_grace_process_tests.py
+++ b/src/app/monsoonliftd/tests/late_in_grace_process_tests.py
@@ -4,6 +4,7 @@
 """
 import itertools
 import pathlib
+import signal
 import sys
 import tempfile
 import threading
@@ -28,6 +29,8 @@
 INTERVAL_S = 0.1
 LATE_WORK_S = 0.6
 NESTED_AFTER_S = 3.2  # The daemon accepts callers for the first 2.5 s of a stop.
+SUSPENDED_S = 2.6
+LONG_WORK_S = 3.5  # Begun after the suspension, it would outlast the stop.
 REQUESTS = 2  # As many as a backend server that has just started receives at the same time.
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -103,6 +106,28 @@
         self.assert_outcomes_true(attempts)
         self.assertTrue(any(one.status == 200 for one in attempts))
 
+    def test_stop_of_a_daemon_that_was_suspended_when_the_signal_came_is_not_overdue(self) -> None:
+        for vm in self.vms:
+            vm.endpoint.misbehaviour.work_s = LONG_WORK_S
+        attempts: list[Attempt] = []
+        threads = []
+        for number in range(int(SUSPENDED_S / INTERVAL_S) + 1, int(STOP_BOUND_S / INTERVAL_S)):
+            sender = self.sender(self.maps)
+            sender.connect()
+            threads.append(threading.Thread(target=self.send_at, args=(sender, number, attempts)))
+        process = self.maps.process
+        assert process is not None
+        process.signal(signal.SIGSTOP)
+        self.began = time.monotonic()
+        resuming = threading.Timer(SUSPENDED_S, process.signal, (signal.SIGCONT,))
+        resuming.start()
+        for thread in threads:
+            thread.start()
+        self.maps.stop_daemon()
+        for thread in [*threads, resuming]:
+            thread.join()
+        self.assert_outcomes_true(attempts)
+
     def send_at(self, sender: Sender, number: int, attempts: list[Attempt]) -> None:
         time.sleep(max(0.0, self.began + number * INTERVAL_S - time.monotonic()))
         self.send(sender, number, attempts)
