--- a/scripts/lib/soak/checker.py
+++ b/scripts/lib/soak/checker.py
@@ -73,6 +73,7 @@
     exits: list[str] = field(default_factory=list)  # Daemons that crashed, failed or stopped too late.
     reverted: list[str] = field(default_factory=list)
     not_recovered: list[str] = field(default_factory=list)
+    reports: list[str] = field(default_factory=list)  # What sanitizers reported of the daemons.
 
 
 def judge(facts: Facts) -> list[str]:
@@ -89,6 +90,7 @@
     findings += [f"EXIT {text}" for text in facts.exits]
     findings += [f"REVERTED {text}" for text in facts.reverted]
     findings += [f"RECOVERY {text}" for text in facts.not_recovered]
+    findings += [f"SANITIZER {text}" for text in facts.reports]
     return findings
 
 
--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -28,6 +28,14 @@
 FIRST_IP = 10
 
 
+@dataclass(frozen=True)
+class DaemonProgram:
+    """The daemon's binary and its number of worker threads."""
+
+    file: pathlib.Path = BINARIES / "monsoonliftd"
+    workers: int = 2
+
+
 def split(address: str) -> tuple[str, int]:
     host, port = address.rsplit(":", 1)
     return host, int(port)
@@ -43,6 +51,7 @@
     carrier: ProxyLoop
     facts: Facts
     seed: int
+    program: DaemonProgram = DaemonProgram()
     starts: int = 0
     store_address: str = ""  # Where the daemon finds the store; its proxied link unless a test says otherwise.
     process: Process | None = None
@@ -83,7 +92,7 @@
         self.starts += 1
         settings = self.write_settings()
         log = self.folder / f"vm-{self.number}.{self.starts}.log"
-        self.process = Process(f"vm-{self.number}", [str(BINARIES / "monsoonliftd"), "--settings", str(settings)], log)
+        self.process = Process(f"vm-{self.number}", [str(self.program.file), "--settings", str(settings)], log)
 
     def write_settings(self) -> pathlib.Path:
         """Places the settings file, as the platform does at every start and whenever the settings change."""
@@ -121,6 +130,7 @@
             "transport_address": self.at("transport"), "advertised_transport_address": self.at("link"),
             "transport_source_ip": self.ip, "membership_address": self.at("transport"),
             "platform_address": self.store_address or self.at("store"), "retry_burst": 2, "log_lines_per_second": 1000,
+            "workers": self.program.workers,
         }
         deployment = {
             "service": self.service, "backend_address": self.at("backend"),
@@ -142,10 +152,11 @@
 class SoakFleet:
     """The platform stand-in and all VMs of one run; a context manager that ends the processes it started."""
 
-    def __init__(self, folder: pathlib.Path, vms: int, facts: Facts, seed: int) -> None:
+    def __init__(self, folder: pathlib.Path, vms: int, facts: Facts, seed: int, program: DaemonProgram) -> None:
         self.carrier = ProxyLoop()
         self.platform = Platform(BINARIES, folder / "platform.log", "--listen", "127.0.0.1:0")
-        self.vms = [Vm(number, folder, self.platform.address, self.carrier, facts, seed) for number in range(vms)]
+        self.vms = [Vm(number, folder, self.platform.address, self.carrier, facts, seed, program)
+                    for number in range(vms)]
 
     def __enter__(self) -> SoakFleet:
         return self
--- a/scripts/lib/soak/run.py
+++ b/scripts/lib/soak/run.py
@@ -12,9 +12,10 @@
 from harness import http as calls
 from soak.callers import DISPATCH, STATUS, Callers, Target
 from soak.checker import Facts, Span, judge
-from soak.fleet import SoakFleet, Vm
+from soak.fleet import DaemonProgram, SoakFleet, Vm
 from soak.operator import Operator, RevisionWatch, marker_path
 from soak.plan import PLANNED, Fault, Kind, make_plan
+from soak.sanitizers import read_reports
 
 CALLERS_PER_VM = 3
 SERVING_PATIENCE_S = 30.0
@@ -41,14 +42,15 @@
 class SoakRun:
     """The run of one seed."""
 
-    def __init__(self, seed: int, vms: int, length_s: float, folder: pathlib.Path) -> None:
+    def __init__(self, seed: int, vms: int, length_s: float, folder: pathlib.Path,
+                 program: DaemonProgram = DaemonProgram()) -> None:
         self.seed = seed
         self.length_s = length_s
         self.facts = Facts()
         self.plan = make_plan(seed, vms, length_s, max(1, round(length_s * FAULTS_PER_SECOND)))
         self.folder = folder
         (folder / "plan.txt").write_text("".join(fault.describe() + "\n" for fault in self.plan))
-        self.fleet = SoakFleet(folder, vms, self.facts, seed)
+        self.fleet = SoakFleet(folder, vms, self.facts, seed, program)
         self.operator = Operator(self.fleet.platform.address)
         self.revisions = RevisionWatch()
         self._end = threading.Event()
@@ -71,6 +73,7 @@
             self._end.set()
             watch.join()
             self._record_exits()
+        self.facts.reports = read_reports(self.folder)
         return RunResult(self.seed, len(self.facts.attempts), len(self.plan), judge(self.facts))
 
     def _inject_plan(self) -> None:
--- a/scripts/lib/tests/test_soak.py
+++ b/scripts/lib/tests/test_soak.py
@@ -1,10 +1,13 @@
 """Tests that the soak's plan depends only on its seed, and that its checker reports violations of each promise."""
 import dataclasses
+import pathlib
+import tempfile
 import unittest
 
 from soak.checker import Attempt, Facts, Run, Span, judge
 from soak.operator import RevisionWatch, marker_path
 from soak.plan import Kind, make_plan
+from soak.sanitizers import REPORT_PREFIX, environment, read_reports
 
 SAFE = Attempt("one", 0, "mappa", "mappa", "GET", "/status/north", b"", True, 10.0, 10.1, 200, "mappa-0-1.1")
 SAFE_RUN = Run("one", "mappa", "mappa-0-1", "mappa-0-1.1", "GET", "/status/north", b"", "mappa", 10.05)
@@ -43,6 +46,7 @@
             "EXIT": facts_of([], [], exits=["vm-0 ended by itself with -11"]),
             "REVERTED": facts_of([], [], reverted=["vm-0 went from version 6 to 3"]),
             "RECOVERY": facts_of([], [], not_recovered=["vm-0 does not serve status"]),
+            "SANITIZER": facts_of([], [], reports=["sanitizer.7: ==7==ERROR: AddressSanitizer: heap-use-after-free"]),
         }
         for promise, facts in violations.items():
             with self.subTest(promise):
@@ -68,6 +72,33 @@
         self.assertEqual(judge(facts_of([lost], [], stops=stops)), [])
 
 
+class SanitizerReportTests(unittest.TestCase):
+    """Each report that a sanitized daemon writes is found, and nothing else is taken for one."""
+
+    def test_planted_reports_of_every_kind_are_found(self) -> None:
+        reports = {
+            "7": "=====\n==7==ERROR: AddressSanitizer: heap-use-after-free on address 0x1\n    #0 0x1 in main\n",
+            "8": "WARNING: ThreadSanitizer: data race (pid=8)\n  Write of size 8\nSUMMARY: ThreadSanitizer: data race\n" * 2,
+            "9": "a.cpp:3:5: runtime error: signed integer overflow: 2147483647 + 1\n",
+            "10": "==10==ERROR: LeakSanitizer: detected memory leaks\n",
+            "11": "ThreadSanitizer: Matched 3 suppressions (pid=11):\n",
+        }
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            (folder / "vm-0.1.log").write_text(reports["7"])
+            self.assertEqual(read_reports(folder), [])
+            for process, text in reports.items():
+                (folder / f"{REPORT_PREFIX}.{process}").write_text(text)
+            found = read_reports(folder)
+        self.assertEqual(sorted(text.split(":")[0] for text in found),
+                         ["sanitizer.10", "sanitizer.7", "sanitizer.8", "sanitizer.8", "sanitizer.9"])
+
+    def test_every_sanitizer_is_told_the_folder(self) -> None:
+        for name, options in environment(pathlib.Path("/run")).items():
+            with self.subTest(name):
+                self.assertIn("log_path=/run/sanitizer:", options)
+
+
 class RevisionWatchTests(unittest.TestCase):
     """A step back to an older version is reported within one process, but not for the process that replaces it."""
 
