Count handlers that an internal error ended, and let the report of one fail

What callers saw: nothing (found by reading). note_failure() runs in the loop's catch, so an exception of its own, such as no memory for the line, would have ended the process that the loop keeps. It counts first (monsoonlift_handlers_failed_total) and contains the writing of the line.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -1,6 +1,7 @@
 #include "app/monsoonliftd/daemon.h"
 
 #include "app/monsoonliftd/daemon_options.h"
+#include "core/contain.h"
 #include "network/run_handlers.h"
 #include "settings/changed_settings.h"
 
@@ -101,11 +102,16 @@
 }
 
 void daemon::note_failure(const std::string& work, const std::string& why) {
-    m_log.write(logging::event_id::handler_failed,
-                {{"work", work},
-                 {"why", why},
-                 {"at_gate", std::to_string(m_gate.counters().in_flight)},
-                 {"at_entry", std::to_string(m_entry.counters().in_flight)}});
+    ++m_handlers_failed;
+    const auto write_line = [&] {
+        m_log.write(logging::event_id::handler_failed,
+                    {{"work", work},
+                     {"why", why},
+                     {"at_gate", std::to_string(m_gate.counters().in_flight)},
+                     {"at_entry", std::to_string(m_entry.counters().in_flight)}});
+    };
+    // NOTE: without memory for the line, the count is all that is left.
+    core::contain(write_line, [](const std::string&) {});
 }
 
 daemon_addresses daemon::addresses() const {
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -74,7 +74,8 @@
     using control_strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
     void work();
-    /// Writes that an internal error ended one piece of `work`; safe to call from any thread.
+    /// Counts an internal error that ended one piece of `work`, and writes a line; doesn't throw, and is safe
+    /// to call from any thread.
     void note_failure(const std::string& work, const std::string& why);
     void start_transport();
     void start_configuration();
@@ -169,6 +170,7 @@
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
     lifecycle::daemon_lifecycle m_lifecycle;
     metrics::metrics_registry m_metrics;
+    std::atomic<std::uint64_t> m_handlers_failed = 0; ///< Handlers that an internal error ended.
     membership::member_directory m_directory;
     store::asio_scheduler m_scheduler;
     std::unique_ptr<store::object_api> m_platform_client;
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -134,6 +134,8 @@
     total("monsoonlift_membership_received_bytes_total",
           "Bytes of membership datagrams received, with headers.",
           [this] { return m_membership->traffic().received; });
+    total("monsoonlift_handlers_failed_total", "Handlers that an internal error ended.",
+          [this] { return m_handlers_failed.load(); });
     total("monsoonlift_log_lines_left_out_total", "Log lines not written, to bound the log.",
           [this] { return m_log.left_out(); });
     total("monsoonlift_frames_corrupt_total", "Frames dropped as corrupt.",
