End a planned stop, and keep the daemon's own series going, after steps that throw

What callers saw: nothing yet (found by reading). With a step of the stop throwing since, the series of looks at whether the daemon is idle ended, and so the process never did: it would be killed by the platform. The steps of a stop now fail each by itself, and the next look, the end and io.stop() come all the same; so do the re-reading of settings, the wait for readiness, and the hangup signal.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "app/monsoonliftd/daemon_options.h"
 #include "core/contain.h"
+#include "core/go_on.h"
 #include "network/run_handlers.h"
 #include "settings/changed_settings.h"
 
@@ -235,11 +236,14 @@
     if (m_phase != lifecycle::phase::joining) {
         return;
     }
+    core::run_then([this] { check_ready(); },
+                   [this] { m_scheduler.after(ready_check_interval, [this] { wait_until_ready(); }); });
+}
+
+void daemon::check_ready() {
     if (m_follower->has_settled() && m_configuration.revision() > 0 && m_membership->joined()) {
         m_lifecycle.handle(lifecycle::signal::configuration_known);
-        return;
     }
-    m_scheduler.after(ready_check_interval, [this] { wait_until_ready(); });
 }
 
 void daemon::await_signals() {
@@ -253,8 +257,7 @@
 void daemon::await_hangup() {
     m_hangup.async_wait([this](const boost::system::error_code& failure, int) {
         if (!failure) {
-            read_settings_again();
-            await_hangup();
+            core::run_then([this] { read_settings_again(); }, [this] { await_hangup(); });
         }
     });
 }
@@ -270,13 +273,17 @@
 }
 
 void daemon::watch_settings() {
+    core::run_then([this] { read_changed_settings(); },
+                   [this] { m_scheduler.after(settings_check_interval, [this] { watch_settings(); }); });
+}
+
+void daemon::read_changed_settings() {
     const auto text = m_read_settings();
     // NOTE: a file that can't be read is being replaced; it is read again soon.
     if (text && text != m_settings_text) {
         m_settings_text = text;
         take_settings(*text);
     }
-    m_scheduler.after(settings_check_interval, [this] { watch_settings(); });
 }
 
 void daemon::take_settings(const std::string& text) {
@@ -314,7 +321,10 @@
 }
 
 void daemon::member_changed(const membership::member& changed) {
-    m_entry.member_changed(changed);
+    core::run_then([&] { m_entry.member_changed(changed); }, [&] { release_links(changed); });
+}
+
+void daemon::release_links(const membership::member& changed) {
     if (changed.status == membership::member_status::left) {
         m_transport.forget(changed.id.address);
     }
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -91,6 +91,7 @@
     void start_membership();
     [[nodiscard]] membership::membership_hooks membership_hooks();
     void wait_until_ready();
+    void check_ready();
     void add_routes();
     void add_metrics();
     void await_signals();
@@ -99,10 +100,12 @@
 
     /// Reads the settings again if the file has changed, as it may without a signal; repeats itself.
     void watch_settings();
+    void read_changed_settings();
     void take_settings(const std::string& text);
     void take_frame(transport::frame message);
     void take_unsent(const transport::unsent_frame& unsent);
     void member_changed(const membership::member& changed);
+    void release_links(const membership::member& changed);
 
     /// Handle announcements and withdrawals on the admin port, the project's own interface for backend
     /// servers. announce() and withdraw() parse the request on any thread; the other two run on the control
@@ -148,11 +151,21 @@
     void drain();
     [[nodiscard]] std::chrono::milliseconds drain_time() const;
     [[nodiscard]] std::chrono::milliseconds share_of_stop_bound(double share) const;
+    void begin_drain();
+    void wait_for_grace();
     void log_overdue_drain();
     void wait_until_idle();
+    void check_idle();
+
+    /// Completes the drain if nothing is in flight any more or time is up.
+    void finish_if_idle();
+    void refuse_expected_callers(bool callers_expected);
+    void finish_drain(bool is_busy);
     void leave();
+    void end_later();
     void end_once_answered();
     void end();
+    void stop_parts();
 
     const settings::daemon_settings m_settings; ///< As read at the start.
     settings_in_force m_current;
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -2,9 +2,12 @@
 #include "app/monsoonliftd/daemon.h"
 
 #include "app/monsoonliftd/daemon_options.h"
+#include "core/go_on.h"
 
 #include <boost/asio/post.hpp>
 
+#include <array>
+#include <functional>
 #include <utility>
 
 namespace monsoonlift::app {
@@ -34,8 +37,8 @@
 } // namespace
 
 void daemon::stop_gracefully() {
-    m_log.write(logging::event_id::process_stopping, {});
-    m_lifecycle.handle(lifecycle::signal::stop_requested);
+    core::run_then([this] { m_log.write(logging::event_id::process_stopping, {}); },
+                   [this] { m_lifecycle.handle(lifecycle::signal::stop_requested); });
 }
 
 void daemon::on_phase_entered(lifecycle::phase now) {
@@ -49,21 +52,32 @@
 }
 
 void daemon::drain() {
-    m_log.write(logging::event_id::drain_started, {});
-    m_drain_watch.begin(drain_time());
-    m_membership->drain();
+    core::run_then([this] { begin_drain(); }, [this] { wait_for_grace(); });
+}
+
+void daemon::begin_drain() {
     m_hand_over_deadline = m_clock.now() + hand_over_timeout;
     if (m_settings.deployment) {
         m_callers_expected_until = m_clock.now() + platform_calls_after_stop;
         m_stop_deadline = m_clock.now() + share_of_stop_bound(platform_stop_share);
         m_end_deadline = m_clock.now() + share_of_stop_bound(platform_end_share);
     }
-    m_homes->drain([this] { boost::asio::post(m_control, [this] { m_homes_handed_over = true; }); });
-    m_entry.close_connections_after_answers();
+    const std::array<std::function<void()>, 5> steps{
+        [this] { m_log.write(logging::event_id::drain_started, {}); },
+        [this] { m_drain_watch.begin(drain_time()); },
+        [this] { m_membership->drain(); },
+        [this] {
+            m_homes->drain([this] { boost::asio::post(m_control, [this] { m_homes_handed_over = true; }); });
+        },
+        [this] { m_entry.close_connections_after_answers(); },
+    };
+    core::for_each_apart(steps, [](const auto& step) { step(); });
+}
+
+void daemon::wait_for_grace() {
     m_timer.expires_after(drain_grace_of(*m_current.get()));
     m_timer.async_wait([this](const boost::system::error_code&) {
-        m_gate.drain();
-        wait_until_idle();
+        core::run_then([this] { m_gate.drain(); }, [this] { wait_until_idle(); });
     });
 }
 
@@ -89,54 +103,82 @@
 
 void daemon::wait_until_idle() {
     m_timer.expires_after(idle_check_interval);
-    m_timer.async_wait([this](const boost::system::error_code&) {
-        // NOTE: requests in flight may still make nested calls, so the entry accepts until the gate is empty.
-        const bool gate_idle = m_gate.counters().in_flight == 0;
-        const bool callers_expected = m_settings.deployment && m_clock.now() < m_callers_expected_until;
-        if (m_settings.deployment && !callers_expected && !std::exchange(m_refuses_callers, true)) {
-            // NOTE: the platform kills a process that stops too slowly, together with the calls it accepted
-            // last, so new root calls are refused. New connections are still accepted: they may carry nested
-            // calls of requests in flight here.
-            m_entry.refuse_root_calls();
-            m_entry.close_idle_connections();
-        }
-        if (gate_idle && !callers_expected) {
-            m_entry.stop_accepting();
-        }
-        const bool homes_settled = m_homes_handed_over || m_clock.now() >= m_hand_over_deadline;
-        const bool out_of_time = m_settings.deployment && m_clock.now() >= m_stop_deadline;
-        const bool is_busy =
-            !gate_idle || callers_expected || !homes_settled || m_entry.counters().in_flight > 0;
-        if (is_busy && !out_of_time) {
-            log_overdue_drain();
-            wait_until_idle();
-            return;
-        }
-        m_log.write(logging::event_id::drain_finished,
-                    {{"given_up", is_busy ? "yes" : "no"},
-                     {"at_gate", std::to_string(m_gate.counters().in_flight)},
-                     {"at_entry", std::to_string(m_entry.counters().in_flight)}});
+    m_timer.async_wait([this](const boost::system::error_code&) { check_idle(); });
+}
+
+void daemon::check_idle() {
+    core::run_then([this] { finish_if_idle(); },
+                   [this] {
+                       if (m_phase == lifecycle::phase::draining) {
+                           wait_until_idle();
+                       }
+                   });
+}
+
+void daemon::finish_if_idle() {
+    // NOTE: requests in flight may still make nested calls, so the entry accepts until the gate is empty.
+    const bool gate_idle = m_gate.counters().in_flight == 0;
+    const bool callers_expected = m_settings.deployment && m_clock.now() < m_callers_expected_until;
+    const bool homes_settled = m_homes_handed_over || m_clock.now() >= m_hand_over_deadline;
+    const bool out_of_time = m_settings.deployment && m_clock.now() >= m_stop_deadline;
+    refuse_expected_callers(callers_expected);
+    if (gate_idle && !callers_expected) {
+        m_entry.stop_accepting();
+    }
+    const bool is_busy = !gate_idle || callers_expected || !homes_settled || m_entry.counters().in_flight > 0;
+    if (is_busy && !out_of_time) {
+        log_overdue_drain();
+        return;
+    }
+    core::run_then([&] { finish_drain(is_busy); },
+                   [this] { m_lifecycle.handle(lifecycle::signal::nothing_in_flight); });
+}
+
+void daemon::refuse_expected_callers(bool callers_expected) {
+    if (!m_settings.deployment || callers_expected || std::exchange(m_refuses_callers, true)) {
+        return;
+    }
+    // NOTE: the platform kills a process that stops too slowly, together with the calls it accepted last, so
+    // new root calls are refused. New connections are still accepted: they may carry nested calls of requests
+    // in flight here.
+    m_entry.refuse_root_calls();
+    m_entry.close_idle_connections();
+}
+
+void daemon::finish_drain(bool is_busy) {
+    const std::array<std::function<void()>, 4> steps{
+        [this, is_busy] {
+            m_log.write(logging::event_id::drain_finished,
+                        {{"given_up", is_busy ? "yes" : "no"},
+                         {"at_gate", std::to_string(m_gate.counters().in_flight)},
+                         {"at_entry", std::to_string(m_entry.counters().in_flight)}});
+        },
         // NOTE: a call taken from now on, or sent on once more, would be cut by the end of the process.
-        m_entry.refuse_all_calls();
-        m_entry.close_idle_connections();
-        if (is_busy) {
-            m_entry.cancel_all_attempts();
-        }
-        m_lifecycle.handle(lifecycle::signal::nothing_in_flight);
-    });
+        [this] { m_entry.refuse_all_calls(); },
+        [this] { m_entry.close_idle_connections(); },
+        [this, is_busy] {
+            if (is_busy) {
+                m_entry.cancel_all_attempts();
+            }
+        },
+    };
+    core::for_each_apart(steps, [](const auto& step) { step(); });
 }
 
 void daemon::leave() {
     if (m_settings.deployment) {
-        m_membership->leave([] {});
-        // NOTE: the store may be unavailable, so this doesn't wait for the member's object to be removed; the
-        // next incarnation writes it anew.
-        m_scheduler.after(platform_leave_timeout, [this] { end_once_answered(); });
+        core::run_then([this] { m_membership->leave([] {}); }, [this] { end_later(); });
         return;
     }
     m_membership->leave([this] { boost::asio::post(m_control, [this] { end(); }); });
 }
 
+void daemon::end_later() {
+    // NOTE: the store may be unavailable, so this doesn't wait for the member's object to be removed; the
+    // next incarnation writes it anew.
+    m_scheduler.after(platform_leave_timeout, [this] { end_once_answered(); });
+}
+
 void daemon::end_once_answered() {
     // NOTE: callers whose attempts were cancelled, or who called in these last moments, are being answered.
     const bool out_of_time = m_clock.now() >= m_end_deadline;
@@ -151,14 +193,22 @@
     if (std::exchange(m_has_ended, true)) {
         return;
     }
-    m_homes->stop();
-    m_follower->stop();
-    m_membership->stop();
-    m_gate.stop();
-    m_admin.stop();
-    m_log.write(logging::event_id::process_stopped,
-                {{"at_entry", std::to_string(m_entry.counters().in_flight)}});
-    m_io.stop();
+    core::run_then([this] { stop_parts(); }, [this] { m_io.stop(); });
+}
+
+void daemon::stop_parts() {
+    const std::array<std::function<void()>, 6> steps{
+        [this] { m_homes->stop(); },
+        [this] { m_follower->stop(); },
+        [this] { m_membership->stop(); },
+        [this] { m_gate.stop(); },
+        [this] { m_admin.stop(); },
+        [this] {
+            m_log.write(logging::event_id::process_stopped,
+                        {{"at_entry", std::to_string(m_entry.counters().in_flight)}});
+        },
+    };
+    core::for_each_apart(steps, [](const auto& step) { step(); });
 }
 
 } // namespace monsoonlift::app
