--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -78,7 +78,8 @@
     using control_strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
     void work();
-    /// Writes that an internal error ended one piece of `work`; safe to call from any thread.
+    /// Counts an internal error that ended one piece of `work`, and writes a line; doesn't throw, and is safe
+    /// to call from any thread.
     void note_failure(const std::string& work, const std::string& why);
     void start_transport();
     void start_configuration();
@@ -94,6 +95,7 @@
     void start_membership();
     [[nodiscard]] membership::membership_hooks membership_hooks();
     void wait_until_ready();
+    void check_ready();
     void add_routes();
     void add_metrics();
     void await_signals();
@@ -102,10 +104,12 @@
 
     /// Reads the settings again if the file has changed, as it may without a signal; repeats itself.
     void watch_settings();
+    void read_changed_settings();
     void take_settings(const std::string& text);
     void take_frame(transport::frame message);
     void take_unsent(const transport::unsent_frame& unsent);
     void member_changed(const membership::member& changed);
+    void release_links(const membership::member& changed);
 
     /// Handle announcements and withdrawals on the admin port, the project's own interface for backend
     /// servers. announce() and withdraw() parse the request on any thread; the other two run on the control
@@ -156,13 +160,22 @@
     void drain();
     [[nodiscard]] std::chrono::milliseconds drain_time() const;
     [[nodiscard]] std::chrono::milliseconds share_of_stop_bound(double share) const;
+    void begin_drain();
+    void wait_for_grace();
     void log_overdue_drain();
     void set_stop_deadlines();
     void refuse_unexpected_callers();
     void wait_until_idle();
+    void check_idle();
+
+    /// Completes the drain if nothing is in flight any more or time is up.
+    void finish_if_idle();
+    void finish_drain(bool is_busy);
     void leave();
+    void end_later();
     void end_once_answered();
     void end();
+    void stop_parts();
 
     const settings::daemon_settings m_settings; ///< As read at the start.
     settings_in_force m_current;
@@ -180,6 +193,7 @@
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
     lifecycle::daemon_lifecycle m_lifecycle;
     metrics::metrics_registry m_metrics;
+    std::atomic<std::uint64_t> m_handlers_failed = 0; ///< Handlers that an internal error ended.
     membership::member_directory m_directory;
     store::asio_scheduler m_scheduler;
     std::unique_ptr<store::object_api> m_platform_client;
