End the attempt of a frame whose handling failed, at both its ends

Cause: frame_handlers::failed had no owner in the daemon. All of entry_tests (45 cases) and gate_tests (84) passes once. Why it works: the gate takes a waiting call of such a frame out of its queue and refuses it, stops a running one, and tells the entry of one that it never came to know that it may have run; the entry ends the attempt as a broken link does and cancels it at the gate.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -130,6 +130,13 @@
             m_transport.send(refusal->to, std::move(refusal->message));
         }
     };
+    handlers.failed = [this](const transport::frame& message) {
+        if (message.target == transport::frame_target::gate) {
+            m_gate.failed(message);
+        } else {
+            m_entry.failed(message);
+        }
+    };
     m_transport.start(std::move(handlers));
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -110,6 +110,9 @@
     /// with the request's head.
     void unsent(const core::attempt_id& attempt, bool begins_attempt);
 
+    /// Ends the attempt of a frame for the entry whose handling an internal error ended.
+    void failed(const transport::frame& message);
+
     /// Reports that the membership record of a member changed.
     void member_changed(const membership::member& changed);
 
--- a/src/entry/internal/entry_service.cpp
+++ b/src/entry/internal/entry_service.cpp
@@ -67,6 +67,10 @@
     m_state->unsent(attempt, begins_attempt);
 }
 
+void entry_service::failed(const transport::frame& message) {
+    m_state->frame_failed(message);
+}
+
 void entry_service::member_changed(const membership::member& changed) {
     m_state->member_changed(changed);
 }
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -94,6 +94,13 @@
     }
 }
 
+void entry_state::frame_failed(const transport::frame& message) {
+    const auto channel = find(message.attempt);
+    if (channel && speaks_for(message, channel->endpoint())) {
+        channel->notify(local_event::broken_off);
+    }
+}
+
 void entry_state::member_changed(const membership::member& changed) {
     routes.member_changed(changed, clock.now());
     notify_affected_attempts(changed);
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -38,6 +38,7 @@
     [[nodiscard]] std::string address() const;
     void received(transport::frame message);
     void unsent(const core::attempt_id& attempt, bool begins_attempt);
+    void frame_failed(const transport::frame& message);
     void member_changed(const membership::member& changed);
     [[nodiscard]] entry_counters counters() const;
 
--- a/src/entry/tests/failed_calls_tests.cpp
+++ b/src/entry/tests/failed_calls_tests.cpp
@@ -4,9 +4,9 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <set>
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace monsoonlift;
@@ -49,6 +49,21 @@
     return request;
 }
 
+/// Daemons and the numbers of their frames that are to fail, one a run. The daemon with the entry handles
+/// frames of every call, the other one those of the calls that it gets.
+std::vector<std::pair<std::size_t, std::uint64_t>> frames_to_fail() {
+    constexpr std::uint64_t at_entry = 30;
+    constexpr std::uint64_t at_other = 4;
+    std::vector<std::pair<std::size_t, std::uint64_t>> chosen;
+    for (std::uint64_t frame = 1; frame <= at_entry; ++frame) {
+        chosen.emplace_back(0, frame);
+    }
+    for (std::uint64_t frame = 1; frame <= at_other; ++frame) {
+        chosen.emplace_back(1, frame);
+    }
+    return chosen;
+}
+
 /// Two daemons and the calls of one entry.
 struct crowd {
     crowd() : fleet({}, 1) {
@@ -175,3 +190,23 @@
     CHECK(callers.fleet.daemon(0).entry().counters().refused == 1);
     callers.check_contained();
 }
+
+TEST_CASE("an exception while a frame is sent ends its call alone, at once", "[failed_calls]") {
+    const auto [index, frame] = GENERATE(from_range(frames_to_fail()));
+    INFO("daemon " << index << ", frame " << frame);
+    crowd callers;
+    callers.fleet.daemon(index).frames().fail_send(frame);
+    REQUIRE(callers.make_calls(0, calls_at_once));
+    CHECK(callers.fleet.daemon(index).frames().has_failed_send());
+    callers.check_contained();
+}
+
+TEST_CASE("a frame whose handling fails ends its call alone, at once", "[failed_calls]") {
+    const auto [index, frame] = GENERATE(from_range(frames_to_fail()));
+    INFO("daemon " << index << ", frame " << frame);
+    crowd callers;
+    callers.fleet.daemon(index).fail_frame(frame);
+    REQUIRE(callers.make_calls(0, calls_at_once));
+    CHECK(callers.fleet.daemon(index).has_failed_frame());
+    callers.check_contained();
+}
--- a/src/entry/tests/faulty_frame_sender.cpp
+++ b/src/entry/tests/faulty_frame_sender.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <stdexcept>
 
 namespace monsoonlift::entry::testing {
 
@@ -29,6 +30,10 @@
     if (m_is_mute) {
         return;
     }
+    if (m_send_to_fail > 0 && --m_send_to_fail == 0) {
+        m_has_failed_send = true;
+        throw std::runtime_error("the send is to fail");
+    }
     remember_choice(to, message);
     damage(message);
     if (!applies_to(message)) {
--- a/src/entry/tests/faulty_frame_sender.h
+++ b/src/entry/tests/faulty_frame_sender.h
@@ -48,6 +48,12 @@
     /// Drops every frame from now on, as if the daemon's links were silent.
     void mute() { m_is_mute = true; }
 
+    /// Makes a send throw: the `frame`-th from now on, counted from 1.
+    void fail_send(std::uint64_t frame) { m_send_to_fail = frame; }
+
+    /// Whether a send has thrown.
+    [[nodiscard]] bool has_failed_send() const { return m_has_failed_send; }
+
     /// Sends the held duplicates.
     void release();
 
@@ -91,6 +97,8 @@
     std::vector<addressed_frame> m_held_copies;
     std::map<std::string, std::set<std::string>> m_chosen;
     bool m_is_mute = false;
+    std::uint64_t m_send_to_fail = 0;
+    bool m_has_failed_send = false;
     std::size_t m_pending = 0;
     std::uint64_t m_passed = 0;
     std::uint64_t m_injected = 0;
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <stdexcept>
 #include <utility>
 
 namespace monsoonlift::entry::testing {
@@ -115,6 +116,10 @@
           make_acceptor(io), make_entry_options(seed), m_frames, m_budgets, [rules] { return rules; },
           m_clock, m_log, m_metrics) {
     m_transport.start({[this](transport::frame message) {
+                           if (m_frame_to_fail > 0 && --m_frame_to_fail == 0) {
+                               m_has_failed_frame = true;
+                               throw std::runtime_error("the frame is to fail");
+                           }
                            if (message.target == transport::frame_target::gate) {
                                m_gate.received(std::move(message));
                            } else {
@@ -141,6 +146,13 @@
                            if (refusal) {
                                m_transport.send(refusal->to, refusal->message);
                            }
+                       },
+                       [this](const transport::frame& message) {
+                           if (message.target == transport::frame_target::gate) {
+                               m_gate.failed(message);
+                           } else {
+                               m_entry.failed(message);
+                           }
                        }});
     m_gate.start();
     m_entry.start();
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -62,10 +62,18 @@
     [[nodiscard]] gate::gate_counters gate_totals() const { return m_gate.counters(); }
     [[nodiscard]] routing::load_report gate_load() const { return m_gate.report(); }
 
+    /// Makes the handling of a frame throw: the `frame`-th that arrives from now on, counted from 1.
+    void fail_frame(std::uint64_t frame) { m_frame_to_fail = frame; }
+
+    /// Whether the handling of a frame has thrown.
+    [[nodiscard]] bool has_failed_frame() const { return m_has_failed_frame; }
+
     /// Announces the backend server to the gate.
     void announce();
 
 private:
+    std::uint64_t m_frame_to_fail = 0;
+    bool m_has_failed_frame = false;
     core::system_clock m_clock;
     monsoonlift::testing::failing_log m_log;
     metrics::metrics_registry m_metrics;
--- a/src/gate/gate_service.h
+++ b/src/gate/gate_service.h
@@ -70,6 +70,9 @@
     /// Cancels the attempt because one of its frames could not be sent.
     void unsent(const core::attempt_id& attempt);
 
+    /// Ends the attempt of a frame for the gate whose handling an internal error ended; its entry is told.
+    void failed(const transport::frame& message);
+
     /// Handles an announcement of the backend server; false if it comes too late, as that incarnation was
     /// replaced or has deregistered.
     bool announce(const backend_server& server);
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -65,6 +65,7 @@
 
     [[nodiscard]] const transport::request_head& head() const { return m_head; }
     [[nodiscard]] const core::attempt_id& attempt() const { return m_attempt; }
+    [[nodiscard]] std::uint64_t run_number() const { return m_run; }
 
     /// Checks whether the request is suspected of crashing backend servers; if so, sends a refusal and
     /// returns false.
--- a/src/gate/internal/gate_service.cpp
+++ b/src/gate/internal/gate_service.cpp
@@ -36,6 +36,10 @@
     m_state->unsent(attempt);
 }
 
+void gate_service::failed(const transport::frame& message) {
+    m_state->failed(message);
+}
+
 bool gate_service::announce(const backend_server& server) {
     return m_state->announce(server);
 }
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -149,6 +149,41 @@
     }
 }
 
+void gate_service::state::failed(const transport::frame& message) {
+    const auto known = find(message.attempt);
+    if (!known) {
+        refuse_unknown(message);
+        return;
+    }
+    if (m_table.cancel(known->run_number())) {
+        break_off_arrival(known->run_number());
+        return;
+    }
+    known->break_off();
+}
+
+void gate_service::state::refuse_unknown(const transport::frame& message) {
+    const auto* head = std::get_if<transport::request_head>(&message.payload);
+    if (head == nullptr || has_arrived(message.attempt)) {
+        return;
+    }
+    transport::frame reply;
+    reply.attempt = message.attempt;
+    reply.target = transport::frame_target::entry;
+    transport::attempt_end end;
+    end.run = core::verdict::may_have_run;
+    end.reason = end_reason::backend_failed;
+    end.detail = "an internal error broke the call off";
+    reply.payload = std::move(end);
+    reply.expires = transport::known_call_expiry(head->context.deadline, m_clock.now());
+    m_env.sender.send({head->reply_address, message.sender}, std::move(reply));
+}
+
+bool gate_service::state::has_arrived(const core::attempt_id& attempt) const {
+    const std::scoped_lock lock(m_calls_mutex);
+    return m_attempts.contains(attempt);
+}
+
 void gate_service::state::apply(const gate_changes& changes) {
     for (const auto& refused : changes.refused) {
         refuse_run(refused);
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -28,6 +28,7 @@
     void set_classes(const std::vector<std::string>& names) { m_classes.set_names(names); }
     void received(transport::frame message);
     void unsent(const core::attempt_id& attempt);
+    void failed(const transport::frame& message);
     bool announce(const backend_server& server);
     bool leave(const std::string& instance, core::steady_time at);
     void drain();
@@ -61,6 +62,10 @@
     void break_off_start(std::uint64_t run);
     void free_slot(const internal::run_report& report);
     void withdraw();
+
+    /// Tells the entry of an attempt that never got as far as a call that it has ended.
+    void refuse_unknown(const transport::frame& message);
+    [[nodiscard]] bool has_arrived(const core::attempt_id& attempt) const;
     void refuse_run(const refusal& refused);
     void ended(std::uint64_t run, const internal::run_report& report);
     [[nodiscard]] call find(const core::attempt_id& attempt) const;
