Keep following the configuration after a tick that throws

What callers saw: nothing yet (found by reading). The follower's tick re-armed itself last, so that since one exception would end it: no later configuration comes into force in that daemon. It goes on now; a store call that can't be started no longer counts as one in progress; and a line or a handler of an adopted configuration that throws no longer keeps it from the other handlers. Failed before: the test of the tick (no revision after 60 s) and that of the handlers (none called). The test of an adoption that throws passed before too, as the next tick repeated the call.

--- a/src/configuration/internal/configuration_follower.cpp
+++ b/src/configuration/internal/configuration_follower.cpp
@@ -1,8 +1,10 @@
 #include "configuration/configuration_follower.h"
 
+#include <array>
 #include <utility>
 
 #include "configuration/stored_configuration_json.h"
+#include "core/go_on.h"
 #include "store/settled.h"
 
 namespace monsoonlift::configuration {
@@ -49,10 +51,11 @@
     if (m_stopped) {
         return;
     }
-    check_role();
-    step();
-    check_settled();
-    m_parts.timer.after(tick_interval, [self = shared_from_this()] { self->tick(); });
+    using self_type = configuration_follower;
+    constexpr std::array steps{&self_type::check_role, &self_type::step, &self_type::check_settled};
+    core::run_then(
+        [&] { core::for_each_apart(steps, [this](auto each) { (this->*each)(); }); },
+        [this] { m_parts.timer.after(tick_interval, [self = shared_from_this()] { self->tick(); }); });
 }
 
 void configuration_follower::check_role() {
@@ -119,11 +122,11 @@
 }
 
 void configuration_follower::list() {
-    m_state.store_busy = true;
     m_parts.api.list(watched_prefix, m_rule.call_patience,
                      [self = shared_from_this()](core::result<store::object_list> answered) {
                          self->on_listed(std::move(answered));
                      });
+    m_state.store_busy = true;
 }
 
 void configuration_follower::on_listed(core::result<store::object_list> answered) {
@@ -137,11 +140,11 @@
 }
 
 void configuration_follower::watch() {
-    m_state.store_busy = true;
     m_parts.api.watch(watched_prefix, m_state.cursor, m_rule.watch_patience,
                       [self = shared_from_this()](core::result<store::watch_result> answered) {
                           self->on_changed(std::move(answered));
                       });
+    m_state.store_busy = true;
 }
 
 void configuration_follower::on_changed(core::result<store::watch_result> answered) {
--- a/src/configuration/internal/configuration_holder.cpp
+++ b/src/configuration/internal/configuration_holder.cpp
@@ -4,6 +4,7 @@
 
 #include "configuration/document_reader.h"
 #include "configuration/stored_configuration_json.h"
+#include "core/go_on.h"
 
 namespace monsoonlift::configuration {
 
@@ -35,11 +36,15 @@
     if (!replace(next)) {
         return adoption::not_newer;
     }
-    m_log.write(logging::event_id::configuration_adopted,
-                {{"revision", std::to_string(offered.revision)}, {"submission", offered.submission}});
-    for (const auto& handler : m_handlers) {
-        handler(next->revision, next->rules);
-    }
+    const auto write_line = [&] {
+        m_log.write(logging::event_id::configuration_adopted,
+                    {{"revision", std::to_string(offered.revision)}, {"submission", offered.submission}});
+    };
+    const auto call_handlers = [&] {
+        core::for_each_apart(m_handlers,
+                             [&](const change_handler& handler) { handler(next->revision, next->rules); });
+    };
+    core::run_then(write_line, call_handlers);
     return adoption::adopted;
 }
 
--- a/src/configuration/tests/follower_tests.cpp
+++ b/src/configuration/tests/follower_tests.cpp
@@ -1,12 +1,15 @@
 #include <chrono>
 #include <functional>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "configuration/follower_rules.h"
 #include "configuration/tests/small_fleet.h"
+#include "core/contain.h"
 
 using namespace std::chrono_literals;
 using namespace monsoonlift;
@@ -331,3 +334,57 @@
         }
     }
 }
+
+TEST_CASE("a configuration whose adoption throws is the last that a daemon follows", "[configuration]") {
+    small_fleet fleet(1);
+    bool fails = true;
+    int failures = 0;
+    fleet.daemons[0]->holder.on_change([&fails](std::uint64_t, const document&) {
+        if (std::exchange(fails, false)) {
+            throw std::runtime_error("no memory left");
+        }
+    });
+    const auto run_for = [&](std::chrono::milliseconds span) {
+        for (auto passed = 0ms; passed < span; passed += 100ms) {
+            failures += core::contain([&] { fleet.timer.run_for(100ms); }, [](const std::string&) {}) ? 0 : 1;
+        }
+    };
+    fleet.accept(1);
+    fleet.start();
+    run_for(10s);
+    fleet.accept(2);
+    run_for(60s);
+    CHECK(failures == 1);
+    CHECK(fleet.count_at(2) == 1);
+}
+
+TEST_CASE("a tick that throws is the last of a follower", "[configuration]") {
+    small_fleet fleet(1);
+    auto& daemon = *fleet.daemons[0];
+    int failures = 0;
+    const auto run_for = [&](std::chrono::milliseconds span) {
+        for (auto passed = 0ms; passed < span; passed += 100ms) {
+            failures += core::contain([&] { fleet.timer.run_for(100ms); }, [](const std::string&) {}) ? 0 : 1;
+        }
+    };
+    daemon.log.fail_once = logging::event_id::configuration_missing;
+    fleet.start();
+    run_for(1s);
+    REQUIRE(failures == 1);
+    fleet.accept(1);
+    run_for(60s);
+    CHECK(fleet.count_at(1) == 1);
+}
+
+TEST_CASE("a handler of a configuration that throws keeps it from the next handler", "[configuration]") {
+    small_fleet fleet(1);
+    auto& daemon = *fleet.daemons[0];
+    std::vector<std::uint64_t> seen;
+    daemon.log.fail_once = logging::event_id::configuration_adopted;
+    daemon.holder.on_change(
+        [](std::uint64_t, const document&) { throw std::runtime_error("no memory left"); });
+    daemon.holder.on_change([&seen](std::uint64_t revision, const document&) { seen.push_back(revision); });
+    CHECK_THROWS(daemon.holder.adopt(stored_sample(1)));
+    CHECK_THROWS(daemon.holder.adopt(stored_sample(2)));
+    CHECK(seen == std::vector<std::uint64_t>{1, 2});
+}
