Keep the member object's calls going after an answer whose handling throws

What callers saw: nothing yet (found by reading). A series of store calls continues in its answers, so that one that threw ended it: the object is never written again, deregistrations are never recorded, or no peer is listed. Such an answer now counts as a failed call, which is repeated after a pause; the deregistrations of an earlier process are reported again if that threw; and a caller that throws no longer hides from the next that its record is stored.

--- a/src/membership/internal/member_object_publisher.cpp
+++ b/src/membership/internal/member_object_publisher.cpp
@@ -1,5 +1,7 @@
 #include "membership/internal/member_object_publisher.h"
 
+#include "core/go_on.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
@@ -100,6 +102,20 @@
     return object_content{*address, {*life}, read_deregistrations(*fields)};
 }
 
+/// Handles an answer. If that throws, the call counts as failed, so that its series of calls goes on.
+template <class OnAnswer, class OnError> void handle(const OnAnswer& on_answer, const OnError& on_error) {
+    bool is_handled = false;
+    const auto run = [&] {
+        on_answer();
+        is_handled = true;
+    };
+    core::run_then(run, [&] {
+        if (!is_handled) {
+            on_error({core::error_code::internal, "the answer could not be handled"});
+        }
+    });
+}
+
 } // namespace
 
 member_object_publisher::member_object_publisher(boost::asio::any_io_executor strand,
@@ -117,8 +133,8 @@
     return [weak = weak_from_this(), strand = m_strand, on_value, on_error](core::result<T> answer) {
         auto run = core::settle([&] { return std::move(answer); },
                                 [&](T value) -> std::function<void()> {
-                                    return [on_value, value = std::move(value)] {
-                                        on_value(value);
+                                    return [on_value, on_error, value = std::move(value)] {
+                                        handle([&] { on_value(value); }, on_error);
                                     };
                                 },
                                 [&](const core::error& failure) -> std::function<void()> {
@@ -206,7 +222,7 @@
 }
 
 void member_object_publisher::report_past(const departed& past) {
-    if (std::exchange(m_is_past_reported, true)) {
+    if (m_is_past_reported) {
         return;
     }
     if (m_deregistrations.empty()) {
@@ -215,6 +231,7 @@
     if (m_on_past) {
         m_on_past(past);
     }
+    m_is_past_reported = true;
 }
 
 void member_object_publisher::record_deregistrations(
@@ -235,9 +252,7 @@
         (each.deregistrations == m_stored ? completed : others).push_back(std::move(each));
     }
     m_waiting = std::move(others);
-    for (const auto& each : completed) {
-        each.on_recorded();
-    }
+    core::for_each_apart(completed, [](const waiting_record& each) { each.on_recorded(); });
 }
 
 void member_object_publisher::forget_deregistrations() {
--- a/src/membership/tests/member_object_tests.cpp
+++ b/src/membership/tests/member_object_tests.cpp
@@ -246,3 +246,41 @@
     peer.send_to(boost::asio::buffer(encode(message)), receiver);
     CHECK(run_until([&] { return store.get("members/127.0.0.1:7000").has_value(); }));
 }
+
+TEST_CASE("an answer about the own object whose handling throws is the last", "[member_object]") {
+    publisher_fixture test;
+    test.goes_on_after_failures = true;
+    test.publisher->stop();
+    static_cast<void>(test.store.remove_if("members/10.0.0.1:7000", 1));
+    test.fails_at_past = true;
+    test.pasts.clear();
+    test.start();
+    test.run();
+    CHECK(test.failures == 1);
+    CHECK(test.pasts.size() == 1);
+    CHECK(test.has("10.0.0.1:7000"));
+    CHECK(test.record({{"left", 1, 2}}));
+}
+
+TEST_CASE("a listing whose handling throws isn't repeated", "[member_object]") {
+    publisher_fixture test;
+    test.goes_on_after_failures = true;
+    test.add("10.0.0.2:7000", 1, member_status::alive);
+    test.fails_at_peers = true;
+    test.list();
+    CHECK(test.failures == 1);
+    CHECK(test.last_peers.size() == 1);
+}
+
+TEST_CASE("a caller that throws hides from the next that its deregistration is recorded", "[member_object]") {
+    publisher_fixture test;
+    test.goes_on_after_failures = true;
+    int others = 0;
+    test.publisher->record_deregistrations({{"left", 1, 2}},
+                                           [] { throw std::runtime_error("no memory left"); });
+    test.publisher->record_deregistrations({{"left", 1, 2}}, [&others] { ++others; });
+    test.run();
+    CHECK(others == 1);
+    CHECK(test.failures == 1);
+    CHECK(test.record({{"later", 3, 4}}));
+}
--- a/src/membership/tests/publisher_fixture.h
+++ b/src/membership/tests/publisher_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/contain.h"
 #include "membership/internal/member_object_publisher.h"
 #include "store/testing/fake_object_api.h"
 #include "store/testing/manual_scheduler.h"
@@ -14,7 +15,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace monsoonlift::membership::tests {
@@ -38,9 +41,15 @@
         self.membership_address = "10.0.0.1:7100";
         member_object_publisher::hooks hooks;
         hooks.on_peers = [this](const std::vector<std::string>& peers) {
+            if (std::exchange(fails_at_peers, false)) {
+                throw std::runtime_error("no memory left");
+            }
             last_peers = peers;
         };
         hooks.on_recorded_deregistrations = [this](const std::vector<core::departed_incarnation>& past) {
+            if (std::exchange(fails_at_past, false)) {
+                throw std::runtime_error("no memory left");
+            }
             pasts.push_back(past);
         };
         hooks.find_known_member = [this](const std::string& address) -> std::optional<known_member> {
@@ -62,7 +71,19 @@
                 publisher->note_running();
             }
             io.restart();
+            poll();
+        }
+    }
+
+    /// Runs what is ready as a daemon's loop does, if the test expects failures.
+    void poll() {
+        if (!goes_on_after_failures) {
             io.poll();
+            return;
+        }
+        bool has_ended = false;
+        while (!has_ended) {
+            has_ended = core::contain([this] { io.poll(); }, [this](const std::string&) { ++failures; });
         }
     }
 
@@ -112,6 +133,10 @@
         pasts; ///< Argument of on_recorded_deregistrations, by process.
     std::uint64_t next_incarnation = 50;
     std::shared_ptr<member_object_publisher> publisher;
+    bool goes_on_after_failures = false;
+    bool fails_at_peers = false; ///< The next on_peers throws.
+    bool fails_at_past = false;  ///< The next on_recorded_deregistrations throws.
+    int failures = 0;
     bool is_ticking = false; ///< run() calls note_running() every 100 ms.
 };
 
