Answer an admin request whose handler throws

What callers saw: nothing yet (found by reading). An exception of a handler at an admin port (also heartbeats and the readiness question) ended the session without an answer and without a line; that of a deferred handler left the session waiting for ever.

--- a/src/admin/internal/admin_server.cpp
+++ b/src/admin/internal/admin_server.cpp
@@ -1,5 +1,6 @@
 #include "admin/admin_server.h"
 
+#include "core/contain.h"
 #include "core/http_read_buffer.h"
 #include "network/address_text.h"
 
@@ -19,7 +20,9 @@
 #include <openssl/crypto.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
+#include <exception>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,21 +52,31 @@
     std::variant<admin_handler, deferred_handler> handler;
 };
 
-/// Waits for the response of a deferred handler; the coroutine resumes on its own executor.
+/// Waits for the response of a deferred handler, and throws what the handler throws; the coroutine resumes on
+/// its own executor.
 boost::asio::awaitable<admin_response> answer_of(const deferred_handler& handler,
                                                  const admin_request& request) {
     const auto start = [&](auto done) {
         auto shared_done = std::make_shared<decltype(done)>(std::move(done));
-        handler(request, [shared_done](admin_response response) {
+        auto has_ended = std::make_shared<std::atomic<bool>>(false);
+        const auto end = [shared_done, has_ended](std::exception_ptr failure, admin_response response) {
+            if (has_ended->exchange(true)) {
+                return;
+            }
             const auto executor = boost::asio::get_associated_executor(*shared_done);
-            boost::asio::post(executor, [shared_done, response = std::move(response)]() mutable {
-                std::move (*shared_done)(std::move(response));
+            boost::asio::post(executor, [shared_done, failure, response = std::move(response)]() mutable {
+                std::move (*shared_done)(failure, std::move(response));
             });
-        });
+        };
+        try {
+            handler(request, [end](admin_response response) { end(nullptr, std::move(response)); });
+        } catch (...) {
+            end(std::current_exception(), {});
+        }
     };
     using token = const boost::asio::use_awaitable_t<>&;
-    co_return co_await boost::asio::async_initiate<token, void(admin_response)>(start,
-                                                                                boost::asio::use_awaitable);
+    co_return co_await boost::asio::async_initiate<token, void(std::exception_ptr, admin_response)>(
+        start, boost::asio::use_awaitable);
 }
 
 bool same_secret(std::string_view left, std::string_view right) {
@@ -193,7 +206,7 @@
         const auto authorization = request[http::field::authorization];
         const admin_request admin_call{std::string(request.method_string()),
                                        target.substr(0, target.find('?')), std::move(request.body())};
-        auto result = co_await handle(admin_call, {authorization.data(), authorization.size()});
+        auto result = co_await contain(admin_call, {authorization.data(), authorization.size()});
         http::response<http::string_body> response;
         response.version(request.version());
         response.result(result.status);
@@ -213,6 +226,20 @@
         return m_routes.find(path.substr(0, last_slash + 1));
     }
 
+    /// Handles a request; one whose handler throws gets an answer all the same.
+    boost::asio::awaitable<admin_response> contain(const admin_request& request,
+                                                   std::string_view authorization) const {
+        std::exception_ptr failure;
+        try {
+            co_return co_await handle(request, authorization);
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        m_log.write(logging::event_id::handler_failed,
+                    {{"work", request.method + " " + request.path}, {"why", core::describe(failure)}});
+        co_return refusal(500, "An internal error ended this request");
+    }
+
     boost::asio::awaitable<admin_response> handle(const admin_request& request,
                                                   std::string_view authorization) const {
         const auto found = find_route(request.path);
--- a/src/admin/tests/admin_server_tests.cpp
+++ b/src/admin/tests/admin_server_tests.cpp
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -161,3 +162,36 @@
     port.run_until([&] { return ended; });
     CHECK_THAT(answer, Catch::StartsWith("HTTP/1.0 200"));
 }
+
+TEST_CASE("a request whose handler throws gets no answer, or its connection is closed", "[admin]") {
+    boost::asio::io_context io;
+    testing::manual_clock clock;
+    testing::recording_log log;
+    admin::admin_server server(io, "127.0.0.1:0", "secret", clock, log);
+    const auto fail = [](const admin::admin_request&) -> admin::admin_response {
+        throw std::runtime_error("no memory left");
+    };
+    server.route("GET", "/immediate", admin::access::open, fail);
+    server.route_deferred(
+        "GET", "/deferred", admin::access::open,
+        [&](const admin::admin_request& request, const admin::admin_reply& reply) { reply(fail(request)); });
+    server.start();
+    tcp::socket client(io);
+    client.connect(network::parse_address(server.address()));
+    const std::string both = "GET /immediate HTTP/1.1\r\nHost: a\r\n\r\n"
+                             "GET /deferred HTTP/1.0\r\n\r\n";
+    boost::asio::write(client, boost::asio::buffer(both));
+    std::string answers;
+    bool ended = false;
+    boost::asio::async_read(client, boost::asio::dynamic_buffer(answers),
+                            [&](const boost::system::error_code&, std::size_t) { ended = true; });
+    while (!ended) {
+        REQUIRE(io.run_one() == 1);
+    }
+    server.stop();
+    CHECK(answers.starts_with("HTTP/1.1 500"));
+    CHECK(answers.find("HTTP/1.0 500") != std::string::npos);
+    REQUIRE(log.lines.size() == 2);
+    CHECK(log.lines[0].id == logging::event_id::handler_failed);
+    CHECK(log.lines[0].fields.at("work") == "GET /immediate");
+}
