Keep half of a daemon's descriptors from its callers

What callers saw: with 128 descriptors and 256 idle connections of callers a daemon accepted no caller, admin or peer (EMFILE), reached no peer that was new and no backend server that came back, and for as long as the idle callers stayed (up to 75 s after their last request) answered nobody new. Cause: the entry had no limit on connections.

Callers now hold at most half of RLIMIT_NOFILE. At that limit, before the next is accepted, the sixteenth of the connections that has waited longest for a request, a second at least, is closed; one whose request has arrived unread is kept.

--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -10,6 +10,8 @@
 #include <random>
 #include <utility>
 
+#include <sys/resource.h>
+
 namespace monsoonlift::app {
 
 namespace {
@@ -33,6 +35,18 @@
 /// Silence after which a backend server of the platform counts as gone: its heartbeats may be seconds late.
 constexpr std::chrono::milliseconds platform_backend_silence = 8000ms;
 
+/// Callers may use one descriptor in so many; the others are for peers, the backend server, the store and the
+/// admin port.
+constexpr std::size_t callers_share_of_descriptors = 2;
+
+/// Returns how many connections of callers may be open at once; no limit if the system doesn't tell.
+std::size_t most_caller_connections() {
+    rlimit descriptors{};
+    const bool is_known = ::getrlimit(RLIMIT_NOFILE, &descriptors) == 0;
+    return is_known ? static_cast<std::size_t>(descriptors.rlim_cur) / callers_share_of_descriptors
+                    : entry::entry_options().most_connections;
+}
+
 } // namespace
 
 std::chrono::milliseconds backend_silence_of(const settings::daemon_settings& chosen) {
@@ -99,6 +113,7 @@
     options.body_credit_chunks = static_cast<std::uint32_t>(chosen.body_credit_chunks);
     options.default_patience = chosen.default_patience;
     options.random_seed = std::random_device()();
+    options.most_connections = most_caller_connections();
     options.retry_burst = chosen.retry_burst;
     if (chosen.deployment) {
         options.protocol = platform::make_caller_protocol(chosen.deployment->service, running);
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -40,6 +41,8 @@
     std::chrono::milliseconds stall_patience{30'000}; ///< A body without progress for this long is aborted.
     std::chrono::milliseconds route_patience{300};    ///< Longest wait for a reachable backend server.
     std::uint64_t random_seed = 1;
+    /// Connections of callers that are open at once; beyond it the longest idle are closed.
+    std::size_t most_connections = std::numeric_limits<std::size_t>::max();
     std::size_t retry_burst = 10; ///< Retries allowed in a burst beyond the ratio to first attempts.
     std::size_t grant_burst = 10; ///< Retries that root calls in flight may hold beyond that ratio.
     caller_protocol protocol;
--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -229,6 +229,16 @@
     m_socket.cancel(ignored);
 }
 
+void caller_connection::close_at_once() {
+    boost::system::error_code ignored;
+    const bool has_request = m_socket.available(ignored) > 0;
+    if (has_request) {
+        return;
+    }
+    m_can_go_on = false;
+    m_socket.close(ignored);
+}
+
 void caller_connection::abort() {
     m_can_go_on = false;
     m_on_closed = nullptr;
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -85,6 +85,10 @@
     /// Resets the connection, so that the caller can't take a truncated answer for complete.
     void abort();
 
+    /// Closes the connection without a word, unless bytes of a request have arrived unread; no request may be
+    /// in progress.
+    void close_at_once();
+
     /// Closes the connection once the caller has closed its side, so that it can read the last answer.
     awaitable<void> close();
 
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::chrono::seconds close_timeout = 2s;
 
+/// A connection that has waited less isn't closed for another: its first request may be on its way.
+constexpr std::chrono::seconds shortest_idle = 1s;
+constexpr auto not_idle = core::steady_time::max();
+
 } // namespace
 
 caller_session::caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
@@ -22,7 +26,12 @@
     : m_shared(shared), m_keep_alive(std::move(keep_alive)),
       m_connection(std::make_shared<caller_connection>(std::move(socket), shared.options.head_limit_bytes,
                                                        shared.options.protocol)),
-      m_watchdog(std::make_shared<transfer::watchdog>(m_connection->strand())) {}
+      m_watchdog(std::make_shared<transfer::watchdog>(m_connection->strand())),
+      m_idle_since(shared.clock.now()) {}
+
+caller_session::~caller_session() {
+    m_shared.sessions.ended();
+}
 
 void caller_session::start() {
     boost::asio::co_spawn(
@@ -44,6 +53,21 @@
     });
 }
 
+void caller_session::close_if_idle() {
+    m_idle_since = not_idle;
+    boost::asio::post(m_connection->strand(), [self = shared_from_this()] {
+        if (self->m_is_idle) {
+            self->m_connection->close_at_once();
+        }
+    });
+}
+
+std::optional<core::steady_time> caller_session::idle_since() const {
+    const auto since = m_idle_since.load();
+    const bool is_idle = since != not_idle && m_shared.clock.now() - since >= shortest_idle;
+    return is_idle ? std::optional(since) : std::nullopt;
+}
+
 boost::asio::awaitable<void> caller_session::run() {
     m_watchdog->start(m_shared.clock.now() + m_shared.options.idle_patience,
                       [connection = m_connection] { connection->abort(); });
@@ -56,8 +80,10 @@
     while (m_connection->can_go_on()) {
         m_watchdog->allow_until(m_shared.clock.now() + m_shared.options.idle_patience);
         m_is_idle = true;
+        m_idle_since = m_shared.clock.now();
         const auto outcome = co_await m_connection->read_head();
         m_is_idle = false;
+        m_idle_since = not_idle;
         if (outcome != caller_connection::head_outcome::arrived) {
             co_await refuse_head(outcome);
             co_return;
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "core/clock.h"
 #include "entry/internal/caller_connection.h"
 #include "entry/internal/entry_state.h"
 #include "transfer/watchdog.h"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <atomic>
 #include <memory>
+#include <optional>
 
 namespace monsoonlift::entry::internal {
 
@@ -17,11 +20,23 @@
     caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
                    boost::asio::ip::tcp::socket socket);
 
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
+    ~caller_session();
+
     void start();
 
     /// Closes the connection if it waits for a request, else after the current answer. Thread-safe.
     void close_when_idle();
 
+    /// Closes the connection if it waits for a request; until it is known whether it does, it doesn't count
+    /// as idle. Thread-safe.
+    void close_if_idle();
+
+    /// Returns since when the connection has waited for a request, if that is long enough to close it for
+    /// another. Thread-safe.
+    [[nodiscard]] std::optional<core::steady_time> idle_since() const;
+
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
@@ -34,7 +49,8 @@
     std::shared_ptr<entry_state> m_keep_alive;
     std::shared_ptr<caller_connection> m_connection;
     std::shared_ptr<transfer::watchdog> m_watchdog;
-    bool m_is_idle = true; ///< The connection waits for the head of a request.
+    bool m_is_idle = true;                       ///< The connection waits for the head of a request.
+    std::atomic<core::steady_time> m_idle_since; ///< The latest possible moment while it doesn't wait.
 };
 
 } // namespace monsoonlift::entry::internal
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -21,13 +21,13 @@
           return std::make_unique<call_class>(metrics, time, name);
       }),
       events(written, time), decisions(written, time), counts(written, time),
-      m_acceptor(std::move(connections)) {}
+      sessions(chosen.most_connections), m_acceptor(std::move(connections)) {}
 
 void entry_state::start() {
     const auto accepted = [weak = weak_from_this()](tcp::socket socket) {
         if (const auto self = weak.lock()) {
             const auto session = std::make_shared<caller_session>(*self, self, std::move(socket));
-            self->register_session(session);
+            self->sessions.add(session);
             session->start();
         }
     };
@@ -36,7 +36,11 @@
             self->events.not_accepted(why, left_out);
         }
     };
-    m_acceptor.connections->start({accepted, not_accepted});
+    const auto has_room = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return !self || self->sessions.has_room();
+    };
+    m_acceptor.connections->start({accepted, not_accepted, has_room});
 }
 
 std::string entry_state::address() const {
@@ -47,27 +51,9 @@
     m_acceptor.connections->stop();
 }
 
-void entry_state::register_session(const std::shared_ptr<caller_session>& session) {
-    const std::scoped_lock lock(m_sessions_mutex);
-    const bool is_full = m_sessions.size() == m_sessions.capacity();
-    if (is_full) {
-        std::erase_if(m_sessions, [](const auto& known) { return known.expired(); });
-    }
-    m_sessions.push_back(session);
-}
-
 void entry_state::close_idle_connections() {
     m_closing = true;
-    std::vector<std::weak_ptr<caller_session>> sessions;
-    {
-        const std::scoped_lock lock(m_sessions_mutex);
-        sessions = m_sessions;
-    }
-    for (const auto& known : sessions) {
-        if (const auto session = known.lock()) {
-            session->close_when_idle();
-        }
-    }
+    sessions.close_when_idle();
 }
 
 bool entry_state::speaks_for(const transport::frame& message, const core::endpoint_id& gate) {
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -5,6 +5,7 @@
 #include "entry/internal/attempt_counts.h"
 #include "entry/internal/call_class.h"
 #include "entry/internal/call_decisions.h"
+#include "entry/internal/caller_sessions.h"
 #include "entry/internal/entry_events.h"
 #include "entry/internal/routing_state.h"
 #include "execution/home_directory.h"
@@ -19,8 +20,6 @@
 
 namespace monsoonlift::entry::internal {
 
-class caller_session;
-
 /// State shared by the sessions of one entry, which keep it alive.
 class entry_state : public std::enable_shared_from_this<entry_state> {
 public:
@@ -77,6 +76,7 @@
     entry_events events;
     call_decisions decisions;
     attempt_counts counts;
+    caller_sessions sessions;
 
     std::atomic<std::uint64_t> calls = 0;
     std::atomic<std::uint64_t> answered = 0;
@@ -89,7 +89,6 @@
 private:
     using channel_pointer = std::shared_ptr<attempt_channel>;
 
-    void register_session(const std::shared_ptr<caller_session>& session);
     [[nodiscard]] channel_pointer find(const core::attempt_id& attempt) const;
     /// Whether the frame comes from the gate or from a later process at its address that reports its end.
     [[nodiscard]] static bool speaks_for(const transport::frame& message, const core::endpoint_id& gate);
@@ -105,9 +104,6 @@
     std::atomic<std::uint64_t> m_next_call = 1;
     std::atomic<std::uint64_t> m_next_permit = 1;
 
-    std::mutex m_sessions_mutex; ///< Never held together with m_channels_mutex.
-    std::vector<std::weak_ptr<caller_session>> m_sessions;
-
     mutable std::mutex m_channels_mutex;
     std::map<core::attempt_id, channel_pointer> m_channels;
 };
--- /dev/null
+++ b/src/entry/tests/connection_limit_tests.cpp
@@ -0,0 +1,76 @@
+// Guards against callers that use up a daemon's descriptors, so that it can't connect to anyone itself.
+#include "entry/tests/raw_caller.h"
+#include "entry/tests/wired_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+using namespace monsoonlift;
+using namespace monsoonlift::entry::testing;
+
+namespace {
+
+/// An entry whose connections are all taken by callers.
+struct full_entry {
+    full_entry() {
+        fleet.daemon(0).announce();
+        fleet.daemon(1).announce();
+        for (std::size_t number = 0; number < most_callers; ++number) {
+            callers.push_back(std::make_unique<raw_caller>(fleet.io(), fleet.daemon(0).caller_address()));
+            callers.back()->read_answer();
+        }
+    }
+
+    /// Makes a call on a new connection.
+    void call() {
+        caller_request request;
+        request.target = "/answer/1/10";
+        fleet.call(0, request, [this](const caller_answer& answer) { statuses.push_back(answer.status); });
+    }
+
+    /// Number of calls that were answered with 200.
+    [[nodiscard]] std::ptrdiff_t served() const { return std::ranges::count(statuses, 200U); }
+
+    [[nodiscard]] std::size_t ended() const {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(callers, [](const auto& caller) { return caller->has_ended(); }));
+    }
+
+    wired_fleet fleet{{}, 1};
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    std::vector<unsigned> statuses;
+};
+
+} // namespace
+
+TEST_CASE("idle callers keep a new one from being served, or the longest idle isn't the one that is closed",
+          "[connection_limit]") {
+    full_entry entry;
+    entry.call();
+    REQUIRE(entry.fleet.run_until([&] { return entry.served() == 1; }));
+    REQUIRE(entry.fleet.run_until([&] { return entry.callers.front()->has_ended(); }));
+    CHECK_FALSE(entry.callers.back()->has_ended());
+    CHECK(entry.ended() <= most_callers / 8);
+}
+
+TEST_CASE("a caller at work is closed for a new one, or the new one is never served", "[connection_limit]") {
+    full_entry entry;
+    for (const auto& caller : entry.callers) {
+        caller->send("POST /effect/1 HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: mappa\r\n"
+                     "Monsoonlift-Timeout-Ms: 60000\r\nContent-Length: 1\r\n\r\n");
+    }
+    auto& daemon = entry.fleet.daemon(0);
+    REQUIRE(entry.fleet.run_until([&] { return daemon.entry().counters().in_flight == most_callers; }));
+    entry.call();
+    entry.call();
+    const auto& log = daemon.log();
+    REQUIRE(entry.fleet.run_until([&] { return log.count(logging::event_id::callers_not_accepted) > 0; }));
+    CHECK(entry.ended() == 0);
+    entry.callers.front()->send("a");
+    entry.callers.front()->finish();
+    REQUIRE(entry.fleet.run_until([&] { return entry.served() == 2; }));
+    CHECK(entry.ended() <= 1);
+}
--- a/src/entry/tests/raw_caller.h
+++ b/src/entry/tests/raw_caller.h
@@ -30,6 +30,10 @@
         boost::asio::async_read_until(m_socket, boost::asio::dynamic_buffer(m_answer), "\r\n\r\n",
                                       [this](const boost::system::error_code& failure, std::size_t) {
                                           m_has_head = !failure;
+                                          if (failure) {
+                                              m_has_ended = true;
+                                              return;
+                                          }
                                           read_rest();
                                       });
     }
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -51,6 +51,7 @@
     options.data_centre = "palermo";
     options.route_patience = longest_wait;
     options.random_seed = seed;
+    options.most_connections = most_callers;
     return options;
 }
 
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -41,6 +41,9 @@
     std::map<logging::event_id, std::uint64_t> m_counts;
 };
 
+/// Connections of callers that an entry keeps open at once.
+constexpr std::size_t most_callers = 128;
+
 /// Makes the acceptor for an entry's callers.
 using acceptor_maker = std::function<network::listening_acceptor(boost::asio::io_context&)>;
 
--- a/src/network/acceptor.h
+++ b/src/network/acceptor.h
@@ -24,6 +24,8 @@
     /// Reports the reason for a failure and the number of failures that were not reported since the last
     /// report; called at most once in ten seconds.
     std::function<void(const std::string&, std::uint64_t)> failed;
+    /// Whether one more connection may be accepted now; otherwise it stays queued for a pause. Optional.
+    std::function<bool()> has_room = nullptr;
 };
 
 /// Accepts one connection after another. After a failure it waits before it tries again: when the process has
--- a/src/network/internal/acceptor.cpp
+++ b/src/network/internal/acceptor.cpp
@@ -27,6 +27,11 @@
 }
 
 void acceptor::accept_next() {
+    const bool has_room = !m_handlers.has_room || m_handlers.has_room();
+    if (!has_room) {
+        accept_later("every connection that may be open is at work");
+        return;
+    }
     // NOTE: this acceptor owns the source, so a shared pointer in the pending handler would keep both alive.
     m_source->accept([weak = weak_from_this()](const boost::system::error_code& failure, tcp::socket socket) {
         const auto self = weak.lock();
--- a/src/network/tests/acceptor_tests.cpp
+++ b/src/network/tests/acceptor_tests.cpp
@@ -70,6 +70,9 @@
         return {[this](const tcp::socket&) { ++accepted; },
                 [this](const std::string& why, std::uint64_t left_out) {
                     reported.push_back({why, left_out});
+                },
+                [this] {
+                    return has_room;
                 }};
     }
 
@@ -82,6 +85,7 @@
     std::shared_ptr<store::testing::manual_scheduler> scheduler =
         std::make_shared<store::testing::manual_scheduler>(clock);
     int accepted = 0;
+    bool has_room = true;
     std::vector<reported_failure> reported;
     std::shared_ptr<acceptor> under_test = std::make_shared<acceptor>(source, scheduler, clock);
 };
@@ -115,6 +119,22 @@
     CHECK(loop.source->accept_calls == failures + 2);
 }
 
+TEST_CASE("a connection is accepted without room for it, or never once there is room", "[acceptor]") {
+    acceptor_fixture loop;
+    loop.has_room = false;
+    loop.source->end({});
+    CHECK(loop.accepted == 1);
+    CHECK(loop.source->accept_calls == 1);
+    loop.scheduler->run_for(acceptor::pause);
+    CHECK(loop.source->accept_calls == 1);
+    CHECK(loop.reported.size() == 1);
+    loop.has_room = true;
+    loop.scheduler->run_for(acceptor::pause);
+    CHECK(loop.source->accept_calls == 2);
+    loop.source->end({});
+    CHECK(loop.accepted == 2);
+}
+
 TEST_CASE("failures are reported more than once in ten seconds or with a wrong count", "[acceptor]") {
     acceptor_fixture loop;
     const auto why = loop.out_of_descriptors.message();
