--- a/scripts/lib/soak/sanitizers.py
+++ b/scripts/lib/soak/sanitizers.py
@@ -7,7 +7,6 @@
 EXIT_CODE = 66
 BEGINNINGS = ("ERROR: AddressSanitizer", "ERROR: LeakSanitizer", "WARNING: ThreadSanitizer", "FATAL: ThreadSanitizer",
               ": runtime error: ")
-SUPPRESSIONS = pathlib.Path(__file__).with_name("thread_suppressions.txt")
 
 
 def environment(folder: pathlib.Path) -> dict[str, str]:
@@ -15,7 +14,7 @@
     common = f"log_path={(folder / REPORT_PREFIX).resolve()}:exitcode={EXIT_CODE}"
     return {"ASAN_OPTIONS": f"{common}:detect_stack_use_after_return=1",
             "UBSAN_OPTIONS": f"{common}:print_stacktrace=1",
-            "TSAN_OPTIONS": f"{common}:second_deadlock_stack=1:suppressions={SUPPRESSIONS}"}
+            "TSAN_OPTIONS": f"{common}:second_deadlock_stack=1"}
 
 
 def read_reports(folder: pathlib.Path) -> list[str]:
