--- a/src/network/internal/acceptor.cpp
+++ b/src/network/internal/acceptor.cpp
@@ -28,6 +28,18 @@
 }
 
 void acceptor::accept_next() {
+    bool has_room = false;
+    core::run_then([&] { has_room = !m_handlers.has_room || m_handlers.has_room(); },
+                   [&] {
+                       if (has_room) {
+                           accept_one();
+                           return;
+                       }
+                       accept_later("every connection that may be open is at work");
+                   });
+}
+
+void acceptor::accept_one() {
     // NOTE: this acceptor owns the source, so a shared pointer in the pending handler would keep both alive.
     m_source->accept([weak = weak_from_this()](const boost::system::error_code& failure, tcp::socket socket) {
         const auto self = weak.lock();
--- a/src/network/tests/acceptor_tests.cpp
+++ b/src/network/tests/acceptor_tests.cpp
@@ -79,6 +79,9 @@
                         throw std::runtime_error("no memory left");
                     }
                     reported.push_back({why, left_out});
+                },
+                [this] {
+                    return has_room;
                 }};
     }
 
@@ -93,6 +96,7 @@
     int accepted = 0;
     int failing_connection = 0; ///< Number of the connection whose handler throws; 0 for none.
     bool failing_report = false;
+    bool has_room = true;
     std::vector<reported_failure> reported;
     std::shared_ptr<acceptor> under_test = std::make_shared<acceptor>(source, scheduler, clock);
 };
@@ -146,6 +150,22 @@
     CHECK(loop.accepted == 1);
 }
 
+TEST_CASE("a connection is accepted without room for it, or never once there is room", "[acceptor]") {
+    acceptor_fixture loop;
+    loop.has_room = false;
+    loop.source->end({});
+    CHECK(loop.accepted == 1);
+    CHECK(loop.source->accept_calls == 1);
+    loop.scheduler->run_for(acceptor::pause);
+    CHECK(loop.source->accept_calls == 1);
+    CHECK(loop.reported.size() == 1);
+    loop.has_room = true;
+    loop.scheduler->run_for(acceptor::pause);
+    CHECK(loop.source->accept_calls == 2);
+    loop.source->end({});
+    CHECK(loop.accepted == 2);
+}
+
 TEST_CASE("failures are reported more than once in ten seconds or with a wrong count", "[acceptor]") {
     acceptor_fixture loop;
     const auto why = loop.out_of_descriptors.message();
