--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -166,9 +166,9 @@
      "The last deregistrations received by earlier processes of this daemon were read from the platform."},
 
     {event_id::handler_failed, severity::error, "handler_failed",
-     "An internal error ended one piece of work: what it was and what the work was, with its request if it "
-     "had "
-     "one. The process goes on."},
+     "An internal error ended one piece of work: what it was, what the work was, and how many requests the "
+     "process had "
+     "at its gate and entry. The process goes on."},
 
     // 2000: entry
     {event_id::callers_not_accepted, severity::error, "callers_not_accepted",
