--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -28,6 +28,9 @@
 
 constexpr std::chrono::milliseconds platform_leave_timeout = 300ms;
 
+/// How long a daemon that has not joined answers its callers before it begins again.
+constexpr std::chrono::milliseconds early_callers_timeout = 500ms;
+
 /// The platform polls the daemon's readiness once per second and stops sending callers after two refusals.
 constexpr std::chrono::milliseconds platform_calls_after_stop = 2500ms;
 
@@ -52,12 +55,15 @@
         m_predecessor = later.id.life;
     }
     const bool has_served = m_phase != lifecycle::phase::starting && m_phase != lifecycle::phase::joining;
-    const bool is_idle = m_gate.counters().in_flight == 0 && m_entry.counters().in_flight == 0;
-    if (m_predecessor && !has_served && is_idle) {
-        end();
+    if (has_served || !m_predecessor) {
+        stop_gracefully();
         return;
     }
-    stop_gracefully();
+    // NOTE: callers come before the daemon is ready; until it has joined, no gate has their calls.
+    m_entry.refuse_all_calls();
+    m_entry.cancel_all_attempts();
+    m_end_deadline = m_clock.now() + early_callers_timeout;
+    end_once_answered();
 }
 
 void daemon::on_phase_entered(lifecycle::phase now) {
