--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -154,8 +154,8 @@
     void record_turns();
     void stop_gracefully();
 
-    /// Ends this daemon, as peers know a later incarnation at its address: at once if it has served nobody
-    /// yet.
+    /// Ends this daemon, as peers know a later incarnation at its address: with a planned stop, or as soon as
+    /// its callers are answered if it has not joined yet.
     void take_later_incarnation(const membership::member& later);
     void on_phase_entered(lifecycle::phase now);
     void drain();
