Let a session alone end its idle connection, after it knows whether a request has come

Callers saw: a request on a kept connection that met the end of the idle timeout (75 s) ran, and its connection was reset without an answer.

Cause: the watchdog closed the socket by the session's state "idle", which lags behind what has been read: the bytes of the next head were read in the same turn of the loop, their continuation was queued behind the timer's handler, and the call then went its whole way for a closed socket. The close of idle connections at a planned stop cancelled the read in the same way, and a caller at the descriptors' limit was cut though its request had come.

Change: the end of the idle timeout, the descriptors' limit and a planned stop only end the wait; the read of the head itself says whether a request has arrived, whole, in part or not at all, with the bytes that nobody has read yet. A head that has begun gets two more seconds and then a 408, not_run. A connection without a request is closed unread.

--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -47,22 +48,75 @@
     m_request = {};
     m_request_id.reset();
     m_answered = answer_state::none;
+    m_wait_end = wait_end::none;
     m_parser.emplace();
     m_parser->header_limit(m_head_limit);
     m_parser->body_limit(boost::none);
-    const auto [failure, got] = co_await http::async_read_header(m_socket, m_buffer, *m_parser, to_tuple);
+    const auto failure = co_await read_whole_head();
     if (!failure) {
         store_request();
         co_return head_outcome::arrived;
     }
     m_can_go_on = false;
+    co_return outcome_of(failure);
+}
+
+boost::asio::awaitable<boost::system::error_code> caller_connection::read_whole_head() {
+    while (true) {
+        boost::system::error_code failure = http::error::need_more;
+        if (m_buffer.size() > 0) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), failure));
+        }
+        if (m_parser->is_header_done() || failure != http::error::need_more) {
+            co_return failure;
+        }
+        failure = co_await read_more();
+        if (failure) {
+            co_return failure;
+        }
+    }
+}
+
+boost::asio::awaitable<boost::system::error_code> caller_connection::read_more() {
+    const auto room = boost::beast::read_size(m_buffer, m_buffer.max_size());
+    if (room == 0) {
+        co_return http::error::buffer_overflow;
+    }
+    while (true) {
+        const auto [failure, got] = co_await m_socket.async_read_some(m_buffer.prepare(room), to_tuple);
+        if (!failure) {
+            m_buffer.commit(got);
+            co_return failure;
+        }
+        const bool is_wait_ended =
+            failure == boost::asio::error::operation_aborted && m_wait_end != wait_end::none;
+        const bool reads_on = has_begun() && m_wait_end == wait_end::before_request;
+        if (!is_wait_ended || !(reads_on || has_unread_bytes())) {
+            co_return failure;
+        }
+    }
+}
+
+caller_connection::head_outcome
+caller_connection::outcome_of(const boost::system::error_code& failure) const {
     if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
-        co_return head_outcome::too_large;
+        return head_outcome::too_large;
+    }
+    if (failure == boost::asio::error::operation_aborted && m_wait_end != wait_end::none) {
+        return has_begun() ? head_outcome::incomplete : head_outcome::not_begun;
     }
     const bool is_invalid_http =
-        failure.category() == http::make_error_code(http::error::bad_method).category() &&
-        failure != http::error::end_of_stream && failure != http::error::partial_message;
-    co_return is_invalid_http ? head_outcome::malformed : head_outcome::closed;
+        failure.category() == http::make_error_code(http::error::bad_method).category();
+    return is_invalid_http ? head_outcome::malformed : head_outcome::closed;
+}
+
+bool caller_connection::has_begun() const {
+    return m_parser->got_some();
+}
+
+bool caller_connection::has_unread_bytes() const {
+    boost::system::error_code ignored;
+    return m_socket.available(ignored) > 0;
 }
 
 void caller_connection::store_request() {
@@ -233,19 +287,15 @@
     }
 }
 
-void caller_connection::stop_reading() {
-    m_can_go_on = false;
+void caller_connection::end_wait(wait_end which) {
+    m_wait_end = which;
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
 }
 
-void caller_connection::close_at_once() {
-    boost::system::error_code ignored;
-    const bool has_request = m_socket.available(ignored) > 0;
-    if (has_request) {
-        return;
-    }
+void caller_connection::close_unread() {
     m_can_go_on = false;
+    boost::system::error_code ignored;
     m_socket.close(ignored);
 }
 
--- a/src/entry/internal/caller_connection.h
+++ b/src/entry/internal/caller_connection.h
@@ -35,7 +35,21 @@
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
     /// Outcome of waiting for a request head.
-    enum class head_outcome { arrived, closed, malformed, too_large };
+    enum class head_outcome {
+        arrived,
+        closed,     ///< The caller closed its side, or the connection broke.
+        not_begun,  ///< The wait was ended before any byte of a request had arrived.
+        incomplete, ///< The wait was ended though a part of a head had arrived.
+        malformed,
+        too_large
+    };
+
+    /// Which pending read_head() is to end.
+    enum class wait_end {
+        none,
+        before_request, ///< One for which no byte of a request has arrived.
+        always          ///< Any, unless the whole head has arrived.
+    };
 
     /// `protocol` must outlive the connection.
     caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit,
@@ -83,15 +97,16 @@
     void close_after_answer() { m_close_after_answer = true; }
     [[nodiscard]] bool can_go_on() const { return m_can_go_on; }
 
-    /// Takes no further request: a pending read fails as if the caller had closed the connection.
-    void stop_reading();
+    /// Ends a pending read_head() if `which` says so. Bytes that have arrived count even if nothing has read
+    /// them yet, so the outcome of read_head() alone tells whether there is a request.
+    void end_wait(wait_end which);
 
     /// Resets the connection, so that the caller can't take a truncated answer for complete.
     void abort();
 
-    /// Closes the connection without a word, unless bytes of a request have arrived unread; no request may be
-    /// in progress.
-    void close_at_once();
+    /// Closes the connection without reading on, so that the caller of a request under way can tell that it
+    /// was not read; no request may be in progress.
+    void close_unread();
 
     /// Closes the connection once the caller has closed its side, so that it can read the last answer.
     awaitable<void> close();
@@ -105,6 +120,11 @@
     template <class Body>
     void fill_response(boost::beast::http::response<Body>& response, const transport::response_head& head,
                        answer_labels labels);
+    awaitable<boost::system::error_code> read_whole_head();
+    awaitable<boost::system::error_code> read_more();
+    [[nodiscard]] head_outcome outcome_of(const boost::system::error_code& failure) const;
+    [[nodiscard]] bool has_begun() const;
+    [[nodiscard]] bool has_unread_bytes() const;
     void store_request();
     void note_written(const boost::system::error_code& failure);
     void wait_for_readable();
@@ -121,6 +141,7 @@
     std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> m_serializer;
     std::function<void()> m_on_closed;
     answer_state m_answered = answer_state::none;
+    wait_end m_wait_end = wait_end::none;
     bool m_watching = false;
     bool m_close_after_answer = false;
     bool m_can_go_on = true;
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::chrono::seconds close_timeout = 2s;
 
+/// Time for the rest of a head that has begun to arrive when the wait for it ends.
+constexpr std::chrono::seconds rest_of_head_timeout = 2s;
+
 /// A connection that has waited less isn't closed for another: its first request may be on its way.
 constexpr std::chrono::seconds shortest_idle = 1s;
 constexpr auto not_idle = core::steady_time::max();
@@ -63,7 +66,7 @@
     boost::asio::post(m_connection->strand(), [self = shared_from_this()] {
         self->m_connection->close_after_answer();
         if (self->m_is_idle) {
-            self->m_connection->stop_reading();
+            self->m_connection->end_wait(caller_connection::wait_end::before_request);
         }
     });
 }
@@ -72,11 +75,37 @@
     m_idle_since = not_idle;
     boost::asio::post(m_connection->strand(), [self = shared_from_this()] {
         if (self->m_is_idle) {
-            self->m_connection->close_at_once();
+            self->give_up_waiting();
+        }
+    });
+}
+
+void caller_session::give_up_waiting() {
+    m_closes_unread = true;
+    m_connection->end_wait(caller_connection::wait_end::before_request);
+}
+
+void caller_session::watch_until(core::steady_time until) {
+    m_watchdog->start(until, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->out_of_time();
         }
     });
 }
 
+void caller_session::out_of_time() {
+    if (!m_is_idle) {
+        m_connection->abort();
+        return;
+    }
+    watch_until(m_shared.clock.now() + rest_of_head_timeout);
+    if (std::exchange(m_has_waited_on, true)) {
+        m_connection->end_wait(caller_connection::wait_end::always);
+        return;
+    }
+    give_up_waiting();
+}
+
 std::optional<core::steady_time> caller_session::idle_since() const {
     const auto since = m_idle_since.load();
     const bool is_idle = since != not_idle && m_shared.clock.now() - since >= shortest_idle;
@@ -84,8 +113,7 @@
 }
 
 boost::asio::awaitable<void> caller_session::run() {
-    m_watchdog->start(m_shared.clock.now() + m_shared.options.idle_patience,
-                      [connection = m_connection] { connection->abort(); });
+    watch_until(m_shared.clock.now() + m_shared.options.idle_patience);
     co_await serve_requests();
     m_watchdog->allow_until(m_shared.clock.now() + close_timeout);
     co_await m_connection->close();
@@ -95,10 +123,15 @@
     while (m_connection->can_go_on()) {
         m_watchdog->allow_until(m_shared.clock.now() + m_shared.options.idle_patience);
         m_is_idle = true;
+        m_closes_unread = false;
+        m_has_waited_on = false;
         m_idle_since = m_shared.clock.now();
         const auto outcome = co_await m_connection->read_head();
         m_is_idle = false;
         m_idle_since = not_idle;
+        if (outcome == caller_connection::head_outcome::not_begun && m_closes_unread) {
+            m_connection->close_unread();
+        }
         if (outcome != caller_connection::head_outcome::arrived) {
             co_await refuse_head(outcome);
             co_return;
@@ -140,6 +173,12 @@
         trouble.type = "malformed-http";
         trouble.detail = "this is not an HTTP/1.1 request";
         break;
+    case caller_connection::head_outcome::incomplete:
+        trouble.title = "The request is not whole";
+        trouble.status = 408;
+        trouble.type = "head-too-slow";
+        trouble.detail = "the request line and headers did not arrive in time";
+        break;
     default:
         co_return;
     }
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -40,6 +40,14 @@
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
+    void watch_until(core::steady_time until);
+
+    /// Ends the wait for a request after the idle timeout; resets a connection that is not idle.
+    void out_of_time();
+
+    /// Ends the wait for a request and closes the connection at once if none has begun to arrive.
+    void give_up_waiting();
+
     awaitable<void> run();
     awaitable<void> serve_requests();
     awaitable<void> serve_request();
@@ -49,7 +57,9 @@
     std::shared_ptr<entry_state> m_keep_alive;
     std::shared_ptr<caller_connection> m_connection;
     std::shared_ptr<transfer::watchdog> m_watchdog;
-    bool m_is_idle = true;                       ///< The connection waits for the head of a request.
+    bool m_is_idle = true;        ///< The session waits for read_head(), which may have its request already.
+    bool m_closes_unread = false; ///< A connection whose wait was ended is closed without reading on.
+    bool m_has_waited_on = false; ///< The time for the rest of a head that has begun to arrive is running.
     std::atomic<core::steady_time> m_idle_since; ///< The latest possible moment while it doesn't wait.
 };
 
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -57,6 +57,11 @@
     return options;
 }
 
+network::listening_acceptor listen_on_loopback(boost::asio::io_context& io) {
+    static const core::system_clock clock;
+    return network::listen(io, {boost::asio::ip::address_v4::loopback(), 0}, clock);
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(const std::string& address) {
     const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
     return {boost::asio::ip::address_v4::loopback(), port};
@@ -108,14 +113,15 @@
 
 wired_daemon::wired_daemon(boost::asio::io_context& io, const std::string& name, core::incarnation life,
                            std::shared_ptr<const configuration::document> rules, const frame_faults& faults,
-                           std::uint64_t seed, const acceptor_maker& make_acceptor)
+                           const entry_options& options, const acceptor_maker& make_acceptor)
     : m_backend(io, name), m_transport(io, {"127.0.0.1:0", {}, {}}, life, m_clock, m_log),
-      m_frames(io.get_executor(), m_transport, faults, seed), m_ledger(m_clock, m_transport.self(), {}),
+      m_frames(io.get_executor(), m_transport, faults, options.random_seed),
+      m_ledger(m_clock, m_transport.self(), {}),
       m_crashes(m_clock, m_transport.self(), {}, m_log, [](std::uint32_t, const std::string&) {}),
       m_gate(io, make_gate_options(), m_frames, m_ledger, m_crashes, m_budgets, m_clock, m_log, m_metrics),
       m_entry(
-          make_acceptor(io), make_entry_options(seed), m_frames, m_budgets, [rules] { return rules; },
-          m_clock, m_log, m_metrics) {
+          make_acceptor(io), options, m_frames, m_budgets, [rules] { return rules; }, m_clock, m_log,
+          m_metrics) {
     m_transport.start({[this](transport::frame message) {
                            if (m_frame_to_fail > 0 && --m_frame_to_fail == 0) {
                                m_has_failed_frame = true;
@@ -163,21 +169,27 @@
     m_gate.announce({service, m_backend.address(), slots, slots});
 }
 
+wired_fleet::wired_fleet(const frame_faults& faults, std::uint64_t seed,
+                         const std::function<void(entry_options&)>& adjust)
+    : wired_fleet(faults, seed, listen_on_loopback, adjust) {}
+
 wired_fleet::wired_fleet(const frame_faults& faults, std::uint64_t seed)
-    : wired_fleet(faults, seed, [](boost::asio::io_context& io) {
-          static const core::system_clock clock;
-          return network::listen(io, {boost::asio::ip::address_v4::loopback(), 0}, clock);
-      }) {}
+    : wired_fleet(faults, seed, listen_on_loopback) {}
 
-wired_fleet::wired_fleet(const frame_faults& faults, std::uint64_t seed,
-                         const acceptor_maker& make_acceptor) {
+wired_fleet::wired_fleet(const frame_faults& faults, std::uint64_t seed, const acceptor_maker& make_acceptor)
+    : wired_fleet(faults, seed, make_acceptor, [](entry_options&) {}) {}
+
+wired_fleet::wired_fleet(const frame_faults& faults, std::uint64_t seed, const acceptor_maker& make_acceptor,
+                         const std::function<void(entry_options&)>& adjust) {
     const auto rules = make_rules();
     m_rules = rules;
     const std::string names[] = {"east", "west"};
     for (std::uint64_t index = 0; index < std::size(names); ++index) {
         const core::incarnation life{index + 1};
-        m_daemons.push_back(std::make_unique<wired_daemon>(m_io, names[index], life, rules, faults,
-                                                           seed * 2 + index, make_acceptor));
+        auto options = make_entry_options(seed * 2 + index);
+        adjust(options);
+        m_daemons.push_back(
+            std::make_unique<wired_daemon>(m_io, names[index], life, rules, faults, options, make_acceptor));
     }
     connect_members();
 }
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -52,7 +52,7 @@
 public:
     wired_daemon(boost::asio::io_context& io, const std::string& name, core::incarnation life,
                  std::shared_ptr<const configuration::document> rules, const frame_faults& faults,
-                 std::uint64_t seed, const acceptor_maker& make_acceptor);
+                 const entry_options& options, const acceptor_maker& make_acceptor);
 
     [[nodiscard]] core::endpoint_id id() const { return m_transport.self(); }
     [[nodiscard]] std::string caller_address() const { return m_entry.address(); }
@@ -98,6 +98,10 @@
     /// `make_acceptor` makes the acceptor of each entry.
     wired_fleet(const frame_faults& faults, std::uint64_t seed, const acceptor_maker& make_acceptor);
 
+    /// `adjust` changes the options of each entry.
+    wired_fleet(const frame_faults& faults, std::uint64_t seed,
+                const std::function<void(entry_options&)>& adjust);
+
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
     [[nodiscard]] wired_daemon& daemon(std::size_t index) { return *m_daemons[index]; }
 
@@ -127,6 +131,9 @@
     [[nodiscard]] std::uint64_t injected() const;
 
 private:
+    wired_fleet(const frame_faults& faults, std::uint64_t seed, const acceptor_maker& make_acceptor,
+                const std::function<void(entry_options&)>& adjust);
+
     [[nodiscard]] bool is_settled() const;
     void connect_members();
 
