--- a/src/gate/tests/scripted_gate.cpp
+++ b/src/gate/tests/scripted_gate.cpp
@@ -20,6 +20,18 @@
 /// More than a gate reads of any answer that it does not forward.
 constexpr std::size_t endless_bytes = 256 * 1024 * 1024;
 
+/// Most bytes that are written at once.
+constexpr std::size_t block_bytes = 4096;
+
+/// Repeats a text to a block of about block_bytes.
+std::string block_of(const std::string& repeated) {
+    std::string block;
+    do {
+        block += repeated;
+    } while (block.size() + repeated.size() <= block_bytes);
+    return block;
+}
+
 gate_options echoing_options() {
     gate_options chosen;
     chosen.protocol.echoed_id_header = "Request-Name";
@@ -87,10 +99,11 @@
     m_connection = m_fixture.accept();
     REQUIRE(m_fixture.read_request(*m_connection));
     boost::asio::write(*m_connection, boost::asio::buffer(beginning));
+    const auto block = block_of(repeated);
     std::size_t written = 0;
     bool ended = false;
     std::function<void()> write_more = [&] {
-        m_connection->async_write_some(boost::asio::buffer(repeated),
+        m_connection->async_write_some(boost::asio::buffer(block) + written % block.size(),
                                        [&](const boost::system::error_code& failure, std::size_t bytes) {
                                            written += bytes;
                                            if (cancel_after && written >= *cancel_after) {
