--- a/cmake/monsoonlift.cmake
+++ b/cmake/monsoonlift.cmake
@@ -22,27 +22,34 @@
     endif()
 endfunction()
 
-# monsoonlift_tests(NAME SOURCES ... DEPENDS ... [THREADS]): one Catch2 program per module, label "unit";
-# THREADS adds the label "threads", which the thread sanitizer run selects. Sanitized builds leave out the cases
+# monsoonlift_tests(NAME SOURCES ... DEPENDS ... [THREADS] [APART TAG]): one Catch2 program per module, label "unit";
+# THREADS adds the label "threads", which the thread sanitizer run selects. The cases tagged [TAG] run as a test of
+# their own, beside the others. Sanitized builds leave out the cases
 # tagged [model] or [scale]: long explorations of rules, which the plain build runs.
 function(monsoonlift_tests name)
-    cmake_parse_arguments(ARG "THREADS" "" "SOURCES;DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "THREADS" "APART" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name}_tests ${ARG_SOURCES})
     add_dependencies(unit_tests ${name}_tests)
     # NOTE: Catch's main is built without sanitizers; last, its copies of inline functions aren't taken for all.
     target_link_libraries(${name}_tests PRIVATE monsoonlift_options ${ARG_DEPENDS} monsoonlift_catch_main)
     target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/src)
-    set(cases "")
+    set(cases "~[.]")
     if(MONSOONLIFT_SANITIZE)
-        set(cases "~[.]~[model]~[scale]")
+        string(APPEND cases "~[model]~[scale]")
     endif()
-    add_test(NAME ${name}_tests COMMAND ${name}_tests --rng-seed 1 ${cases})
     set(labels unit)
     if(ARG_THREADS)
         list(APPEND labels threads)
         add_dependencies(threads_tests ${name}_tests)
     endif()
-    set_tests_properties(${name}_tests PROPERTIES LABELS "${labels}" TIMEOUT ${MONSOONLIFT_TEST_HANG_SECONDS})
+    set(tests ${name}_tests)
+    if(ARG_APART)
+        list(APPEND tests ${name}_${ARG_APART}_tests)
+        add_test(NAME ${name}_${ARG_APART}_tests COMMAND ${name}_tests --rng-seed 1 "[${ARG_APART}]${cases}")
+        string(APPEND cases "~[${ARG_APART}]")
+    endif()
+    add_test(NAME ${name}_tests COMMAND ${name}_tests --rng-seed 1 ${cases})
+    set_tests_properties(${tests} PROPERTIES LABELS "${labels}" TIMEOUT ${MONSOONLIFT_TEST_HANG_SECONDS})
 endfunction()
 
 # monsoonlift_program(NAME SOURCES ... DEPENDS ...): an executable in build/bin.
