Take only a broken or closed connection for a caller that left

Callers could see: a call that runs is cancelled and its connection reset without an answer, though they wait for it.

Cause: the look at a waiting caller's connection (recv with MSG_PEEK) took every error but EAGAIN for a close. EINTR, ENOBUFS and ENOMEM say something about this machine, nothing about the connection.

Change: presence_from_peek decides from the result and errno; after an error that says nothing the connection is watched on.

Evidence: with the old rule in presence_from_peek, caller_presence_tests fails for EINTR, ENOBUFS and ENOMEM (3 of 14 checks); here all entry_tests pass (53 cases).

--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/caller_connection.h"
 
+#include "entry/caller_presence.h"
 #include "transfer/http_headers.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -278,11 +279,11 @@
 void caller_connection::check_caller_closed() {
     char byte = 0;
     const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool has_no_data = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    if (has_no_data) {
+    const auto presence = presence_from_peek(got, errno);
+    if (presence == caller_presence::unknown) {
         // NOTE: the socket became readable with bytes of this request, which its handler has read since.
         wait_for_readable();
-    } else if (got <= 0) {
+    } else if (presence == caller_presence::gone) {
         std::exchange(m_on_closed, nullptr)();
     }
 }
