Answer calls whose time passed while the process stood still, rather than reset them

Callers saw: after a standstill (a suspended VM, a long turn) past a call's deadline and the 5 s in which its answer may be read, all calls at work were reset without an answer, and streamed answers that stalled only with the process were cut.

Cause: the caller connection's watchdog and the wait for the next piece of a streamed answer judged by the time that had passed. When the process goes on, their timers run in the same turn as the deadline of the call, and before frames that are in the link's buffer have reached the call.

Change: a time limit that passes at work is followed by up to eight looks, 250 ms apart, each in a turn of its own (transfer::further_looks); work ends only if none of them finds progress. Repeated standstills cost one look each. A caller that takes or sends nothing is cut 2 s later than before. The 5 s are now the option answer_patience, for the test.

--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -39,6 +39,7 @@
     std::chrono::milliseconds default_patience{5'000}; ///< Default timeout of a call.
     std::chrono::milliseconds idle_patience{75'000}; ///< Longest time between two requests of one connection.
     std::chrono::milliseconds stall_patience{30'000}; ///< A body without progress for this long is aborted.
+    std::chrono::milliseconds answer_patience{5'000}; ///< Time after its deadline to read a call's answer.
     std::chrono::milliseconds route_patience{300};    ///< Longest wait for a reachable backend server.
     std::uint64_t random_seed = 1;
     /// Connections of callers that are open at once; beyond it the longest idle are closed.
--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -1,6 +1,7 @@
 // The part of call_exchange that waits for the end of an attempt and forwards its answer.
 #include "entry/internal/call_exchange.h"
 #include "transfer/body_digest.h"
+#include "transfer/further_looks.h"
 
 #include <utility>
 
@@ -182,7 +183,7 @@
     }
     send(transport::credit{intake.first_credit()});
     while (true) {
-        auto event = co_await m_channel->events.next(m_shared.clock.now() + m_shared.options.stall_patience);
+        auto event = co_await next_of_answer();
         auto* chunk = event ? std::get_if<transport::body_chunk>(&*event) : nullptr;
         if (chunk != nullptr) {
             const bool passed = co_await pass_chunk(std::move(*chunk), intake);
@@ -208,6 +209,15 @@
     }
 }
 
+boost::asio::awaitable<std::optional<attempt_event>> call_exchange::next_of_answer() {
+    auto event = co_await m_channel->events.next(m_shared.clock.now() + m_shared.options.stall_patience);
+    transfer::further_looks looks;
+    while (!event && looks.take()) {
+        event = co_await m_channel->events.next(m_shared.clock.now() + transfer::look_interval);
+    }
+    co_return event;
+}
+
 boost::asio::awaitable<bool> call_exchange::pass_chunk(transport::body_chunk chunk,
                                                        transfer::body_receiver& intake) {
     if (!intake.accept(chunk)) {
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -22,9 +22,6 @@
 /// Bytes of a request body that are buffered, so that the request can be resent.
 constexpr std::size_t replay_bytes = 64 * 1024;
 
-/// Time after its deadline that a caller has to read its answer.
-constexpr std::chrono::seconds answer_write_timeout = 5s;
-
 /// Time between two checks for a reachable backend server.
 constexpr std::chrono::milliseconds route_poll_interval = 20ms;
 
@@ -81,7 +78,7 @@
         co_await refuse(*trouble);
         co_return;
     }
-    m_watchdog->allow_until(m_call.context.deadline + answer_write_timeout);
+    m_watchdog->allow_until(m_call.context.deadline + m_shared.options.answer_patience);
     co_await serve();
     m_class->call_time.record(m_shared.clock.now() - m_began);
     m_connection->stop_watching();
@@ -426,7 +423,7 @@
 
 void call_exchange::extend_timeout() {
     const auto until = m_shared.clock.now() + m_shared.options.stall_patience;
-    m_watchdog->allow_until(std::max(until, m_call.context.deadline + answer_write_timeout));
+    m_watchdog->allow_until(std::max(until, m_call.context.deadline + m_shared.options.answer_patience));
 }
 
 void call_exchange::send(decltype(transport::frame::payload) payload) {
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -95,7 +95,7 @@
 
 void caller_session::out_of_time() {
     if (!m_is_idle) {
-        m_connection->abort();
+        look_again_or_reset();
         return;
     }
     watch_until(m_shared.clock.now() + rest_of_head_timeout);
@@ -106,6 +106,14 @@
     give_up_waiting();
 }
 
+void caller_session::look_again_or_reset() {
+    if (!m_looks.take()) {
+        m_connection->abort();
+        return;
+    }
+    watch_until(m_shared.clock.now() + transfer::look_interval);
+}
+
 std::optional<core::steady_time> caller_session::idle_since() const {
     const auto since = m_idle_since.load();
     const bool is_idle = since != not_idle && m_shared.clock.now() - since >= shortest_idle;
@@ -129,6 +137,7 @@
         const auto outcome = co_await m_connection->read_head();
         m_is_idle = false;
         m_idle_since = not_idle;
+        m_looks = {};
         if (outcome == caller_connection::head_outcome::not_begun && m_closes_unread) {
             m_connection->close_unread();
         }
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "entry/internal/caller_connection.h"
 #include "entry/internal/entry_state.h"
+#include "transfer/further_looks.h"
 #include "transfer/watchdog.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -42,8 +43,10 @@
 
     void watch_until(core::steady_time until);
 
-    /// Ends the wait for a request after the idle timeout; resets a connection that is not idle.
+    /// Ends the wait for a request after the idle timeout; resets a connection that is not idle after further
+    /// looks.
     void out_of_time();
+    void look_again_or_reset();
 
     /// Ends the wait for a request and closes the connection at once if none has begun to arrive.
     void give_up_waiting();
@@ -60,6 +63,7 @@
     bool m_is_idle = true;        ///< The session waits for read_head(), which may have its request already.
     bool m_closes_unread = false; ///< A connection whose wait was ended is closed without reading on.
     bool m_has_waited_on = false; ///< The time for the rest of a head that has begun to arrive is running.
+    transfer::further_looks m_looks;             ///< Looks at the request in progress after its time limit.
     std::atomic<core::steady_time> m_idle_since; ///< The latest possible moment while it doesn't wait.
 };
 
