--- a/src/entry/tests/connection_limit_tests.cpp
+++ b/src/entry/tests/connection_limit_tests.cpp
@@ -28,11 +28,14 @@
     void call() {
         caller_request request;
         request.target = "/answer/1/10";
-        fleet.call(0, request, [this](const caller_answer& answer) { statuses.push_back(answer.status); });
+        fleet.call(0, request, [this](const caller_answer& answer) { answers.push_back(answer); });
     }
 
     /// Number of calls that were answered with 200.
-    [[nodiscard]] std::ptrdiff_t served() const { return std::ranges::count(statuses, 200U); }
+    [[nodiscard]] std::ptrdiff_t served() const {
+        return std::ranges::count_if(answers,
+                                     [](const auto& answer) { return answer.whole && answer.status == 200; });
+    }
 
     [[nodiscard]] std::size_t ended() const {
         return static_cast<std::size_t>(
@@ -41,7 +44,7 @@
 
     wired_fleet fleet{{}, 1};
     std::vector<std::unique_ptr<raw_caller>> callers;
-    std::vector<unsigned> statuses;
+    std::vector<caller_answer> answers;
 };
 
 } // namespace
