Show that heads which never come whole hold an entry's connections against new callers (red)

Callers see: at the descriptors' limit, connections on which a part of a head has come are no longer closed for new callers, until the idle timeout of 75 s. Since close_if_idle only ends a wait for which no byte has arrived, and the two seconds for the rest of a head run from the idle timeout alone; the chosen session counts as not idle from then on, so has_room() says yes once for each sixteenth of them without making room.

--- a/src/entry/tests/connection_limit_tests.cpp
+++ b/src/entry/tests/connection_limit_tests.cpp
@@ -77,3 +77,16 @@
     REQUIRE(entry.fleet.run_until([&] { return entry.served() == 2; }));
     CHECK(entry.ended() <= 1);
 }
+
+TEST_CASE("callers whose heads never come whole keep new ones from being served", "[connection_limit]") {
+    full_entry entry;
+    for (const auto& caller : entry.callers) {
+        caller->send("GET /answer/1/10 HTTP/1.1\r\nHost: x\r\n");
+    }
+    constexpr std::size_t calls = most_callers / 2;
+    for (std::size_t call = 0; call < calls; ++call) {
+        entry.call();
+    }
+    REQUIRE(entry.fleet.run_until([&] { return entry.answers.size() == calls; }));
+    CHECK(entry.served() == calls);
+}
