--- a/src/entry/tests/connection_limit_tests.cpp
+++ b/src/entry/tests/connection_limit_tests.cpp
@@ -28,11 +28,14 @@
     void call() {
         caller_request request;
         request.target = "/answer/1/10";
-        fleet.call(0, request, [this](const caller_answer& answer) { statuses.push_back(answer.status); });
+        fleet.call(0, request, [this](const caller_answer& answer) { answers.push_back(answer); });
     }
 
     /// Number of calls that were answered with 200.
-    [[nodiscard]] std::ptrdiff_t served() const { return std::ranges::count(statuses, 200U); }
+    [[nodiscard]] std::ptrdiff_t served() const {
+        return std::ranges::count_if(answers,
+                                     [](const auto& answer) { return answer.whole && answer.status == 200; });
+    }
 
     [[nodiscard]] std::size_t ended() const {
         return static_cast<std::size_t>(
@@ -41,7 +44,7 @@
 
     wired_fleet fleet{{}, 1};
     std::vector<std::unique_ptr<raw_caller>> callers;
-    std::vector<unsigned> statuses;
+    std::vector<caller_answer> answers;
 };
 
 } // namespace
@@ -74,3 +77,16 @@
     REQUIRE(entry.fleet.run_until([&] { return entry.served() == 2; }));
     CHECK(entry.ended() <= 1);
 }
+
+TEST_CASE("callers whose heads never come whole keep new ones from being served", "[connection_limit]") {
+    full_entry entry;
+    for (const auto& caller : entry.callers) {
+        caller->send("GET /answer/1/10 HTTP/1.1\r\nHost: x\r\n");
+    }
+    constexpr std::size_t calls = most_callers / 2;
+    for (std::size_t call = 0; call < calls; ++call) {
+        entry.call();
+    }
+    REQUIRE(entry.fleet.run_until([&] { return entry.answers.size() == calls; }));
+    CHECK(entry.served() == calls);
+}
