Bound the rest of a head also where the descriptors' limit or a planned stop ends the wait

Cause: a head that had begun got its two seconds only at the end of the idle timeout, and the sessions chosen at the descriptors' limit were counted as making room. Change: whatever ends the wait starts the two seconds.

--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -66,7 +66,7 @@
     boost::asio::post(m_connection->strand(), [self = shared_from_this()] {
         self->m_connection->close_after_answer();
         if (self->m_is_idle) {
-            self->m_connection->end_wait(caller_connection::wait_end::before_request);
+            self->end_wait(false);
         }
     });
 }
@@ -75,13 +75,15 @@
     m_idle_since = not_idle;
     boost::asio::post(m_connection->strand(), [self = shared_from_this()] {
         if (self->m_is_idle) {
-            self->give_up_waiting();
+            self->end_wait(true);
         }
     });
 }
 
-void caller_session::give_up_waiting() {
-    m_closes_unread = true;
+void caller_session::end_wait(bool closes_unread) {
+    m_closes_unread = closes_unread;
+    m_has_waited_on = true;
+    m_watchdog->allow_until(m_shared.clock.now() + rest_of_head_timeout);
     m_connection->end_wait(caller_connection::wait_end::before_request);
 }
 
@@ -95,23 +97,23 @@
 
 void caller_session::out_of_time() {
     if (!m_is_idle) {
-        look_again_or_reset();
+        look_again_or_end();
         return;
     }
     watch_until(m_shared.clock.now() + rest_of_head_timeout);
-    if (std::exchange(m_has_waited_on, true)) {
+    if (m_has_waited_on) {
         m_connection->end_wait(caller_connection::wait_end::always);
         return;
     }
-    give_up_waiting();
+    end_wait(true);
 }
 
-void caller_session::look_again_or_reset() {
-    if (!m_looks.take()) {
-        m_connection->abort();
+void caller_session::look_again_or_end() {
+    if (m_looks.take()) {
+        watch_until(m_shared.clock.now() + transfer::look_interval);
         return;
     }
-    watch_until(m_shared.clock.now() + transfer::look_interval);
+    m_connection->abort();
 }
 
 std::optional<core::steady_time> caller_session::idle_since() const {
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -43,13 +43,15 @@
 
     void watch_until(core::steady_time until);
 
-    /// Ends the wait for a request after the idle timeout; resets a connection that is not idle after further
-    /// looks.
+    /// Handles the end of the session's time limit.
     void out_of_time();
-    void look_again_or_reset();
 
-    /// Ends the wait for a request and closes the connection at once if none has begun to arrive.
-    void give_up_waiting();
+    /// Ends a connection that is at work or about to close, after further looks.
+    void look_again_or_end();
+
+    /// Ends the wait for a request; one that has begun to arrive gets a moment for its rest. `closes_unread`
+    /// tells whether the connection is closed at once if none has.
+    void end_wait(bool closes_unread);
 
     awaitable<void> run();
     awaitable<void> serve_requests();
