Close, not reset, a connection whose caller is slow to read its last answer

Cause: the end of the time for closing reset the connection, and the kernel dropped what the caller had not taken. Change: a session that is only closing, with a whole last answer, closes without a reset; the kernel delivers the rest.

--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -113,6 +113,12 @@
         watch_until(m_shared.clock.now() + transfer::look_interval);
         return;
     }
+    const bool may_be_truncated = m_connection->answered() == caller_connection::answer_state::begun;
+    if (m_is_closing && !may_be_truncated) {
+        // NOTE: a reset would discard what the caller has not read yet of its last answer.
+        m_connection->close_unread();
+        return;
+    }
     m_connection->abort();
 }
 
@@ -125,6 +131,7 @@
 boost::asio::awaitable<void> caller_session::run() {
     watch_until(m_shared.clock.now() + m_shared.options.idle_patience);
     co_await serve_requests();
+    m_is_closing = true;
     m_watchdog->allow_until(m_shared.clock.now() + close_timeout);
     co_await m_connection->close();
 }
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -64,6 +64,7 @@
     std::shared_ptr<transfer::watchdog> m_watchdog;
     bool m_is_idle = true;        ///< The session waits for read_head(), which may have its request already.
     bool m_closes_unread = false; ///< A connection whose wait was ended is closed without reading on.
+    bool m_is_closing = false;    ///< The session serves no further request.
     bool m_has_waited_on = false; ///< The time for the rest of a head that has begun to arrive is running.
     transfer::further_looks m_looks;             ///< Looks at the request in progress after its time limit.
     std::atomic<core::steady_time> m_idle_since; ///< The latest possible moment while it doesn't wait.
