Show that answers are lost which a gate sent before its process was replaced (red)

Callers see: a failure of the entry's own in place of an answer that the gate had sent. entry_state::is_replaced ends every attempt at an earlier process as soon as membership knows a later one, by a state that says nothing of what its link still holds; attempt_watch.h says that an attempt ends by its own link only. It takes an entry that handles both in one turn, or a slow link.

--- a/src/entry/tests/restarted_gate_tests.cpp
+++ b/src/entry/tests/restarted_gate_tests.cpp
@@ -3,7 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
+#include <utility>
+#include <vector>
 
 using namespace monsoonlift;
 using namespace monsoonlift::entry::testing;
@@ -54,3 +58,31 @@
     CHECK(fleet.daemon(1).totals().wrong_incarnation > 0);
     REQUIRE(fleet.settle());
 }
+
+TEST_CASE("answers that a gate sent before its process was replaced are lost", "[restarted_gate]") {
+    constexpr std::uint64_t calls = 40;
+    wired_fleet fleet({}, 1);
+    fleet.daemon(1).announce();
+    auto& entry = fleet.daemon(0).entry();
+    entry.member_changed(member_of(fleet.daemon(0).id(), membership::member_status::dead));
+    std::vector<caller_answer> answers;
+    for (std::uint64_t number = 0; number < calls; ++number) {
+        caller_request request;
+        request.method = "POST";
+        request.target = "/effect/1";
+        fleet.call(0, std::move(request),
+                   [&](caller_answer received) { answers.push_back(std::move(received)); });
+    }
+    auto& gate = fleet.daemon(1);
+    while (gate.gate_totals().answered < calls) {
+        fleet.io().run_one();
+    }
+    const auto ended = gate.id();
+    entry.member_changed(
+        member_of({ended.address, {ended.life.value + 1}}, membership::member_status::alive));
+    REQUIRE(fleet.run_until([&] { return answers.size() == calls; }));
+    const auto served = std::ranges::count_if(
+        answers, [](const auto& answer) { return answer.whole && answer.status == 200; });
+    CHECK(served == calls);
+    CHECK(fleet.runs("/effect/1") == calls);
+}
