Read an answer that has arrived when a gate's time limit passes

Callers saw: 504 or a cut answer for requests whose backend server had answered: the process stood still past the deadline (a suspended VM, a long turn), or the answer was arriving as the deadline passed. The answer of a keyed request was not kept.

Cause: the watchdog, and the cancel frame of an entry that has come to the same deadline, closed the connection to the backend server by the call's state, which lags behind what has arrived: after a standstill the timer runs in the turn in which the socket is found readable, and before its second read.

Change: at the time limit only the pending read is ended; the read says whether bytes of the answer are there. Without any the run ends as before. A streamed answer whose backend server or credit stalled only with the process goes on in the same way.

--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -197,7 +197,7 @@
     } else if (std::holds_alternative<transport::status_query>(payload)) {
         send(transport::status_in_progress{});
     } else if (std::holds_alternative<transport::cancel>(payload)) {
-        stop_now(end_reason::cancelled);
+        cancel();
     }
 }
 
@@ -214,9 +214,48 @@
     }
 }
 
+void gate_call::watch_until(core::steady_time until) {
+    m_watchdog->start(until, [self = shared_from_this()] { self->out_of_time(); });
+}
+
+void gate_call::out_of_time() {
+    const bool has_looked = m_is_given_up && m_is_late;
+    if (!m_reads_answer || m_stopped || has_looked || !m_looks.take()) {
+        stop_now(end_reason::deadline);
+        return;
+    }
+    // NOTE: only the read itself knows whether bytes of the answer have arrived.
+    m_is_late = true;
+    boost::system::error_code ignored;
+    m_connection->socket.cancel(ignored);
+    watch_until(m_env.clock.now() + transfer::look_interval);
+}
+
+void gate_call::cancel() {
+    const bool is_at_deadline = !m_streams_answer && m_env.clock.now() >= m_head.context.deadline;
+    if (!is_at_deadline) {
+        stop_now(end_reason::cancelled);
+        return;
+    }
+    // NOTE: the watchdog, whose time is over too, finds out whether there is an answer.
+    m_is_given_up = true;
+}
+
+bool gate_call::reads_on(const boost::system::error_code& failure) {
+    if (failure != boost::asio::error::operation_aborted || !m_is_late || m_stopped) {
+        return false;
+    }
+    boost::system::error_code ignored;
+    const bool has_begun = m_parser->got_some() || m_connection->buffer.size() > 0 ||
+                           m_connection->socket.available(ignored) > 0;
+    if (!has_begun) {
+        stop_now(end_reason::deadline);
+    }
+    return has_begun;
+}
+
 boost::asio::awaitable<void> gate_call::run() {
-    m_watchdog->start(m_head.context.deadline,
-                      [self = shared_from_this()] { self->stop_now(end_reason::deadline); });
+    watch_until(m_head.context.deadline);
     m_env.budgets.open(m_run, m_head.context.attempts_left);
     const bool ready = co_await open_connection();
     if (ready) {
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -10,6 +10,7 @@
 #include "transfer/body_digest.h"
 #include "transfer/body_receiver.h"
 #include "transfer/credit_gate.h"
+#include "transfer/further_looks.h"
 #include "transfer/watchdog.h"
 
 #include <boost/asio/strand.hpp>
@@ -130,6 +131,9 @@
     awaitable<bool> read_head();
     awaitable<void> relay_answer();
     awaitable<void> stream_answer();
+
+    /// Waits for the credit for one chunk of a streamed answer; false if it does not come.
+    awaitable<bool> take_credit(core::steady_time until);
     awaitable<bool> read_body(std::string& into, std::size_t limit, bool fill);
     [[nodiscard]] bool has_known_end() const;
 
@@ -151,6 +155,18 @@
     template <class Body> void fill_request(boost::beast::http::request<Body>& request) const;
     void on_payload(decltype(transport::frame::payload) payload);
     void stop_now(transport::end_reason reason);
+    void watch_until(core::steady_time until);
+
+    /// Stops the run after its time limit, unless its answer has begun to arrive; then after further looks.
+    void out_of_time();
+
+    /// Stops a run that its entry no longer waits for; at the deadline, an answer that has arrived is still
+    /// read.
+    void cancel();
+
+    /// Whether a read of the answer that failed is to be repeated: it was ended by out_of_time(), and there
+    /// is an answer to read. Stops the run if there is none.
+    [[nodiscard]] bool reads_on(const boost::system::error_code& failure);
     void fail(core::verdict run, transport::end_reason reason, std::string detail);
     transport::attempt_end complete_end();
     void note_refusal(transport::attempt_end& end);
@@ -203,11 +219,16 @@
     bool m_was_idle_long = false;   ///< The connection had been idle for longer than safe_idle_time.
     bool m_sent = false;            ///< Sending has begun, so the request may have run.
     bool m_uploaded = false;        ///< The complete request was written to the connection.
+    bool m_reads_answer = false;    ///< The answer is awaited or being read.
+    bool m_streams_answer = false;  ///< The time limit is that of a stalled answer, no longer the deadline.
+    bool m_is_given_up = false;     ///< At the deadline, the entry ceased to wait: one look suffices.
+    bool m_is_late = false;         ///< The time limit has passed, and what has arrived is being read.
     bool m_answered = false;        ///< The complete answer was read and is being sent to the entry.
     bool m_finished = false;
     bool m_told = false;   ///< The entry was sent the last frame of the attempt.
     bool m_failed = false; ///< An internal error broke the run off.
     std::optional<transport::end_reason> m_stopped;
+    transfer::further_looks m_looks; ///< Looks for more of the answer after a time limit.
     core::steady_time m_sent_at;
     run_report m_report;
     transport::attempt_end m_end;
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -49,6 +49,7 @@
                 }
             });
     }
+    m_reads_answer = true;
     co_return co_await read_head();
 }
 
@@ -60,6 +61,7 @@
 boost::asio::awaitable<void> gate_call::exchange() {
     bool answered = co_await send_and_read_head();
     if (!answered && was_lost_on_idle_connection()) {
+        m_reads_answer = false;
         const bool ready = co_await make_connection();
         if (!ready) {
             co_return;
@@ -198,8 +200,11 @@
         m_parser->header_limit(answer_header_limit);
         m_parser->body_limit(boost::none);
         m_parser->skip(m_head.method == "HEAD");
-        const auto [failure, got] =
-            co_await http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser, to_tuple);
+        boost::system::error_code failure;
+        do {
+            std::tie(failure, std::ignore) = co_await http::async_read_header(
+                m_connection->socket, m_connection->buffer, *m_parser, to_tuple);
+        } while (reads_on(failure));
         if (failure) {
             co_return false;
         }
@@ -307,10 +312,12 @@
 }
 
 boost::asio::awaitable<void> gate_call::stream_answer() {
+    m_streams_answer = true;
     while (!m_parser->is_done()) {
         const auto stall_deadline = m_env.clock.now() + m_env.options.stall_patience;
         m_watchdog->allow_until(stall_deadline);
-        const bool allowed = co_await m_credit.take(stall_deadline);
+        m_looks = {};
+        const bool allowed = co_await take_credit(stall_deadline);
         if (!allowed) {
             fail(verdict::ran, end_reason::cancelled, "the caller took no more of the answer");
             co_return;
@@ -330,6 +337,15 @@
     m_answered = true;
 }
 
+boost::asio::awaitable<bool> gate_call::take_credit(core::steady_time until) {
+    bool allowed = co_await m_credit.take(until);
+    transfer::further_looks looks;
+    while (!allowed && !m_stopped && looks.take()) {
+        allowed = co_await m_credit.take(m_env.clock.now() + transfer::look_interval);
+    }
+    co_return allowed;
+}
+
 boost::asio::awaitable<bool> gate_call::read_body(std::string& into, std::size_t limit, bool fill) {
     if (m_parser->is_done()) {
         co_return true;
@@ -341,11 +357,14 @@
     boost::system::error_code failure;
     auto& socket = m_connection->socket;
     auto& buffer = m_connection->buffer;
-    if (fill) {
-        std::tie(failure, std::ignore) = co_await http::async_read(socket, buffer, *m_parser, to_tuple);
-    } else {
-        std::tie(failure, std::ignore) = co_await http::async_read_some(socket, buffer, *m_parser, to_tuple);
-    }
+    do {
+        if (fill) {
+            std::tie(failure, std::ignore) = co_await http::async_read(socket, buffer, *m_parser, to_tuple);
+        } else {
+            std::tie(failure, std::ignore) =
+                co_await http::async_read_some(socket, buffer, *m_parser, to_tuple);
+        }
+    } while (reads_on(failure));
     into.resize(limit - body.size);
     co_return !failure || failure == http::error::need_buffer;
 }
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -139,7 +139,7 @@
         refuse_run({run, end_reason::cancelled});
         return;
     }
-    known->stop(end_reason::cancelled);
+    known->received(message.payload);
 }
 
 void gate_service::state::unsent(const core::attempt_id& attempt) {
