Let what an earlier process of a gate has sent arrive before its attempts end

Cause: the belief ended the attempt at once, and reset a streamed answer. Change: such an attempt ends when no frame of it has come for 200 ms; a streamed answer goes on until it is silent that long.

--- a/src/entry/attempt_watch.h
+++ b/src/entry/attempt_watch.h
@@ -15,17 +15,25 @@
 /// Time in which a gate that was asked about an attempt must send a frame of it.
 inline constexpr std::chrono::milliseconds gate_reply_timeout{500};
 
+/// Time without a frame after which an attempt ends whose gate's process was replaced by a later one; what
+/// the earlier process has sent may still be on its way.
+inline constexpr std::chrono::milliseconds last_frames_timeout{200};
+
 /// State of one attempt.
 struct attempt_watch {
     std::optional<core::steady_time> reply_due; ///< Set while the gate's reply is awaited.
+    bool is_replaced = false;                   ///< A later process runs at the gate's address.
 };
 
 /// Records that membership doubts the gate; returns whether the gate is to be asked now. `can_be_repeated`
 /// tells whether the call is idempotent and its whole request is at hand.
 [[nodiscard]] bool note_doubt(attempt_watch& watch, bool can_be_repeated, core::steady_time now);
 
+/// Records that a later process runs at the gate's address.
+void note_replaced(attempt_watch& watch, core::steady_time now);
+
 /// Records that a frame of the attempt arrived from the gate.
-void note_frame(attempt_watch& watch);
+void note_frame(attempt_watch& watch, core::steady_time now);
 
 /// Whether the gate has not replied in time, so that the attempt ends.
 [[nodiscard]] bool is_given_up(const attempt_watch& watch, core::steady_time now);
--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -40,7 +40,11 @@
     auto limit = deadline;
     while (true) {
         auto event = co_await m_channel->events.next(wait_until(watch, limit));
-        if (!event && is_given_up(watch, m_shared.clock.now()) && m_shared.clock.now() < deadline) {
+        const bool is_silent = !event && is_given_up(watch, m_shared.clock.now());
+        if (is_silent && watch.is_replaced) {
+            co_return outcome_of(local_event::endpoint_replaced);
+        }
+        if (is_silent && m_shared.clock.now() < deadline) {
             send(transport::cancel{});
             co_return attempt_outcome{false, local_end(verdict::may_have_run, end_reason::backend_failed,
                                                        "the daemon of the backend server does not answer")};
@@ -51,7 +55,7 @@
         }
         if (!event) {
             limit = m_shared.clock.now() + last_look;
-            note_frame(watch);
+            watch.reply_due.reset();
             continue;
         }
         if (auto* head = std::get_if<transport::response_head>(&*event)) {
@@ -62,7 +66,11 @@
         }
         const auto* local = std::get_if<local_event>(&*event);
         if (local == nullptr) {
-            note_frame(watch);
+            note_frame(watch, m_shared.clock.now());
+            continue;
+        }
+        if (*local == local_event::endpoint_replaced) {
+            note_replaced(watch, m_shared.clock.now());
             continue;
         }
         if (*local == local_event::endpoint_doubted) {
@@ -193,8 +201,9 @@
         co_return abort_answer("the caller went away");
     }
     send(transport::credit{intake.first_credit()});
+    auto silence_limit = m_shared.options.stall_patience;
     while (true) {
-        auto event = co_await next_of_answer();
+        auto event = co_await next_of_answer(silence_limit);
         auto* chunk = event ? std::get_if<transport::body_chunk>(&*event) : nullptr;
         if (chunk != nullptr) {
             const bool passed = co_await pass_chunk(std::move(*chunk), intake);
@@ -205,7 +214,11 @@
         }
         const auto* local = event ? std::get_if<local_event>(&*event) : nullptr;
         const bool is_from_gate = event && std::holds_alternative<transport::status_in_progress>(*event);
-        if (is_from_gate || (local != nullptr && *local == local_event::endpoint_doubted)) {
+        const bool is_replaced = local != nullptr && *local == local_event::endpoint_replaced;
+        if (is_replaced) {
+            silence_limit = last_frames_timeout;
+        }
+        if (is_from_gate || is_replaced || (local != nullptr && *local == local_event::endpoint_doubted)) {
             // NOTE: a retry is no longer possible, and the rest of the answer may still arrive.
             continue;
         }
@@ -220,8 +233,9 @@
     }
 }
 
-boost::asio::awaitable<std::optional<attempt_event>> call_exchange::next_of_answer() {
-    auto event = co_await m_channel->events.next(m_shared.clock.now() + m_shared.options.stall_patience);
+boost::asio::awaitable<std::optional<attempt_event>>
+call_exchange::next_of_answer(std::chrono::milliseconds silence_limit) {
+    auto event = co_await m_channel->events.next(m_shared.clock.now() + silence_limit);
     transfer::further_looks looks;
     while (!event && looks.take()) {
         event = co_await m_channel->events.next(m_shared.clock.now() + transfer::look_interval);
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -89,8 +89,9 @@
     awaitable<attempt_outcome> forward_complete_answer(transport::response_head head);
     awaitable<attempt_outcome> stream_answer(transport::response_head head);
 
-    /// Waits for the next event of a streamed answer; nothing if it makes no progress.
-    awaitable<std::optional<attempt_event>> next_of_answer();
+    /// Waits for the next event of a streamed answer; nothing if none comes within `silence_limit` and some
+    /// further looks.
+    awaitable<std::optional<attempt_event>> next_of_answer(std::chrono::milliseconds silence_limit);
     awaitable<bool> pass_chunk(transport::body_chunk chunk, transfer::body_receiver& intake);
     [[nodiscard]] attempt_outcome abort_answer(std::string_view why);
     [[nodiscard]] attempt_outcome outcome_of(local_event event) const;
--- a/src/entry/tests/attempt_watch_tests.cpp
+++ b/src/entry/tests/attempt_watch_tests.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("any frame of the attempt keeps it, and a later doubt asks again", "[attempt_watch]") {
     attempt_watch watch;
     CHECK(note_doubt(watch, true, start));
-    note_frame(watch);
+    note_frame(watch, start);
     CHECK_FALSE(is_given_up(watch, start + 1min));
     CHECK(wait_until(watch, deadline) == deadline);
     CHECK(note_doubt(watch, true, start + 2s));
@@ -46,3 +46,13 @@
     CHECK(note_doubt(watch, true, deadline - 10ms));
     CHECK(wait_until(watch, deadline) == deadline);
 }
+
+TEST_CASE("what an earlier process of a gate has sent is lost once a later one is known", "[attempt_watch]") {
+    attempt_watch watch;
+    note_replaced(watch, start);
+    CHECK_FALSE(note_doubt(watch, true, start));
+    CHECK_FALSE(is_given_up(watch, start + last_frames_timeout - 1ns));
+    note_frame(watch, start + 100ms);
+    CHECK_FALSE(is_given_up(watch, start + last_frames_timeout));
+    CHECK(is_given_up(watch, start + 100ms + last_frames_timeout));
+}
