Keep idle connections as long as the configuration lets callers use them

An operator's configuration with an IdleTimeoutMs above 93,750 lets callers reuse a connection after more than the 75 s (four fifths of the limit) after which a daemon closes it, so a request meets a closed connection. The sites of today say 15,000.

Cause: IdleTimeoutMs was not read; the idle time was a constant of the entry.

Change: the adapter passes it on as the document's caller_idle_time (1ms to 24h, longer ones are cut), and an entry keeps an idle connection for the greater of that and its own idle time. It is looked up when a wait begins and again when it would end, so a configuration that raises it holds for connections that wait already; one that lowers it holds from the next wait.

--- a/src/configuration/internal/document_diff.cpp
+++ b/src/configuration/internal/document_diff.cpp
@@ -57,6 +57,7 @@
     flat["retries.attempts_per_root"] = std::to_string(configuration.retries.attempts_per_root);
     flat["retries.ratio"] = number_text(configuration.retries.ratio);
     flat["execution.resend_window"] = duration_text(configuration.execution.resend_window);
+    flat["caller_idle_time"] = duration_text(configuration.caller_idle_time);
     for (const auto& caller : configuration.callers) {
         flat["callers." + caller.name] = present;
         flat["callers." + caller.name + ".patience"] = duration_text(caller.patience);
--- a/src/configuration/internal/document_reader.cpp
+++ b/src/configuration/internal/document_reader.cpp
@@ -21,8 +21,9 @@
 constexpr std::uint64_t max_attempts_per_root = 16;
 constexpr std::size_t max_data_centres = 64;
 
-const std::vector<std::string> document_keys{"format",  "data_centres", "classes",  "callers",
-                                             "retries", "execution",    "services", "routes"};
+const std::vector<std::string> document_keys{"format",   "data_centres", "classes",
+                                             "callers",  "retries",      "execution",
+                                             "services", "routes",       "caller_idle_time"};
 
 std::vector<std::string> read_names(yaml_reader& root, std::string_view key, std::size_t most) {
     auto names = root.string_list(key);
@@ -85,6 +86,7 @@
     read.callers = read_callers(root);
     read.retries = read_retries(root);
     read.execution = read_execution(root);
+    read.caller_idle_time = root.duration("caller_idle_time", 1ms, max_caller_idle_time, 0ms);
     read.routes = internal::read_routes(root, read.classes, limits);
     read.services = internal::read_services(root, read.classes, limits);
     internal::check_destinations(root, read.routes, read.services);
--- a/src/configuration/limits.h
+++ b/src/configuration/limits.h
@@ -10,10 +10,11 @@
 /// envelope.
 inline constexpr std::size_t max_document_bytes = 800'000;
 
-/// Highest values of a route and of a service.
+/// Highest values of a route, of a service and of the time that callers keep connections.
 inline constexpr std::uint64_t max_route_attempts = 16;
 inline constexpr std::uint64_t max_weight = 1'000'000;
 inline constexpr std::chrono::milliseconds max_route_time = std::chrono::hours(1);
+inline constexpr std::chrono::milliseconds max_caller_idle_time = std::chrono::hours(24);
 inline constexpr std::uint64_t max_connections = 1'000'000;
 
 /// What a document may contain, beyond what its syntax requires.
--- a/src/configuration/tests/document_tests.cpp
+++ b/src/configuration/tests/document_tests.cpp
@@ -43,6 +43,8 @@
     CHECK(read.data_centres == std::vector<std::string>{"palermo", "catania"});
     CHECK(read.retries.attempts_per_root == 2);
     CHECK(read.execution.resend_window == 10min);
+    CHECK(read.caller_idle_time == 0s);
+    CHECK(must_read(sample_document() + "caller_idle_time: 2m\n").caller_idle_time == 2min);
     const auto* squadre = find_service(read, "squadre");
     REQUIRE(squadre != nullptr);
     CHECK(squadre->drain_time == 5s);
--- a/src/configuration/types/document.h
+++ b/src/configuration/types/document.h
@@ -82,6 +82,8 @@
     std::vector<route_rule> routes;
     retry_rule retries;
     execution_rule execution;
+    /// How long a caller may leave a connection idle and use it again; 0 if nothing is agreed.
+    std::chrono::milliseconds caller_idle_time{0};
 };
 
 /// Returns the service with that name, or nullptr.
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -37,7 +37,9 @@
     std::uint32_t body_credit_chunks = 8;
     std::uint32_t head_limit_bytes = 16 * 1024;
     std::chrono::milliseconds default_patience{5'000}; ///< Default timeout of a call.
-    std::chrono::milliseconds idle_patience{75'000}; ///< Longest time between two requests of one connection.
+    /// Longest time between two requests of one connection, unless the configuration lets callers keep
+    /// connections for longer.
+    std::chrono::milliseconds idle_patience{75'000};
     std::chrono::milliseconds stall_patience{30'000}; ///< A body without progress for this long is aborted.
     std::chrono::milliseconds route_patience{300};    ///< Longest wait for a reachable backend server.
     std::uint64_t random_seed = 1;
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -98,6 +98,10 @@
         m_connection->abort();
         return;
     }
+    if (const auto until = idle_until(); !m_has_waited_on && m_shared.clock.now() < until) {
+        watch_until(until);
+        return;
+    }
     watch_until(m_shared.clock.now() + rest_of_head_timeout);
     if (std::exchange(m_has_waited_on, true)) {
         m_connection->end_wait(caller_connection::wait_end::always);
@@ -106,6 +110,11 @@
     give_up_waiting();
 }
 
+core::steady_time caller_session::idle_until() const {
+    const auto since = m_idle_since.load();
+    return since == not_idle ? m_shared.clock.now() : since + m_shared.idle_patience();
+}
+
 std::optional<core::steady_time> caller_session::idle_since() const {
     const auto since = m_idle_since.load();
     const bool is_idle = since != not_idle && m_shared.clock.now() - since >= shortest_idle;
@@ -113,7 +122,7 @@
 }
 
 boost::asio::awaitable<void> caller_session::run() {
-    watch_until(m_shared.clock.now() + m_shared.options.idle_patience);
+    watch_until(idle_until());
     co_await serve_requests();
     m_watchdog->allow_until(m_shared.clock.now() + close_timeout);
     co_await m_connection->close();
@@ -121,11 +130,11 @@
 
 boost::asio::awaitable<void> caller_session::serve_requests() {
     while (m_connection->can_go_on()) {
-        m_watchdog->allow_until(m_shared.clock.now() + m_shared.options.idle_patience);
+        m_idle_since = m_shared.clock.now();
+        m_watchdog->allow_until(idle_until());
         m_is_idle = true;
         m_closes_unread = false;
         m_has_waited_on = false;
-        m_idle_since = m_shared.clock.now();
         const auto outcome = co_await m_connection->read_head();
         m_is_idle = false;
         m_idle_since = not_idle;
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -40,9 +40,13 @@
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
+    /// End of the idle time under the configuration in force; now for one that doesn't count as idle.
+    [[nodiscard]] core::steady_time idle_until() const;
+
     void watch_until(core::steady_time until);
 
-    /// Ends the wait for a request after the idle timeout; resets a connection that is not idle.
+    /// Ends the wait for a request after the idle timeout, which a new configuration may have put off; resets
+    /// a connection that is not idle.
     void out_of_time();
 
     /// Ends the wait for a request and closes the connection at once if none has begun to arrive.
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -3,6 +3,7 @@
 #include "entry/internal/caller_session.h"
 #include "network/address_text.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,11 @@
     m_acceptor.connections->stop();
 }
 
+std::chrono::milliseconds entry_state::idle_patience() const {
+    const auto rules = configuration();
+    return rules ? std::max(options.idle_patience, rules->caller_idle_time) : options.idle_patience;
+}
+
 void entry_state::close_idle_connections() {
     m_closing = true;
     sessions.close_when_idle();
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -14,6 +14,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -55,6 +56,9 @@
     void send(const core::attempt_id& attempt, const core::endpoint_id& gate,
               decltype(transport::frame::payload) payload);
 
+    /// Longest time between two requests of one connection: no shorter than callers may keep one.
+    [[nodiscard]] std::chrono::milliseconds idle_patience() const;
+
     /// Whether connections are closed after the answer to their next request.
     [[nodiscard]] bool is_closing() const { return m_closing; }
 
--- a/src/entry/tests/wired_fleet.cpp
+++ b/src/entry/tests/wired_fleet.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint32_t slots = 64;
 constexpr char service[] = "mappa";
 
-std::shared_ptr<const configuration::document> make_rules() {
+std::shared_ptr<configuration::document> make_rules() {
     auto rules = std::make_shared<configuration::document>();
     rules->data_centres = {"palermo"};
     rules->classes = {"urgent"};
--- a/src/entry/tests/wired_fleet.h
+++ b/src/entry/tests/wired_fleet.h
@@ -108,6 +108,11 @@
     /// The configuration of both daemons, kept alive by their entries and calls.
     [[nodiscard]] std::weak_ptr<const configuration::document> rules() const { return m_rules; }
 
+    /// Changes the configuration of both daemons.
+    void change_rules(const std::function<void(configuration::document&)>& change) {
+        change(*m_rules.lock());
+    }
+
     /// Makes a call through an entry and passes its result to `done`.
     void call(std::size_t entry, caller_request request, std::function<void(caller_answer)> done);
 
@@ -139,7 +144,7 @@
 
     boost::asio::io_context m_io;
     unsigned m_handlers_failed = 0;
-    std::weak_ptr<const configuration::document> m_rules;
+    std::weak_ptr<configuration::document> m_rules;
     std::vector<std::unique_ptr<wired_daemon>> m_daemons;
 };
 
--- a/src/platform/internal/configuration_codec.cpp
+++ b/src/platform/internal/configuration_codec.cpp
@@ -88,11 +88,9 @@
     return *list;
 }
 
-/// A duration of a route, cut to the longest that the document may contain.
-std::string duration_text(std::int64_t milliseconds) {
-    return std::to_string(
-               std::min(milliseconds, static_cast<std::int64_t>(configuration::max_route_time.count()))) +
-           "ms";
+/// A duration, cut to the longest that the document may contain there.
+std::string duration_text(std::int64_t milliseconds, std::chrono::milliseconds longest) {
+    return std::to_string(std::min(milliseconds, static_cast<std::int64_t>(longest.count()))) + "ms";
 }
 
 /// Returns whole weights in the proportions of `weights`, none above the highest that the document may
@@ -155,11 +153,11 @@
                        {"destinations", destinations_of(action, where)}};
     const auto timeout = optional_number(action, "TimeoutMs", where);
     if (timeout > 0) {
-        route["timeout"] = duration_text(timeout);
+        route["timeout"] = duration_text(timeout, configuration::max_route_time);
     }
     const auto objective = optional_number(rule, "TargetLatencyMs", where);
     if (objective > 0) {
-        route["latency_objective"] = duration_text(objective);
+        route["latency_objective"] = duration_text(objective, configuration::max_route_time);
     }
     const auto attempts = optional_number(action, "MaxAttempts", where);
     if (attempts > 0) {
@@ -213,17 +211,29 @@
     return names;
 }
 
+/// The longest time between two requests of a connection; 0 if the operator limits none.
+std::int64_t idle_time_of(const json::object& content) {
+    const auto* limits = content.if_contains("Limits");
+    return limits == nullptr || limits->is_null()
+               ? 0
+               : optional_number(map_at(*limits, "Limits"), "IdleTimeoutMs", "Limits");
+}
+
 configuration::stored_configuration translate(const json::object& content) {
     configuration::stored_configuration stored;
     stored.revision = revision_of(content);
     stored.submission = "operator";
-    const json::object document{
+    json::object document{
         {"format", document_format},
         {"data_centres", json::array{"any"}},
         {"classes", class_names()},
         {"retries", json::object{{"attempts_per_root", attempts_per_root}, {"ratio", retry_ratio}}},
         {"services", services_of(content)},
         {"routes", routes_of(content)}};
+    const auto idle_time = idle_time_of(content);
+    if (idle_time > 0) {
+        document["caller_idle_time"] = duration_text(idle_time, configuration::max_caller_idle_time);
+    }
     // NOTE: JSON is a subset of YAML, so the document reader accepts it.
     stored.document = json::serialize(document);
     stored.digest = configuration::digest_of(stored);
--- a/src/platform/tests/configuration_codec_tests.cpp
+++ b/src/platform/tests/configuration_codec_tests.cpp
@@ -165,6 +165,21 @@
     CHECK(rules_of(replaced("{\"Name\":\"spare\"}", "{\"Name\":\"spare\"},{\"Name\":\"a.b\"}")) != nullptr);
 }
 
+TEST_CASE("the time that callers keep idle connections is lost on the way to the entries", "[platform]") {
+    const auto idle_time = [](const std::string& limits) {
+        const auto rules = rules_of(replaced("{\"MaxHeaderBytes\":16384}", limits));
+        REQUIRE(rules != nullptr);
+        return rules->caller_idle_time;
+    };
+    CHECK(idle_time("{\"IdleTimeoutMs\":15000}") == 15s);
+    CHECK(idle_time("{\"MaxHeaderBytes\":16384,\"IdleTimeoutMs\":300000.5}") == 300'001ms);
+    CHECK(idle_time("{\"IdleTimeoutMs\":1e11}") == 24h);
+    CHECK(idle_time("{\"IdleTimeoutMs\":0}") == 0s);
+    CHECK(idle_time("{\"IdleTimeoutMs\":null}") == 0s);
+    CHECK(idle_time("{}") == 0s);
+    CHECK(idle_time("null") == 0s);
+}
+
 TEST_CASE("a malformed configuration is rejected with a reason", "[platform]") {
     const std::string texts[] = {
         "7",
