Forget the record of a request without a key once its attempt has expired

Once a gate has run 50,000 requests of non-idempotent routes within 620 s (81 a second; at 800 a second after some 62 s), it refuses every further one as table_full, not_run. On the users' platform all of them come without a key.

Cause: the record of a request without a key was kept for the resend window of keys, 10 minutes, although nobody can resend it. Only a copy of the attempt can follow, and each copy has the attempt's own expiry.

Change: such a record is removed 20 s (twice the clock skew) after the deadline, if the expiry has passed by as much on the gate's clock too; the fence's horizon then covers the expiry, as it does for refused attempts, so that a copy is refused even if the gate's clock is set back. While the clocks disagree the record stays, at most for the time that it stayed before.

Evidence: "requests without a key fill the table long after they have expired" failed before (call 3 of 100, with a bound of 2 records, calls 15 s apart) and passes now. "a copy of a request without a key runs after its record" holds with the clocks of entry or gate an hour off; it passes without the change too and guards it. No daemon was run for 10 minutes.

--- a/src/execution/attempt_fence.h
+++ b/src/execution/attempt_fence.h
@@ -47,6 +47,9 @@
 /// Makes check() refuse every later copy of the attempt; `expiry` is the attempt's own expiry.
 void refuse(attempt_fence& fence, const core::attempt_id& attempt, core::wall_time expiry);
 
+/// Makes check() refuse every attempt that expires by then.
+void cover(attempt_fence& fence, core::wall_time expiry);
+
 /// Returns whether the attempt is refused.
 [[nodiscard]] fence_state check(const attempt_fence& fence, const core::attempt_id& attempt,
                                 core::wall_time expiry);
--- a/src/execution/execution_table.h
+++ b/src/execution/execution_table.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -44,6 +45,8 @@
     core::attempt_id attempt;
     core::steady_time deadline;
     core::wall_time expiry;
+    bool is_of_attempt =
+        false; ///< The request came without a key, so only copies of its attempts can follow.
     record_state state = record_state::begun;
     core::verdict verdict = core::verdict::may_have_run; ///< Valid once the state is `ended`.
     std::shared_ptr<const stored_answer> answer;         ///< Null: no answer is stored.
@@ -60,13 +63,21 @@
                                 ///< later than this plus the clock skew was delayed in transit.
 };
 
+/// An ended request that came without a key.
+struct ended_attempt {
+    std::string key;
+    core::steady_time latest; ///< Its record is removed then, whatever the clocks say.
+};
+
 /// All records of one gate.
 struct execution_table {
     execution_limits limits;
     attempt_fence fence;
     std::unordered_map<std::string, execution_record> records;
     std::deque<std::pair<core::steady_time, std::string>> ends; ///< Finish times and keys, oldest first.
-    std::size_t answer_bytes = 0;                               ///< Total size of the stored answers.
+    /// Ended requests without a key, by the time at which their expiry is looked at.
+    std::multimap<core::steady_time, ended_attempt> attempt_ends;
+    std::size_t answer_bytes = 0; ///< Total size of the stored answers.
 };
 
 /// Returns the decision that follows from an earlier attempt with the same key or id; begin_action::run if
@@ -100,10 +111,11 @@
 /// this attempt is refused permanently.
 void finish_not_run(execution_table& table, const std::string& key);
 
-/// Removes records and refused attempts whose retention time has passed.
+/// Removes records and refused attempts whose retention time has passed. Without a key a record goes when
+/// its attempt has expired by both clocks; from then on the fence refuses every copy of the attempt.
 void expire(execution_table& table, core::steady_time now, core::wall_time wall_now);
 
-/// Returns how long a record is kept after the request has ended.
+/// Returns how long the record of a key is kept after the request has ended.
 [[nodiscard]] std::chrono::milliseconds retention(const execution_limits& limits);
 
 } // namespace monsoonlift::execution
--- a/src/execution/internal/attempt_fence.cpp
+++ b/src/execution/internal/attempt_fence.cpp
@@ -77,6 +77,10 @@
     }
 }
 
+void cover(attempt_fence& fence, core::wall_time expiry) {
+    fence.horizon = std::max(fence.horizon, expiry);
+}
+
 fence_state check(const attempt_fence& fence, const core::attempt_id& attempt, core::wall_time expiry) {
     const fence_state otherwise = expiry <= fence.horizon ? fence_state::stale : fence_state::open;
     const auto found = fence.origins.find(attempt.origin);
--- a/src/execution/internal/execution_table.cpp
+++ b/src/execution/internal/execution_table.cpp
@@ -1,5 +1,7 @@
 #include "execution/execution_table.h"
 
+#include <algorithm>
+
 namespace monsoonlift::execution {
 
 namespace {
@@ -40,7 +42,39 @@
     }
     found->second.state = record_state::ended;
     found->second.verdict = verdict;
-    table.ends.emplace_back(now, key);
+    if (!found->second.is_of_attempt) {
+        table.ends.emplace_back(now, key);
+        return;
+    }
+    const auto over = std::max(now, found->second.deadline) + 2 * table.limits.clock_skew;
+    table.attempt_ends.emplace(over, ended_attempt{key, now + retention(table.limits)});
+}
+
+void remove_record(execution_table& table, const std::string& key) {
+    const auto found = table.records.find(key);
+    if (found == table.records.end()) {
+        return;
+    }
+    table.answer_bytes -= found->second.answer ? size_of(*found->second.answer) : 0;
+    table.records.erase(found);
+}
+
+void expire_attempts(execution_table& table, core::steady_time now, core::wall_time wall_now) {
+    while (!table.attempt_ends.empty() && table.attempt_ends.begin()->first <= now) {
+        auto ended = table.attempt_ends.extract(table.attempt_ends.begin());
+        const auto& [key, latest] = ended.mapped();
+        const auto expiry = table.records.at(key).expiry;
+        const bool has_expired = expiry < wall_now - 2 * table.limits.clock_skew;
+        if (!has_expired && now < latest) {
+            ended.key() = now + table.limits.clock_skew;
+            table.attempt_ends.insert(std::move(ended));
+            continue;
+        }
+        if (has_expired) {
+            cover(table.fence, expiry);
+        }
+        remove_record(table, key);
+    }
 }
 
 /// Removes the key's record if it is in this state, and refuses its attempt permanently.
@@ -115,6 +149,7 @@
     record.attempt = request.attempt;
     record.deadline = request.deadline;
     record.expiry = request.expiry;
+    record.is_of_attempt = request.key.kind == key_kind::attempt;
     table.records.emplace(request.key.text, std::move(record));
     return {};
 }
@@ -160,13 +195,10 @@
 
 void expire(execution_table& table, core::steady_time now, core::wall_time wall_now) {
     while (!table.ends.empty() && now - table.ends.front().first >= retention(table.limits)) {
-        const auto found = table.records.find(table.ends.front().second);
-        if (found != table.records.end()) {
-            table.answer_bytes -= found->second.answer ? size_of(*found->second.answer) : 0;
-            table.records.erase(found);
-        }
+        remove_record(table, table.ends.front().second);
         table.ends.pop_front();
     }
+    expire_attempts(table, now, wall_now);
     expire(table.fence, wall_now, table.limits.clock_skew);
 }
 
--- a/src/execution/tests/execution_table_tests.cpp
+++ b/src/execution/tests/execution_table_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 using namespace monsoonlift::execution;
 using monsoonlift::core::attempt_id;
 using monsoonlift::core::endpoint_id;
@@ -42,6 +44,16 @@
         return asked;
     }
 
+    [[nodiscard]] begin_request request_without_key(std::uint64_t call) const {
+        begin_request asked;
+        asked.attempt = {{5}, call, 0};
+        asked.key = key_of_attempt(asked.attempt);
+        asked.fingerprint = {99};
+        asked.deadline = now() + 5s;
+        asked.expiry = wall_now() + 5s;
+        return asked;
+    }
+
     begin_decision begin(const begin_request& asked) {
         return monsoonlift::execution::begin(state, asked, now(), wall_now());
     }
@@ -179,6 +191,57 @@
     CHECK(gate.begin(gate.request("c", 5)).action == begin_action::run);
 }
 
+TEST_CASE("requests without a key fill the table long after they have expired", "[execution_table]") {
+    fixture gate;
+    gate.state.table.limits.records = 2;
+    constexpr std::uint64_t calls = 100;
+    for (std::uint64_t call = 1; call <= calls; ++call) {
+        const auto asked = gate.request_without_key(call);
+        INFO("call " << call);
+        gate.run_to_end(asked);
+        gate.elapsed += 15s;
+        expire(gate.state.table, gate.now(), gate.wall_now());
+        auto copy = asked;
+        copy.deadline = gate.now() + 5s;
+        CHECK(gate.begin(copy).action != begin_action::run);
+    }
+    gate.elapsed += 1min;
+    expire(gate.state.table, gate.now(), gate.wall_now());
+    CHECK(gate.state.table.records.empty());
+    CHECK(gate.state.table.attempt_ends.empty());
+    CHECK(gate.state.table.answer_bytes == 0);
+}
+
+TEST_CASE("a copy of a request without a key runs after its record, whatever the clocks do",
+          "[execution_table]") {
+    struct row {
+        const char* name;
+        std::chrono::milliseconds entry_ahead; // The clock of the entry.
+        std::chrono::milliseconds gate_ahead;  // The clock of the gate when the record expires.
+        std::chrono::milliseconds later;
+    };
+    const auto cases = std::to_array<row>({
+        {"right clocks", 0s, 0s, 30s},
+        {"the gate's clock is set back after it", 0s, 1h, 30s},
+        {"the gate's clock is behind", 0s, -1h, 30s},
+        {"the entry's clock is ahead", 1h, 0s, 30s},
+        {"the entry's clock is ahead, for long", 1h, 0s, 10min},
+    });
+    for (const row& one : cases) {
+        INFO(one.name);
+        fixture gate;
+        auto asked = gate.request_without_key(1);
+        asked.expiry += one.entry_ahead;
+        gate.run_to_end(asked);
+        gate.elapsed += one.later;
+        expire(gate.state.table, gate.now(), gate.wall_now() + one.gate_ahead);
+        asked.deadline = gate.now() + 5s;
+        CHECK(monsoonlift::execution::begin(gate.state, asked, gate.now(), wall_start).action !=
+              begin_action::run);
+        CHECK(gate.begin(gate.request_without_key(2)).action == begin_action::run);
+    }
+}
+
 TEST_CASE("an attempt that was delayed in transit past its expiry is refused", "[execution_table]") {
     fixture gate;
     auto asked = gate.request("k");
