--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -41,9 +41,13 @@
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
+    /// End of the idle time under the configuration in force; now for one that doesn't count as idle.
+    [[nodiscard]] core::steady_time idle_until() const;
+
     void watch_until(core::steady_time until);
 
-    /// Handles the end of the session's time limit.
+    /// Handles the end of the time limit; that of an idle connection may have been put off by a new
+    /// configuration.
     void out_of_time();
 
     /// Ends a connection that is at work or about to close, after further looks.
