--- a/src/execution/tests/crash_tests.cpp
+++ b/src/execution/tests/crash_tests.cpp
@@ -135,6 +135,26 @@
     }
 }
 
+TEST_CASE("an answer of long ago keeps a request that crashes backend servers from being held", "[crash]") {
+    fleet fleet(2);
+    const bool is_recent = GENERATE(true, false);
+    CAPTURE(is_recent);
+    for (std::size_t gate = 0; gate < 2; ++gate) {
+        REQUIRE(fleet.gates[gate]->admit(other) == admittance::admitted);
+        REQUIRE(fleet.gates[gate]->admit(other) == admittance::admitted);
+        fleet.gates[gate]->end(other, run_ending::answered);
+    }
+    fleet.clock.advance(crash_limits{}.answer_memory + (is_recent ? 0s : 1s));
+    for (std::size_t gate = 0; gate < 2; ++gate) {
+        fleet.gates[gate]->end(other, run_ending::broken);
+        fleet.gates[gate]->report_backend_crash();
+    }
+    fleet.deliver();
+    const auto expected = is_recent ? admittance::admitted : admittance::held;
+    CHECK(fleet.gates[0]->admit(other) == expected);
+    CHECK(fleet.gates[1]->admit(other) == expected);
+}
+
 TEST_CASE("a request that was answered once and then crashes backend servers is held", "[crash]") {
     fleet fleet(2);
     REQUIRE(fleet.gates[0]->admit(poison) == admittance::admitted);
@@ -193,6 +213,24 @@
     }
 }
 
+TEST_CASE("a request stays suspect after its time, or counts a crash of long ago", "[crash]") {
+    fleet fleet(2);
+    fleet.crash(0, {poison, bystander});
+    fleet.deliver();
+    crash_guard& gate = *fleet.gates[1];
+    fleet.clock.advance(crash_limits{}.suspicion - 1s);
+    CHECK(gate.admit(bystander) == admittance::admitted);
+    CHECK(gate.admit(poison) == admittance::busy);
+    gate.end(bystander, run_ending::unclear);
+    fleet.clock.advance(1s);
+    CHECK(gate.admit(bystander) == admittance::admitted);
+    gate.expire();
+    fleet.gates[0]->expire();
+    fleet.crash(1, {poison});
+    fleet.deliver();
+    CHECK(fleet.gates[0]->admit(poison) == admittance::admitted);
+}
+
 TEST_CASE("a request that an operator holds is held at every gate", "[crash]") {
     fleet fleet(2);
     fleet.gates[0]->rule(other, true);
--- a/src/gate/tests/idle_connection_tests.cpp
+++ b/src/gate/tests/idle_connection_tests.cpp
@@ -132,6 +132,16 @@
     CHECK_FALSE(gate.fixture.read_request(gate.connection));
 }
 
+TEST_CASE("a connection is used though few backend servers keep one that long", "[idle_connection]") {
+    idle_connection_fixture gate(max_idle_time + 1ms);
+    gate.fixture.announce("first");
+    gate.begin_request(true);
+    auto fresh = gate.fixture.accept();
+    gate.answer(fresh);
+    CHECK(gate.was_answered());
+    CHECK_FALSE(gate.fixture.read_request(gate.connection));
+}
+
 TEST_CASE("a connection that was used just before is reused by idempotent and other calls",
           "[idle_connection]") {
     for (const bool idempotent : {true, false}) {
--- a/src/membership/tests/swim_tests.cpp
+++ b/src/membership/tests/swim_tests.cpp
@@ -188,6 +188,49 @@
     CHECK(fleet.run(20s, [&] { return fleet.at(6).state.new_rumors.size() == 1; }));
 }
 
+TEST_CASE("a dead member's record is forgotten before its time, or never", "[swim]") {
+    constexpr std::size_t dead = 2;
+    model_fleet fleet(3, seed);
+    fleet.introduce_all();
+    for (std::size_t index = 0; index < dead; ++index) {
+        fleet.at(index).state.limits.dead_retention = 60s;
+    }
+    const auto count_records = [&] {
+        const auto address = model_fleet::address(dead);
+        return fleet.at(0).state.members.count(address) + fleet.at(1).state.members.count(address);
+    };
+    fleet.at(dead).running = false;
+    REQUIRE(
+        fleet.run(60s, [&] { return fleet.count_matching(dead, has_status(member_status::dead)) == dead; }));
+    fleet.run(50s);
+    CHECK(count_records() == 2);
+    CHECK(fleet.run(30s, [&] { return count_records() == 0; }));
+    fleet.run(30s);
+    CHECK(count_records() == 0);
+}
+
+TEST_CASE("a rumor is kept for ever, or forgotten before its time", "[swim]") {
+    model_fleet fleet(small_fleet, seed);
+    fleet.introduce_all();
+    for (std::size_t index = 0; index < small_fleet; ++index) {
+        fleet.at(index).state.limits.rumor_retention = 60s;
+    }
+    const auto count_kept = [&] {
+        std::size_t count = 0;
+        for (std::size_t index = 0; index < small_fleet; ++index) {
+            count += fleet.at(index).state.rumors.size();
+        }
+        return count;
+    };
+    fleet.send(0, spread(fleet.at(0).state, {7, "payload"}, fleet.now()));
+    fleet.run(50s);
+    CHECK(count_kept() == small_fleet);
+    CHECK(fleet.run(60s, [&] { return count_kept() == 0; }));
+    fleet.restart(6, 1);
+    fleet.run(20s);
+    CHECK(count_kept() == 0);
+}
+
 TEST_CASE("members of the sender's service don't receive a rumor at once", "[swim]") {
     model_fleet fleet(200, seed); // every 74th member has the same service
     fleet.introduce_all();
