--- a/src/logging/event_log.h
+++ b/src/logging/event_log.h
@@ -12,7 +12,7 @@
 
 /// One field of an event.
 struct field {
-    std::string_view name;
+    std::string_view name; ///< A word of letters, digits and underscores; written as it is.
     std::string value;
 };
 
