Run each attempt at a gate on a strand of the io_context itself

Cause: the strand of a gate's call was made from an any_io_executor. A strand of a type-erased executor does not fit into another type-erased executor, so Asio allocates it anew for each copy and each change of a property: at each timer, each wait and each resumption of a coroutine.

--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -12,6 +12,8 @@
 #include "transfer/credit_gate.h"
 #include "transfer/watchdog.h"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -43,7 +45,7 @@
     attempt_decisions& decisions;
     gate_table& table;
     backend_pool& pool;
-    boost::asio::any_io_executor executor;
+    boost::asio::io_context::executor_type executor;
 };
 
 /// Result of a run, for the concurrency limit and the totals.
@@ -181,7 +183,8 @@
     const std::string m_request_name; ///< Value of the request's `echoed_id_header`; empty if there is none.
     const gate_class& m_class;
     const core::steady_time m_arrived;
-    boost::asio::any_io_executor m_strand;
+    const boost::asio::any_io_executor m_strand; ///< A strand of the context itself: a type-erased one would
+                                                 ///< be allocated anew with each copy.
     ended_handler m_ended;
 
     std::shared_ptr<transfer::watchdog> m_watchdog;
