Set a watchdog's timer again only for a limit before the time it is due

Cause: a caller's connection raises its watchdog's limit when it is idle and lowers it for each request. The lower limit was compared with the raised one instead of the timer, which still stood at the limit of the request before, so each request on a kept connection cancelled its timer, ran a handler on the strand and set the timer again. Change: the limit is compared with the timer. A timer that is due earlier stays; when it is due it is set to the limit.

--- a/src/transfer/watchdog.h
+++ b/src/transfer/watchdog.h
@@ -27,9 +27,9 @@
 
     /// Changes the time limit; an earlier one takes effect at once.
     void allow_until(core::steady_time until) {
-        const bool earlier = until < m_until;
         m_until = until;
-        if (earlier && m_expired) {
+        // NOTE: a timer that is due before the limit stays as it is and is set again when it is due.
+        if (until < m_timer.expiry() && m_expired) {
             m_timer.cancel();
         }
     }
