--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/caller_connection.h"
 
+#include "transfer/body_room.h"
 #include "transfer/http_headers.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -147,12 +148,13 @@
         co_return true;
     }
     const auto before = into.size();
-    into.resize(before + limit);
+    const auto room = transfer::room_for(m_parser->content_length_remaining(), limit);
+    into.resize(before + room);
     auto& body = m_parser->get().body();
     body.data = into.data() + before;
-    body.size = limit;
+    body.size = room;
     const auto [failure, got] = co_await http::async_read(m_socket, m_buffer, *m_parser, to_tuple);
-    into.resize(before + limit - body.size);
+    into.resize(before + room - body.size);
     co_return !failure || failure == http::error::need_buffer;
 }
 
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -2,6 +2,7 @@
 #include "gate/connection_idle_limit.h"
 #include "gate/context_token.h"
 #include "gate/internal/gate_call.h"
+#include "transfer/body_room.h"
 #include "transfer/http_headers.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -334,10 +335,11 @@
     if (m_parser->is_done()) {
         co_return true;
     }
-    into.resize(limit);
+    const auto room = transfer::room_for(m_parser->content_length_remaining(), limit);
+    into.resize(room);
     auto& body = m_parser->get().body();
     body.data = into.data();
-    body.size = limit;
+    body.size = room;
     boost::system::error_code failure;
     auto& socket = m_connection->socket;
     auto& buffer = m_connection->buffer;
@@ -346,7 +348,7 @@
     } else {
         std::tie(failure, std::ignore) = co_await http::async_read_some(socket, buffer, *m_parser, to_tuple);
     }
-    into.resize(limit - body.size);
+    into.resize(room - body.size);
     co_return !failure || failure == http::error::need_buffer;
 }
 
