Look only at the attempts that are due when a gate forgets old ones

Cause: attempts that have arrived were kept in a tree, and twice a second the whole tree was walked under the lock of the calls; with a memory of 10 s each attempt was looked at some twenty times. Change: attempt_memory, a hash table with a heap of the times at which attempts are due. It forgets as before: after the attempt's time, and not while its run goes on; such a one is looked at again half a second later.

--- a/src/core/types/call_ids.cpp
+++ b/src/core/types/call_ids.cpp
@@ -1,6 +1,7 @@
 #include "core/types/call_ids.h"
 
 #include <boost/algorithm/hex.hpp>
+#include <boost/container_hash/hash.hpp>
 #include <xxhash.h>
 
 namespace monsoonlift::core {
@@ -22,6 +23,14 @@
     return {predecessor.value < by_time ? by_time : predecessor.value + 1};
 }
 
+std::size_t attempt_hash::operator()(const attempt_id& id) const noexcept {
+    std::size_t hash = 0;
+    boost::hash_combine(hash, id.origin.value);
+    boost::hash_combine(hash, id.call);
+    boost::hash_combine(hash, id.attempt);
+    return hash;
+}
+
 std::string to_string(const attempt_id& id) {
     return std::to_string(id.origin.value) + "/" + std::to_string(id.call) + "/" + std::to_string(id.attempt);
 }
--- a/src/core/types/call_ids.h
+++ b/src/core/types/call_ids.h
@@ -46,6 +46,11 @@
     auto operator<=>(const attempt_id&) const = default;
 };
 
+/// Hashes attempts for unordered containers.
+struct attempt_hash {
+    std::size_t operator()(const attempt_id& id) const noexcept;
+};
+
 /// Address at which other daemons reach a daemon, and the incarnation meant.
 struct endpoint_id {
     std::string address; ///< "ip:port" of the daemon's transport socket.
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -117,7 +117,7 @@
     auto fresh =
         std::make_shared<internal::gate_call>(m_env, run, message.sender, message.attempt, std::move(head));
     const std::scoped_lock lock(m_calls_mutex);
-    if (!m_attempts.try_emplace(message.attempt, known_attempt{run, until}).second) {
+    if (!m_attempts.add(message.attempt, run, until)) {
         return nullptr;
     }
     m_calls.emplace(run, fresh);
@@ -133,7 +133,7 @@
     std::uint64_t run = 0;
     {
         const std::scoped_lock lock(m_calls_mutex);
-        run = m_attempts[message.attempt].run;
+        run = m_attempts.run_of(message.attempt).value_or(0);
     }
     if (m_table.cancel(run)) {
         refuse_run({run, end_reason::cancelled});
@@ -181,7 +181,7 @@
 
 bool gate_service::state::has_arrived(const core::attempt_id& attempt) const {
     const std::scoped_lock lock(m_calls_mutex);
-    return m_attempts.contains(attempt);
+    return m_attempts.run_of(attempt).has_value();
 }
 
 void gate_service::state::apply(const gate_changes& changes) {
@@ -244,11 +244,11 @@
 
 gate_service::state::call gate_service::state::find(const core::attempt_id& attempt) const {
     const std::scoped_lock lock(m_calls_mutex);
-    const auto found = m_attempts.find(attempt);
-    if (found == m_attempts.end()) {
+    const auto run = m_attempts.run_of(attempt);
+    if (!run) {
         return nullptr;
     }
-    const auto known = m_calls.find(found->second.run);
+    const auto known = m_calls.find(*run);
     return known == m_calls.end() ? nullptr : known->second;
 }
 
@@ -409,9 +409,7 @@
 
 void gate_service::state::forget_old_attempts(core::steady_time now) {
     const std::scoped_lock lock(m_calls_mutex);
-    std::erase_if(m_attempts, [&](const auto& entry) {
-        return entry.second.remembered_until < now && !m_calls.contains(entry.second.run);
-    });
+    m_attempts.forget(now, [this](std::uint64_t run) { return m_calls.contains(run); });
 }
 
 } // namespace monsoonlift::gate
--- a/src/gate/internal/gate_state.h
+++ b/src/gate/internal/gate_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gate/gate_service.h"
+#include "gate/internal/attempt_memory.h"
 #include "gate/internal/gate_call.h"
 #include "gate/internal/load_watch.h"
 
@@ -10,7 +11,6 @@
 
 #include <atomic>
 #include <functional>
-#include <map>
 #include <mutex>
 #include <unordered_map>
 
@@ -39,12 +39,6 @@
 private:
     using call = std::shared_ptr<internal::gate_call>;
 
-    /// An attempt that has arrived: the number of its run, and until when copies of it are refused.
-    struct known_attempt {
-        std::uint64_t run = 0;
-        core::steady_time remembered_until;
-    };
-
     void arrived(const transport::frame& message, transport::request_head head);
     void admit(const call& fresh, std::uint64_t run);
     [[nodiscard]] bool try_admit(const call& fresh);
@@ -98,7 +92,7 @@
 
     mutable std::mutex m_calls_mutex;
     std::unordered_map<std::uint64_t, call> m_calls;
-    std::map<core::attempt_id, known_attempt> m_attempts;
+    internal::attempt_memory m_attempts;
     core::steady_time m_next_cleanup;
 
     std::atomic<std::uint64_t> m_next_run = 1;
