Find answered and running requests by their hash, and expire them without looking each up

Cause: crash_guard::expire() read the clock and searched the tree for each of up to 4,096 answered requests, twice a second; the requests that run were kept in a tree by name, of which each lookup compares long common beginnings. Behaviour is the same; crash_tests.cpp and running_requests_tests.cpp cover it.

--- a/src/execution/crash_guard.h
+++ b/src/execution/crash_guard.h
@@ -22,6 +22,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -102,9 +103,10 @@
     crash_registry m_registry;
     std::map<request_fingerprint, unsigned> m_in_flight;
     std::vector<broken_request> m_broken; ///< Requests that recently ended with a broken connection.
-    std::map<request_fingerprint, core::steady_time> m_answered; ///< Latest answer since a crash here.
-    std::optional<request_fingerprint> m_running_suspect;        ///< The suspect running here now, if any.
-    std::uint64_t m_reports = 0; ///< Number of the latest report sent by this gate.
+    std::unordered_map<request_fingerprint, core::steady_time, fingerprint_hash>
+        m_answered;                                       ///< Latest answer since a crash here.
+    std::optional<request_fingerprint> m_running_suspect; ///< The suspect running here now, if any.
+    std::uint64_t m_reports = 0;                          ///< Number of the latest report sent by this gate.
 };
 
 } // namespace monsoonlift::execution
--- a/src/execution/internal/crash_guard.cpp
+++ b/src/execution/internal/crash_guard.cpp
@@ -93,8 +93,11 @@
 }
 
 void crash_guard::record_answered(request_fingerprint request, core::steady_time now) {
-    if (m_answered.size() < m_registry.limits.max_answered || m_answered.contains(request)) {
-        m_answered[request] = now;
+    const auto known = m_answered.find(request);
+    if (known != m_answered.end()) {
+        known->second = now;
+    } else if (m_answered.size() < m_registry.limits.max_answered) {
+        m_answered.emplace(request, now);
     }
 }
 
@@ -174,11 +177,11 @@
 
 void crash_guard::expire() {
     const std::scoped_lock lock(m_mutex);
-    execution::expire(m_registry, m_clock.now());
+    const auto now = m_clock.now();
+    execution::expire(m_registry, now);
     std::erase_if(m_answered,
-                  [&](const auto& entry) { return !answered_recently(entry.first, m_clock.now()); });
-    std::erase_if(m_broken,
-                  [&](const broken_request& one) { return m_clock.now() - one.time > broken_retention; });
+                  [&](const auto& entry) { return now - entry.second > m_registry.limits.answer_memory; });
+    std::erase_if(m_broken, [&](const broken_request& one) { return now - one.time > broken_retention; });
 }
 
 } // namespace monsoonlift::execution
--- a/src/execution/types/request_fingerprint.h
+++ b/src/execution/types/request_fingerprint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -14,6 +15,13 @@
     auto operator<=>(const request_fingerprint&) const = default;
 };
 
+/// Hashes fingerprints for unordered containers; they are digests already.
+struct fingerprint_hash {
+    std::size_t operator()(const request_fingerprint& request) const noexcept {
+        return static_cast<std::size_t>(request.value);
+    }
+};
+
 /// The parts of a request that its fingerprint covers.
 struct fingerprint_source {
     std::string_view service;
--- a/src/gate/running_requests.h
+++ b/src/gate/running_requests.h
@@ -3,11 +3,13 @@
 
 #include "gate/context_token.h"
 
-#include <map>
+#include <cstddef>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace monsoonlift::gate {
 
@@ -27,8 +29,16 @@
     [[nodiscard]] std::optional<context_token> find_parent(std::string_view name) const;
 
 private:
+    /// Hashes names and parts of names alike, so that a lookup needs no copy.
+    struct name_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view name) const noexcept {
+            return std::hash<std::string_view>()(name);
+        }
+    };
+
     mutable std::mutex m_mutex;
-    std::map<std::string, context_token, std::less<>> m_running;
+    std::unordered_map<std::string, context_token, name_hash, std::equal_to<>> m_running;
 };
 
 } // namespace monsoonlift::gate
