Forward an answer without a coroutine in between

forward_answer() only chose between two coroutines, yet had a frame with a copy of the answer's head, above the size that Asio keeps for reuse. It returns the chosen coroutine now.

--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -146,10 +146,7 @@
 
 boost::asio::awaitable<call_exchange::attempt_outcome>
 call_exchange::forward_answer(transport::response_head head) {
-    if (head.total) {
-        co_return co_await forward_complete_answer(std::move(head));
-    }
-    co_return co_await stream_answer(std::move(head));
+    return head.total ? forward_complete_answer(std::move(head)) : stream_answer(std::move(head));
 }
 
 boost::asio::awaitable<call_exchange::attempt_outcome>
