Retry refused calls that make none of their own out of a budget for each service

What callers saw: while the servers of one service refuse at random with slots free, nearly all requests whose chain calls it several times fail after their work was done, and few of the retries that the users' budget allows are sent.

Cause: a retry takes a token out of one bucket of the daemon, for all services, which holds ten: what thousands of calls a second earned before is forgotten when refusals begin, and the first call of a series takes what the last one needs. So the grant of root calls, the first guess, is not what withholds them there.

Change: nested calls that a backend server refused unrun, and whose runs make no calls, have a bucket for each called service. It holds what was earned lately (4 s) and keeps the more for others the fewer calls of its run have ended. Repeats that other budgets allow, and calls made by a run that is a repeat, are taken out of it too. The gate counts the calls of a run and tells them in the end of an attempt; kinds not known to make none are treated as before.

The configured ratio is now taken over with each call, not only with root calls: a daemon that gets nested calls alone kept the default.

Why it works: a retry of such a call adds one arrival at one service and none deeper, so its bound needs no share of the chain's budget, and a retry late in a series saves the work of the calls before it.

--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -120,14 +120,15 @@
 
 void call_exchange::begin_context(const configuration::document& configuration) {
     m_has_budget = true;
+    m_shared.routes.set_retry_ratio(configuration.retries.ratio);
     if (!m_call.parent) {
         m_call.context.attempts_left = configuration.retries.attempts_per_root;
-        m_shared.routes.set_retry_ratio(configuration.retries.ratio);
         m_shared.routes.grant(m_call.context);
         return;
     }
     const bool issued_here = m_call.parent->issuer == m_shared.sender.self().life;
     m_call.context.attempts_left = issued_here ? m_shared.budgets.reserve(m_call.parent->run) : 0;
+    m_made_by = issued_here ? m_shared.budgets.progress(m_call.parent->run) : gate::run_progress{};
 }
 
 void call_exchange::return_budget() {
@@ -231,7 +232,7 @@
     m_lent_attempts = 0;
     m_channel = std::make_shared<attempt_channel>(m_connection->strand(), endpoint);
     m_shared.open(m_attempt, m_channel);
-    m_shared.routes.record_sent(endpoint, m_attempts == 0);
+    m_shared.routes.record_sent(endpoint, m_attempts == 0, budgeted(), m_attempt_began);
     m_is_attempt_open = true;
     ++m_attempts;
     ++m_shared.attempts;
@@ -329,6 +330,9 @@
     auto result = to_attempt_result(end, m_answer_status, m_caller_gone, now - m_attempt_began);
     result.kind = m_call.kind;
     m_shared.routes.record_result(m_channel->endpoint(), result, now);
+    if (m_call.parent && result.succeeded && end.nested_calls) {
+        m_shared.routes.record_nested_calls(m_call.kind, *end.nested_calls);
+    }
 }
 
 void call_exchange::note_levels(const transport::attempt_end& end) {
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -110,7 +110,8 @@
     [[nodiscard]] std::string_view reason_against_retry(transport::end_reason reason);
 
     /// Returns why the retry budgets or the time left did not allow a retry; counts it if it was a budget.
-    [[nodiscard]] std::string_view note_withheld(core::verdict run, bool reached_server);
+    [[nodiscard]] std::string_view note_withheld(core::verdict run, bool reached_server, bool is_leaf);
+    [[nodiscard]] budgeted_call budgeted() const { return {m_call.service, m_made_by}; }
     [[nodiscard]] event_subject subject() const { return {*m_class, m_call.service, m_call.context.root}; }
     [[nodiscard]] decided_call decided() const;
     [[nodiscard]] ended_attempt ended(const attempt_outcome& outcome) const;
@@ -129,8 +130,9 @@
     std::shared_ptr<transfer::watchdog> m_watchdog;
 
     parsed_call m_call;
-    call_class* m_class;       ///< Never nullptr; the class "unknown" until the request's head is parsed.
-    std::string m_first_bytes; ///< First part of the request body, kept so that the request can be resent.
+    gate::run_progress m_made_by; ///< The run that made the call, as it was when the call came.
+    call_class* m_class;          ///< Never nullptr; the class "unknown" until the request's head is parsed.
+    std::string m_first_bytes;    ///< First part of the request body, kept so that the request can be resent.
     bool m_replayable = true;
     bool m_caller_gone = false;
     bool m_has_budget = false;      ///< Retries were taken from a budget, to be returned in the end.
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -69,11 +69,15 @@
         may_have_arrived(outcome.end.reason) || outcome.end.run != verdict::not_run || is_bound_to_home();
     const retry::attempt_outcome ended{outcome.end.run, m_attempts - 1, outcome.end.service_time,
                                        outcome.end.retry_after, counts_as_reached};
-    const auto delay = m_shared.routes.next_attempt(m_call.context, ended, m_shared.clock.now());
+    const bool is_leaf = m_call.parent && counts_as_reached && outcome.end.run == verdict::not_run &&
+                         !is_bound_to_home() && m_shared.routes.is_leaf(m_call.kind);
+    const auto now = m_shared.clock.now();
+    const auto delay = is_leaf ? m_shared.routes.next_leaf_attempt(m_call.context, ended, budgeted(), now)
+                               : m_shared.routes.next_attempt(m_call.context, ended, budgeted(), now);
     if (!delay) {
-        return {std::nullopt, note_withheld(outcome.end.run, counts_as_reached)};
+        return {std::nullopt, note_withheld(outcome.end.run, counts_as_reached, is_leaf)};
     }
-    m_spent_retries += counts_as_reached ? 1 : 0;
+    m_spent_retries += counts_as_reached && !is_leaf ? 1 : 0;
     ++m_shared.retries;
     m_class->retries.add();
     m_shared.counts.count(m_call.service, attempt_outcome_kind::retried);
@@ -112,14 +116,16 @@
     return {};
 }
 
-std::string_view call_exchange::note_withheld(verdict run, bool reached_server) {
+std::string_view call_exchange::note_withheld(verdict run, bool reached_server, bool is_leaf) {
     const bool repeatable =
         run == verdict::not_run || (run == verdict::may_have_run && m_call.context.idempotent);
     if (!repeatable) {
         return "it ran or may have run";
     }
-    const bool call_spent = reached_server && m_call.context.attempts_left == 0;
-    if (!m_shared.options.decisions_on || (!call_spent && m_shared.routes.may_retry(reached_server))) {
+    const bool call_spent = !is_leaf && reached_server && m_call.context.attempts_left == 0;
+    const bool daemon_may_retry =
+        is_leaf ? m_shared.routes.may_retry_leaf(budgeted()) : m_shared.routes.may_retry(reached_server);
+    if (!m_shared.options.decisions_on || (!call_spent && daemon_may_retry)) {
         return "too little time is left";
     }
     const auto budget = call_spent ? spent_budget::root_call : spent_budget::daemon;
--- a/src/entry/internal/routing_state.cpp
+++ b/src/entry/internal/routing_state.cpp
@@ -55,14 +55,41 @@
                        [&](const routing::endpoint_state& known) { return known.id == endpoint; });
 }
 
-void routing_state::record_sent(const core::endpoint_id& endpoint, bool first_attempt) {
+void routing_state::record_sent(const core::endpoint_id& endpoint, bool first_attempt,
+                                const budgeted_call& call, core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     routing::record_sent(m_table, endpoint);
-    if (first_attempt) {
-        retry::record_first_attempt(m_retries);
+    if (!first_attempt) {
+        return;
+    }
+    retry::record_first_attempt(m_retries);
+    auto& leaf_retries = leaf_retries_of(call.service);
+    if (call.made_by.is_repeat) {
+        retry::charge(leaf_retries);
+    } else {
+        retry::record_first_attempt(leaf_retries, now);
     }
 }
 
+void routing_state::record_nested_calls(const std::string& kind, std::uint32_t nested_calls) {
+    const std::scoped_lock lock(m_mutex);
+    auto& makes_calls = m_makes_calls[kind];
+    makes_calls = makes_calls || nested_calls > 0;
+}
+
+bool routing_state::is_leaf(const std::string& kind) {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_makes_calls.find(kind);
+    return m_decisions_on && found != m_makes_calls.end() && !found->second;
+}
+
+retry::leaf_budget& routing_state::leaf_retries_of(const std::string& service) {
+    auto& budget = m_leaf_retries[service];
+    budget.ratio = m_retries.repeats.ratio;
+    budget.burst = m_retries.repeats.max_tokens;
+    return budget;
+}
+
 void routing_state::record_result(const core::endpoint_id& endpoint, const routing::attempt_result& result,
                                   core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
@@ -89,11 +116,16 @@
 
 std::optional<std::chrono::nanoseconds> routing_state::next_attempt(core::call_context& context,
                                                                     const retry::attempt_outcome& outcome,
+                                                                    const budgeted_call& call,
                                                                     core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     if (m_decisions_on) {
-        return retry::next_attempt(retry::bucket_for(m_retries, outcome.reached_server), context, outcome,
-                                   m_random, now);
+        auto& bucket = retry::bucket_for(m_retries, outcome.reached_server);
+        const auto delay = retry::next_attempt(bucket, context, outcome, m_random, now);
+        if (delay && outcome.reached_server) {
+            retry::charge(leaf_retries_of(call.service));
+        }
+        return delay;
     }
     const bool may_repeat = outcome.run != core::verdict::ran && outcome.attempt < unbudgeted_retries;
     if (!may_repeat || now + unbudgeted_delay >= context.deadline) {
@@ -102,11 +134,24 @@
     return unbudgeted_delay;
 }
 
+std::optional<std::chrono::nanoseconds>
+routing_state::next_leaf_attempt(const core::call_context& context, const retry::attempt_outcome& outcome,
+                                 const budgeted_call& call, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    return retry::next_attempt(leaf_retries_of(call.service), context, outcome, call.made_by.calls_ended,
+                               m_random, now);
+}
+
 bool routing_state::may_retry(bool reached_server) {
     const std::scoped_lock lock(m_mutex);
     return retry::bucket_for(m_retries, reached_server).tokens >= 1;
 }
 
+bool routing_state::may_retry_leaf(const budgeted_call& call) {
+    const std::scoped_lock lock(m_mutex);
+    return retry::may_retry(leaf_retries_of(call.service), call.made_by.calls_ended);
+}
+
 void routing_state::set_retry_ratio(double ratio) {
     const std::scoped_lock lock(m_mutex);
     m_retries.repeats.ratio = ratio;
--- a/src/entry/internal/routing_state.h
+++ b/src/entry/internal/routing_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "gate/nested_budgets.h"
 #include "membership/member_directory.h"
 #include "retry/retry_budget.h"
 #include "routing/chain_levels.h"
@@ -10,9 +11,16 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace monsoonlift::entry::internal {
 
+/// A call of which an attempt is sent or ended, for the retry budgets.
+struct budgeted_call {
+    const std::string& service;
+    gate::run_progress made_by; ///< The run that makes the call; the default for root calls.
+};
+
 /// Routing table and retry budgets of one entry, behind one lock. Thread-safe.
 class routing_state {
 public:
@@ -33,7 +41,14 @@
     /// Whether this incarnation of the endpoint is in the routing table, that is, not known to have ended.
     [[nodiscard]] bool is_known(const core::endpoint_id& endpoint);
 
-    void record_sent(const core::endpoint_id& endpoint, bool first_attempt);
+    void record_sent(const core::endpoint_id& endpoint, bool first_attempt, const budgeted_call& call,
+                     core::steady_time now);
+
+    /// Records how many calls a run of this kind made that was answered completely.
+    void record_nested_calls(const std::string& kind, std::uint32_t nested_calls);
+
+    /// Whether runs of this kind are known to make no calls; false while decisions are off.
+    [[nodiscard]] bool is_leaf(const std::string& kind);
 
     void record_result(const core::endpoint_id& endpoint, const routing::attempt_result& result,
                        core::steady_time now);
@@ -51,13 +66,24 @@
     [[nodiscard]] std::chrono::milliseconds return_time(std::chrono::milliseconds latency_objective);
 
     /// Returns the delay before the next attempt, or nothing if there must not be one.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> next_attempt(core::call_context& context,
+                                                                       const retry::attempt_outcome& outcome,
+                                                                       const budgeted_call& call,
+                                                                       core::steady_time now);
+
+    /// Returns the delay before the next attempt of a nested call that makes none of its own, after an
+    /// attempt that a backend server refused unrun; nothing if there must not be one.
     [[nodiscard]] std::optional<std::chrono::nanoseconds>
-    next_attempt(core::call_context& context, const retry::attempt_outcome& outcome, core::steady_time now);
+    next_leaf_attempt(const core::call_context& context, const retry::attempt_outcome& outcome,
+                      const budgeted_call& call, core::steady_time now);
 
     /// Whether the daemon's retry budget allows another retry. `reached_server` says whether the last attempt
     /// may have reached a backend server; retries after other attempts have a separate budget.
     [[nodiscard]] bool may_retry(bool reached_server);
 
+    /// Whether the budget of next_leaf_attempt() allows another retry of this call.
+    [[nodiscard]] bool may_retry_leaf(const budgeted_call& call);
+
     /// Sets the configured ratio of retries to first attempts.
     void set_retry_ratio(double ratio);
 
@@ -71,6 +97,7 @@
     void member_changed(const membership::member& changed, core::steady_time now);
 
 private:
+    [[nodiscard]] retry::leaf_budget& leaf_retries_of(const std::string& service);
     [[nodiscard]] routing::route_choice choose_at_random(const routing::route_request& request);
 
     bool m_decisions_on;
@@ -79,6 +106,8 @@
     routing::chain_levels m_chains;
     retry::retry_budgets m_retries;
     retry::ratio_state m_grants; ///< Token bucket for grants to root calls; only root calls refill it.
+    std::unordered_map<std::string, retry::leaf_budget> m_leaf_retries; ///< By called service.
+    std::unordered_map<std::string, bool> m_makes_calls; ///< Whether a run of this kind has made a call.
     routing::random_engine m_random;
 };
 
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -217,7 +217,7 @@
 boost::asio::awaitable<void> gate_call::run() {
     m_watchdog->start(m_head.context.deadline,
                       [self = shared_from_this()] { self->stop_now(end_reason::deadline); });
-    m_env.budgets.open(m_run, m_head.context.attempts_left);
+    m_env.budgets.open(m_run, m_head.context.attempts_left, m_attempt.attempt > 0);
     const bool ready = co_await open_connection();
     if (ready) {
         co_await exchange();
@@ -316,6 +316,7 @@
 transport::attempt_end gate_call::complete_end() {
     if (!m_end.nested_attempts) {
         m_end.nested_level = m_env.budgets.strictest_level(m_run);
+        m_end.nested_calls = m_env.budgets.progress(m_run).calls_begun;
         m_end.nested_attempts = m_env.budgets.close(m_run);
     }
     m_end.load = m_env.table.report();
--- a/src/gate/internal/nested_budgets.cpp
+++ b/src/gate/internal/nested_budgets.cpp
@@ -4,15 +4,19 @@
 
 namespace monsoonlift::gate {
 
-void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left) {
+void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat) {
     const std::scoped_lock lock(m_mutex);
-    m_budgets[run] = {attempts_left, 0, {}};
+    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}};
 }
 
 std::uint32_t nested_budgets::reserve(std::uint64_t run) {
     const std::scoped_lock lock(m_mutex);
     const auto found = m_budgets.find(run);
-    return found == m_budgets.end() ? 0 : std::exchange(found->second.remaining, 0);
+    if (found == m_budgets.end()) {
+        return 0;
+    }
+    ++found->second.progress.calls_begun;
+    return std::exchange(found->second.remaining, 0);
 }
 
 void nested_budgets::give_back(std::uint64_t run, std::uint32_t unspent, std::uint32_t spent) {
@@ -23,6 +27,13 @@
     }
     found->second.remaining += unspent;
     found->second.spent += spent;
+    ++found->second.progress.calls_ended;
+}
+
+run_progress nested_budgets::progress(std::uint64_t run) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    return found == m_budgets.end() ? run_progress{} : found->second.progress;
 }
 
 void nested_budgets::note_level(std::uint64_t run, const admission::shed_level& met) {
--- a/src/gate/nested_budgets.h
+++ b/src/gate/nested_budgets.h
@@ -8,13 +8,21 @@
 
 namespace monsoonlift::gate {
 
+/// The nested calls of a running request.
+struct run_progress {
+    std::uint32_t calls_begun = 0;
+    std::uint32_t calls_ended = 0;
+    bool is_repeat = false; ///< The request was sent before, so its nested calls may have been made before.
+};
+
 /// Retry budgets of the requests that run on the local backend server, and the strictest shed level that
 /// their nested calls met. Nested calls draw from the budget of the request that made them, so the root call
 /// has one budget for all hops. Thread-safe.
 class nested_budgets {
 public:
     /// Registers a request that begins to run, with the attempts that its root call may still spend.
-    void open(std::uint64_t run, std::uint32_t attempts_left);
+    /// `is_repeat` says whether it is sent for the second time or more.
+    void open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat = false);
 
     /// Reserves the complete remaining budget for one nested call; concurrent nested calls get zero. Zero for
     /// a run that has ended.
@@ -23,6 +31,9 @@
     /// Returns the unspent part of a nested call's reservation to the budget and adds what it spent.
     void give_back(std::uint64_t run, std::uint32_t unspent, std::uint32_t spent);
 
+    /// Returns how far the request has come; the default if it isn't running.
+    [[nodiscard]] run_progress progress(std::uint64_t run) const;
+
     /// Records a shed level that a nested call met.
     void note_level(std::uint64_t run, const admission::shed_level& met);
 
@@ -41,6 +52,7 @@
         std::uint32_t remaining = 0;
         std::uint32_t spent = 0;
         admission::shed_level strictest;
+        run_progress progress;
     };
 
     mutable std::mutex m_mutex;
--- a/src/gate/tests/nested_budgets_tests.cpp
+++ b/src/gate/tests/nested_budgets_tests.cpp
@@ -23,6 +23,21 @@
     REQUIRE_FALSE(budgets.is_open(1));
 }
 
+TEST_CASE("a run doesn't tell how many calls it has made, or that it is a repeat", "[gate]") {
+    nested_budgets budgets;
+    budgets.open(1, 2, true);
+    CHECK(budgets.progress(1).is_repeat);
+    static_cast<void>(budgets.reserve(1));
+    CHECK(budgets.progress(1).calls_begun == 1);
+    CHECK(budgets.progress(1).calls_ended == 0);
+    budgets.give_back(1, 2, 0);
+    CHECK(budgets.progress(1).calls_ended == 1);
+    static_cast<void>(budgets.close(1));
+    CHECK(budgets.progress(1).calls_begun == 0);
+    budgets.open(2, 2);
+    CHECK_FALSE(budgets.progress(2).is_repeat);
+}
+
 TEST_CASE("concurrent reservations never exceed the budget", "[gate][threads]") {
     nested_budgets budgets;
     budgets.open(1, 100);
--- a/src/model/internal/backend_model.cpp
+++ b/src/model/internal/backend_model.cpp
@@ -55,13 +55,16 @@
     return fault != nullptr && fault->kind == kind;
 }
 
-std::optional<call_answer> backend_model::immediate_answer() const {
+std::optional<call_answer> backend_model::immediate_answer() {
     if (suffers(fault_kind::failing_fast)) {
         return call_answer{false, core::verdict::ran};
     }
     if (suffers(fault_kind::refusing)) {
         return call_answer{false, core::verdict::not_run};
     }
+    if (suffers(fault_kind::refusing_some) && std::bernoulli_distribution(current_fault()->share)(m_random)) {
+        return call_answer{false, core::verdict::not_run};
+    }
     if (suffers(fault_kind::breaking)) {
         return call_answer{false, core::verdict::may_have_run};
     }
@@ -103,11 +106,12 @@
         return;
     }
     const std::size_t service = m_spec.nested[current->nested_calls];
-    ++current->nested_calls;
     core::call_context nested = current->request->context;
     ++nested.depth;
     nested.attempts_left -= std::min(nested.attempts_left, current->spent);
-    current->cancel_nested = m_nested(nested, service, [this, current](const call_answer& below) {
+    const caller_run made_by{static_cast<std::uint32_t>(current->nested_calls), current->request->is_repeat};
+    ++current->nested_calls;
+    current->cancel_nested = m_nested(nested, service, made_by, [this, current](const call_answer& below) {
         current->spent += below.spent;
         if (below.whole) {
             send_nested(current);
--- a/src/model/internal/backend_model.h
+++ b/src/model/internal/backend_model.h
@@ -16,8 +16,8 @@
 class backend_model {
 public:
     /// Sends a nested call.
-    using nested_call =
-        std::function<cancel_function(const core::call_context&, std::size_t service, answer_handler)>;
+    using nested_call = std::function<cancel_function(const core::call_context&, std::size_t service,
+                                                      const caller_run&, answer_handler)>;
 
     backend_model(event_loop& loop, std::mt19937_64& random, const service_spec& spec,
                   std::vector<fault_spec> faults, bool cancels);
@@ -56,7 +56,7 @@
     void send_nested(const job_ptr& current);
     void cancel(const job_ptr& cancelled);
     void finish(const job_ptr& finished, const call_answer& answer);
-    [[nodiscard]] std::optional<call_answer> immediate_answer() const;
+    [[nodiscard]] std::optional<call_answer> immediate_answer();
     [[nodiscard]] std::chrono::nanoseconds draw_service_time();
 
     event_loop& m_loop;
--- a/src/model/internal/call.h
+++ b/src/model/internal/call.h
@@ -26,11 +26,18 @@
 /// Called once with the answer.
 using answer_handler = std::function<void(const call_answer&)>;
 
+/// The run that makes a call; the default stands for a caller.
+struct caller_run {
+    std::uint32_t calls_ended = 0; ///< Nested calls that have ended for it before.
+    bool is_repeat = false;
+};
+
 /// One attempt from an entry to a gate; shared by both.
 struct attempt {
     core::call_context context;
     answer_handler answer;
     bool cancelled = false;
+    bool is_repeat = false;          ///< A retry, or made for a run that was itself a repeat.
     std::function<void()> on_cancel; ///< Set while a backend server runs the attempt.
 };
 
--- a/src/model/internal/entry_model.cpp
+++ b/src/model/internal/entry_model.cpp
@@ -18,6 +18,7 @@
 entry_model::entry_model(event_loop& loop, std::mt19937_64& random, const rule_set& rules,
                          const scenario& simulated, std::size_t data_centre)
     : m_loop(loop), m_random(random), m_rules(rules), m_scenario(simulated), m_data_centre(data_centre) {
+    m_grants.max_tokens = m_grants.tokens = simulated.grant_burst;
     m_table.data_centre = rules.has(rule::local_first) ? name_of(data_centre) : "";
 }
 
@@ -29,10 +30,12 @@
 }
 
 cancel_function entry_model::send(const core::call_context& context, std::size_t service,
-                                  std::chrono::nanoseconds patience, answer_handler done) {
+                                  std::chrono::nanoseconds patience, const caller_run& made_by,
+                                  answer_handler done) {
     const auto fresh = std::make_shared<call>();
     fresh->context = context;
     fresh->service = service;
+    fresh->made_by = made_by;
     fresh->done = std::move(done);
     fresh->route.service = name_of(service);
     if (!m_rules.has(rule::retry_budget)) {
@@ -43,6 +46,11 @@
         fresh->granted = retry::grant(m_grants, fresh->context);
     }
     retry::record_first_attempt(m_retries);
+    if (made_by.is_repeat) {
+        retry::charge(m_leaf_retries[service]);
+    } else {
+        retry::record_first_attempt(m_leaf_retries[service], m_loop.now());
+    }
     const auto time_left = core::time_left(context, m_loop.now());
     m_loop.after(std::min(patience, time_left),
                  [this, fresh, leaves = patience < time_left] { abandon(fresh, leaves); });
@@ -69,6 +77,7 @@
     const auto fresh = std::make_shared<attempt>();
     fresh->context = sent->context;
     fresh->context.attempts_left = lent;
+    fresh->is_repeat = sent->attempts > 0 || sent->made_by.is_repeat;
     fresh->answer = [this, sent, id = *endpoint, lent, started, target](const call_answer& answer) {
         m_loop.after(draw_delay(target.data_centre),
                      [=, this] { on_answer(sent, id, lent, started, answer); });
@@ -104,11 +113,13 @@
     retry::attempt_outcome outcome;
     outcome.run = answer.run;
     outcome.attempt = sent->attempts;
-    retry::ratio_state unlimited;
     outcome.reached_server = !answer.shed;
-    auto& bucket = retry::bucket_for(m_retries, outcome.reached_server);
-    auto& ratio = m_rules.has(rule::retry_ratio) ? bucket : unlimited;
-    auto delay = retry::next_attempt(ratio, sent->context, outcome, m_random, m_loop.now());
+    const bool has_own_budget = m_rules.has(rule::leaf_retries) && sent->context.depth > 0 &&
+                                is_leaf(sent->service) && outcome.reached_server &&
+                                outcome.run == core::verdict::not_run;
+    auto delay = has_own_budget ? retry::next_attempt(m_leaf_retries[sent->service], sent->context, outcome,
+                                                      sent->made_by.calls_ended, m_random, m_loop.now())
+                                : next_attempt(sent, outcome);
     if (!delay) {
         end(sent, answer);
         return;
@@ -117,10 +128,26 @@
         delay = std::chrono::nanoseconds::zero();
     }
     ++sent->attempts;
-    sent->spent += outcome.reached_server ? 1 : 0;
+    sent->spent += outcome.reached_server && !has_own_budget ? 1 : 0;
     m_loop.after(*delay, [this, sent] { start_attempt(sent); });
 }
 
+std::optional<std::chrono::nanoseconds> entry_model::next_attempt(const call_ptr& sent,
+                                                                  const retry::attempt_outcome& outcome) {
+    retry::ratio_state unlimited;
+    auto& bucket = retry::bucket_for(m_retries, outcome.reached_server);
+    auto& ratio = m_rules.has(rule::retry_ratio) ? bucket : unlimited;
+    const auto delay = retry::next_attempt(ratio, sent->context, outcome, m_random, m_loop.now());
+    if (delay && outcome.reached_server) {
+        retry::charge(m_leaf_retries[sent->service]);
+    }
+    return delay;
+}
+
+bool entry_model::is_leaf(std::size_t service) const {
+    return m_scenario.services[service].nested.empty();
+}
+
 void entry_model::abandon(const call_ptr& sent, bool caller_left) {
     if (sent->ended) {
         return;
--- a/src/model/internal/entry_model.h
+++ b/src/model/internal/entry_model.h
@@ -28,7 +28,7 @@
     /// Sends a call and passes its answer to `done`, no later than at its deadline or at the end of
     /// `patience`. The returned function cancels the call.
     cancel_function send(const core::call_context& context, std::size_t service,
-                         std::chrono::nanoseconds patience, answer_handler done);
+                         std::chrono::nanoseconds patience, const caller_run& made_by, answer_handler done);
 
     /// Returns the number of calls refused without an attempt.
     [[nodiscard]] std::uint64_t refused() const { return m_refused; }
@@ -37,6 +37,7 @@
     struct call {
         core::call_context context;
         std::size_t service = 0;
+        caller_run made_by;
         answer_handler done;
         routing::route_request route;
         std::uint32_t attempts = 0;
@@ -57,6 +58,9 @@
     void on_answer(const call_ptr& sent, const core::endpoint_id& endpoint, std::uint32_t lent,
                    core::steady_time started, const call_answer& answer);
     void repeat_or_end(const call_ptr& sent, const call_answer& answer);
+    [[nodiscard]] bool is_leaf(std::size_t service) const;
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> next_attempt(const call_ptr& sent,
+                                                                       const retry::attempt_outcome& outcome);
     void abandon(const call_ptr& sent, bool caller_left);
     void end(const call_ptr& ended, call_answer answer);
     [[nodiscard]] std::chrono::nanoseconds draw_delay(std::size_t data_centre);
@@ -72,6 +76,7 @@
     routing::routing_table m_table;
     retry::retry_budgets m_retries = retry::make_retry_budgets(10);
     retry::ratio_state m_grants;
+    std::unordered_map<std::size_t, retry::leaf_budget> m_leaf_retries; ///< By called service.
     std::uint64_t m_refused = 0;
     std::unordered_map<std::string, known_gate> m_gates;
 };
--- a/src/model/internal/gate_model.cpp
+++ b/src/model/internal/gate_model.cpp
@@ -1,5 +1,6 @@
 #include "model/internal/gate_model.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoonlift::model::internal {
@@ -26,6 +27,9 @@
 
 void gate_model::receive(const attempt_ptr& received) {
     ++m_arrivals;
+    const auto step = static_cast<std::size_t>(m_loop.elapsed() / arrivals_step);
+    m_arrivals_by_step.resize(std::max(m_arrivals_by_step.size(), step + 1));
+    ++(received->is_repeat ? m_arrivals_by_step[step].repeats : m_arrivals_by_step[step].firsts);
     core::call_context seen = received->context;
     if (!m_rules.has(rule::root_consistency)) {
         seen.root.bytes[15] = static_cast<std::uint8_t>(m_random());
--- a/src/model/internal/gate_model.h
+++ b/src/model/internal/gate_model.h
@@ -19,6 +19,15 @@
 /// The gate of one backend server.
 class gate_model {
 public:
+    /// Arrivals in one step of time.
+    struct arrivals_in_step {
+        std::uint64_t firsts = 0;
+        std::uint64_t repeats = 0;
+    };
+
+    /// Length of a step in arrivals_by_step().
+    static constexpr std::chrono::milliseconds arrivals_step{250};
+
     gate_model(event_loop& loop, std::mt19937_64& random, const rule_set& rules, const service_spec& spec,
                backend_model& backend);
 
@@ -34,6 +43,9 @@
     /// Returns the number of attempts that arrived.
     [[nodiscard]] std::uint64_t arrivals() const { return m_arrivals; }
 
+    /// Returns the arrivals by steps of time, from the start of the run.
+    [[nodiscard]] const std::vector<arrivals_in_step>& arrivals_by_step() const { return m_arrivals_by_step; }
+
     /// Returns the number of waiting calls.
     [[nodiscard]] std::size_t waiting() const { return m_queue.length; }
 
@@ -65,6 +77,7 @@
     std::unordered_map<std::uint64_t, attempt_ptr> m_waiting;
     std::uint64_t m_next_ticket = 0;
     std::uint64_t m_arrivals = 0;
+    std::vector<arrivals_in_step> m_arrivals_by_step;
     refusal_counts m_refusals;
 };
 
--- a/src/model/internal/scenarios.cpp
+++ b/src/model/internal/scenarios.cpp
@@ -15,8 +15,8 @@
     "shedding",     "early_shed",       "class_order",      "root_consistency",  "work_conserving",
     "nested_first", "queue_time_bound", "hopeless_refusal", "concurrency_bound", "learned_limit",
     "cold_ramp",    "limit_trial",      "retry_budget",     "root_grant",        "retry_ratio",
-    "backoff",      "load_reports",     "latency_routing",  "success_routing",   "local_first",
-    "cancellation"};
+    "leaf_retries", "backoff",          "load_reports",     "latency_routing",   "success_routing",
+    "local_first",  "cancellation"};
 
 /// The outage map of a regional agency at a reduced scale: two services and three classes, of which bulk
 /// refreshes grow most during the surge.
@@ -141,6 +141,29 @@
     return simulated;
 }
 
+/// A chain of four services, of which the third makes five calls in turn to the last; all servers of that
+/// refuse more than half of their requests at random for a while, with slots free.
+scenario refusing_some() {
+    scenario simulated;
+    simulated.name = "refusing_some";
+    simulated.services = {{6, 80, 0, 20ms, 0.5, false, {1}},
+                          {4, 80, 0, 5ms, 0.5, false, {2}},
+                          {4, 80, 0, 5ms, 0.5, false, {3, 3, 3, 3, 3}},
+                          {5, 40, 0, 10ms, 0.5, false, {}}};
+    simulated.classes = {{"lookup", 0, 0.01, 0.01, 2000ms, true}, {"note", 1, 0.01, 0.01, 500ms, true, 3}};
+    simulated.surge_from = 12s;
+    simulated.surge_until = 20s;
+    simulated.length = 25s;
+    simulated.caller_resends = 0;
+    simulated.attempts_per_root = 4;
+    simulated.grant_burst = 400;
+    break_service(simulated, 3, fault_kind::refusing_some);
+    for (auto& fault : simulated.faults) {
+        fault.share = 0.55;
+    }
+    return simulated;
+}
+
 /// A chain in which no caller learns whether a call ran: the last service closes the connections, and so do
 /// all services above it.
 scenario breaking(std::size_t depth) {
@@ -279,6 +302,7 @@
             chain(5),
             chain(29),
             refusing(29),
+            refusing_some(),
             breaking(5),
             breaking(29),
             mislead(),
--- a/src/model/internal/simulation.cpp
+++ b/src/model/internal/simulation.cpp
@@ -8,6 +8,7 @@
 #include "model/internal/goodput_recorder.h"
 #include "model/internal/slot_loss_sampler.h"
 
+#include <algorithm>
 #include <memory>
 #include <random>
 #include <vector>
@@ -18,6 +19,9 @@
 
 using namespace internal;
 
+/// Window in which repeats are compared with first arrivals.
+constexpr std::chrono::seconds repeats_window{10};
+
 /// One backend server with its daemon.
 struct node {
     std::unique_ptr<backend_model> backend;
@@ -83,10 +87,10 @@
         for (auto& to : run.nodes) {
             from.entry->add_gate(to.service, to.data_centre, *to.gate);
         }
-        from.backend->set_nested_call(
-            [entry = from.entry.get()](const auto& context, std::size_t service, auto done) {
-                return entry->send(context, service, std::chrono::nanoseconds::max(), std::move(done));
-            });
+        from.backend->set_nested_call([entry = from.entry.get()](const auto& context, std::size_t service,
+                                                                 const auto& made_by, auto done) {
+            return entry->send(context, service, std::chrono::nanoseconds::max(), made_by, std::move(done));
+        });
     }
 }
 
@@ -97,7 +101,7 @@
         auto send = [&run](const core::call_context& context, const class_spec& spec, answer_handler done) {
             const std::size_t chosen =
                 std::uniform_int_distribution<std::size_t>(0, run.nodes.size() - 1)(run.random);
-            run.nodes[chosen].entry->send(context, spec.service, spec.patience, std::move(done));
+            run.nodes[chosen].entry->send(context, spec.service, spec.patience, {}, std::move(done));
         };
         run.callers.push_back(std::make_unique<caller_model>(run.loop, run.random, simulated, index, rank,
                                                              recorder, std::move(send)));
@@ -131,6 +135,36 @@
     result.wasted_runs_ratio = 1 - share(useful, static_cast<double>(runs));
 }
 
+/// Returns the worst share of repeats in a window at the last service; see model_result.
+double worst_repeats(const simulation_run& run, const scenario& simulated) {
+    std::vector<gate_model::arrivals_in_step> sums(
+        static_cast<std::size_t>(simulated.length / gate_model::arrivals_step) + 1);
+    for (const auto& counted : run.nodes) {
+        const auto& steps = counted.gate->arrivals_by_step();
+        for (std::size_t step = 0; counted.service + 1 == simulated.services.size() && step < steps.size();
+             ++step) {
+            sums.at(step).firsts += steps[step].firsts;
+            sums.at(step).repeats += steps[step].repeats;
+        }
+    }
+    constexpr std::size_t window = repeats_window / gate_model::arrivals_step;
+    const auto sum_from = [&](std::size_t from) {
+        gate_model::arrivals_in_step sum;
+        for (std::size_t step = from; step < std::min(from + window, sums.size()); ++step) {
+            sum.firsts += sums[step].firsts;
+            sum.repeats += sums[step].repeats;
+        }
+        return sum;
+    };
+    double worst = 0;
+    for (std::size_t from = window; from < sums.size(); ++from) {
+        const auto in_window = sum_from(from);
+        const auto most = std::max(in_window.firsts, sum_from(from - window).firsts);
+        worst = std::max(worst, most > 0 ? static_cast<double>(in_window.repeats) / most : 0);
+    }
+    return worst;
+}
+
 void count_refusals(const simulation_run& run, refusal_counts& sums) {
     for (const auto& counted : run.nodes) {
         const auto& refused = counted.gate->refusals();
@@ -162,6 +196,7 @@
     result.capacity_per_second = capacity_of(simulated);
     recorder.summarise(result);
     count_attempts(run, simulated, result);
+    result.repeats_deepest_worst = worst_repeats(run, simulated);
     count_refusals(run, result.refusals);
     result.slots = losses.shares();
     return result;
--- a/src/model/model_main.cpp
+++ b/src/model/model_main.cpp
@@ -66,6 +66,7 @@
             {"steady_whole_ratio", result.steady_whole_ratio},
             {"recovery_seconds", result.recovery_seconds},
             {"attempts_per_root_deepest", result.attempts_per_root_deepest},
+            {"repeats_deepest_worst", result.repeats_deepest_worst},
             {"root_sends_per_call", result.root_sends_per_call},
             {"wasted_runs_ratio", result.wasted_runs_ratio},
             {"slots", slots},
--- a/src/model/tests/simulation_tests.cpp
+++ b/src/model/tests/simulation_tests.cpp
@@ -129,6 +129,26 @@
     }
 }
 
+TEST_CASE("chains end at the first refusal of a service with free slots though retries are left", "[model]") {
+    rule_set without;
+    without.disable(rule::leaf_retries);
+    double chains = 0;
+    double chains_without = 0;
+    for (const auto seed : seeds) {
+        const auto simulated = *find_scenario("refusing_some");
+        const auto result = simulate(simulated, rule_set{}, seed);
+        const auto plain = simulate(simulated, without, seed);
+        chains += whole_ratio_surge(result, "lookup");
+        chains_without += whole_ratio_surge(plain, "lookup");
+        CAPTURE(seed, result.repeats_deepest_worst);
+        REQUIRE(whole_ratio_surge(result, "note") >= whole_ratio_surge(plain, "note"));
+        REQUIRE(result.repeats_deepest_worst <= 0.15);
+        REQUIRE(result.recovery_seconds <= 2);
+    }
+    CAPTURE(chains, chains_without);
+    REQUIRE(chains >= 1.5 * chains_without);
+}
+
 TEST_CASE("two faulty servers that report themselves idle cost the healthy ones at most 5% of goodput",
           "[model]") {
     for (const auto seed : seeds) {
--- a/src/model/types/model_result.h
+++ b/src/model/types/model_result.h
@@ -41,8 +41,11 @@
     /// its value before the surge.
     double recovery_seconds = 0;
     double attempts_per_root_deepest = 0; ///< Arrivals at the last service per root call sent.
-    double root_sends_per_call = 0;       ///< Root calls sent, resends included, per call made.
-    double wasted_runs_ratio = 0; ///< Share of the runs at all services that led to no complete answer.
+    /// Most repeats that arrived at the last service in 10 s, per first arrival in these or in the 10 s
+    /// before, whichever were more. Calls made by a run that was a repeat count as repeats.
+    double repeats_deepest_worst = 0;
+    double root_sends_per_call = 0; ///< Root calls sent, resends included, per call made.
+    double wasted_runs_ratio = 0;   ///< Share of the runs at all services that led to no complete answer.
     slot_losses slots;
     refusal_counts refusals;
     std::vector<class_result> classes;
--- a/src/model/types/rules.h
+++ b/src/model/types/rules.h
@@ -26,13 +26,14 @@
     retry_budget,      ///< One retry budget for the root call; without it every hop has its own.
     root_grant,        ///< Retry budgets are granted in proportion to the number of root calls.
     retry_ratio,       ///< Retries are limited to a share of first attempts.
-    backoff,           ///< Retries are delayed; without it they are sent immediately.
-    load_reports,      ///< Routing uses the load that gates report.
-    latency_routing,   ///< Routing uses measured latencies.
-    success_routing,   ///< Routing uses measured success rates.
-    local_first,       ///< Routing prefers gates in its own data centre.
-    cancellation,      ///< Work for a caller that has left is cancelled.
-    count              ///< Number of rules.
+    leaf_retries,    ///< Refused calls that make none of their own are retried out of a budget of their own.
+    backoff,         ///< Retries are delayed; without it they are sent immediately.
+    load_reports,    ///< Routing uses the load that gates report.
+    latency_routing, ///< Routing uses measured latencies.
+    success_routing, ///< Routing uses measured success rates.
+    local_first,     ///< Routing prefers gates in its own data centre.
+    cancellation,    ///< Work for a caller that has left is cancelled.
+    count            ///< Number of rules.
 };
 
 /// Enabled rules, and the order of waiting calls.
--- a/src/model/types/scenario.h
+++ b/src/model/types/scenario.h
@@ -43,6 +43,7 @@
     slow_reported_idle, ///< Service times are ten times as long, while its gate reports it idle.
     failing_fast,       ///< Answers immediately with an error, while its gate reports it idle.
     refusing,           ///< Refuses immediately, so that the request has not run.
+    refusing_some,      ///< Refuses a share of its requests at random, whatever its load.
     closing_on_error,   ///< Closes the connection instead of sending an error answer.
     cold,               ///< Slow for a while after a restart; service times grow with the running requests.
     cold_contended,     ///< Like cold, but times grow with the square, so throughput falls as more run.
@@ -58,6 +59,7 @@
     fault_kind kind = fault_kind::slow;
     run_time from{0};
     run_time until{run_time::max()};
+    double share = 1; ///< Share of the requests that refusing_some refuses.
 };
 
 /// Services, callers, network and faults of one simulated run.
@@ -70,8 +72,9 @@
     run_time surge_until{0};
     run_time length{std::chrono::seconds(10)};
     std::uint32_t caller_resends = 3; ///< Maximum number of resends of a failed call by its caller.
-    std::chrono::milliseconds resend_delay{100};  ///< Maximum random pause before a resend.
-    std::uint32_t attempts_per_root = 2;          ///< Retry budget of a root call, in attempts.
+    std::chrono::milliseconds resend_delay{100}; ///< Maximum random pause before a resend.
+    std::uint32_t attempts_per_root = 2;         ///< Retry budget of a root call, in attempts.
+    double grant_burst = 10; ///< Retries that root calls in flight may hold at each daemon.
     std::chrono::microseconds local_delay{200};   ///< One-way delay within a data centre.
     std::chrono::microseconds remote_delay{4000}; ///< One-way delay between data centres.
     double stall_share = 0; ///< Share of messages between data centres that a lost packet delays.
--- a/src/retry/retry_budget.h
+++ b/src/retry/retry_budget.h
@@ -37,6 +37,21 @@
     ratio_state resends; ///< For retries after an attempt that was refused before it reached any.
 };
 
+/// Token bucket of one daemon for one called service: retries of calls that make no calls of their own, after
+/// an attempt that a backend server refused unrun. Such a retry adds one arrival there and none further down,
+/// so it needs no share of the root call's budget. Each first attempt adds `ratio` tokens; the bucket holds
+/// `burst` and what was earned lately, so calls in a calm pay for retries in the trouble after it.
+struct leaf_budget {
+    double ratio = 0.1;
+    double burst = 10;
+    double tokens = 10;
+    double earned = 0; ///< Tokens earned lately: each counts less from then on, by `leaf_memory`.
+    core::steady_time counted_at{};
+};
+
+/// Time constant with which earned tokens of a leaf_budget are forgotten.
+constexpr std::chrono::seconds leaf_memory{4};
+
 /// Returns full buckets that each allow a burst of `burst` retries.
 [[nodiscard]] retry_budgets make_retry_budgets(double burst);
 
@@ -56,6 +71,24 @@
 next_attempt(ratio_state& state, core::call_context& context, const attempt_outcome& outcome,
              random_engine& random, core::steady_time now);
 
+/// Adds the tokens that a first attempt at the service earns.
+void record_first_attempt(leaf_budget& state, core::steady_time now);
+
+/// Takes a token for an arrival that is a repeat and was allowed otherwise: a retry out of another budget, or
+/// a call made by a run that was itself a retry. The tokens may fall below zero, by as much as the
+/// bucket holds.
+void charge(leaf_budget& state);
+
+/// Whether the tokens allow a retry. The fewer nested calls have ended for the run that makes the call, the
+/// more tokens must stay for others, as a retry late in a series of calls saves the work done for those
+/// before it.
+[[nodiscard]] bool may_retry(const leaf_budget& state, std::uint32_t calls_ended);
+
+/// As above, out of a leaf_budget: `context.attempts_left` is neither needed nor spent.
+[[nodiscard]] std::optional<std::chrono::nanoseconds>
+next_attempt(leaf_budget& state, const core::call_context& context, const attempt_outcome& outcome,
+             std::uint32_t calls_ended, random_engine& random, core::steady_time now);
+
 /// Sets and returns the retry budget of a root call: at most `context.attempts_left` and at most the whole
 /// tokens in `grants`, a token bucket used for root calls only. This bounds the retries of all hops together
 /// to a share of the root calls, at any depth. Call record_first_attempt on `grants` for each root call
--- a/src/retry/tests/retry_budget_tests.cpp
+++ b/src/retry/tests/retry_budget_tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <vector>
 
 using namespace monsoonlift::retry;
 using namespace std::chrono_literals;
@@ -49,8 +50,105 @@
     return attempts;
 }
 
+/// First calls and retries of one service in one step of a played load.
+struct played_step {
+    int firsts = 0;
+    int repeats = 0;
+};
+
+/// Plays a service that refuses every attempt from `trouble` on, unrun, to one daemon with `firsts` first
+/// calls in each 100 ms; after `trouble` with `firsts_in_trouble`. All calls are retried as often as the
+/// budget allows.
+std::vector<played_step> play_refusals(leaf_budget& state, std::size_t steps, std::size_t trouble, int firsts,
+                                       int firsts_in_trouble, std::uint32_t calls_ended) {
+    random_engine random(1);
+    std::vector<played_step> played(steps);
+    for (std::size_t step = 0; step < steps; ++step) {
+        const auto at = now + step * 100ms;
+        played[step].firsts = step < trouble ? firsts : firsts_in_trouble;
+        for (int call = 0; call < played[step].firsts; ++call) {
+            record_first_attempt(state, at);
+            auto context = idempotent_call(0);
+            context.deadline = at + 10s;
+            while (step >= trouble && next_attempt(state, context, {}, calls_ended, random, at)) {
+                ++played[step].repeats;
+            }
+        }
+    }
+    return played;
+}
+
+/// Returns the sum over ten seconds from a step on.
+played_step sum_of_window(const std::vector<played_step>& played, std::size_t from) {
+    played_step sum;
+    for (std::size_t step = from; step < std::min(from + 100, played.size()); ++step) {
+        sum.firsts += played[step].firsts;
+        sum.repeats += played[step].repeats;
+    }
+    return sum;
+}
+
 } // namespace
 
+TEST_CASE("retries out of the budget of a service exceed twice its ratio in some window", "[retry]") {
+    struct load_case {
+        int firsts;
+        int firsts_in_trouble;
+    };
+    for (const auto& [firsts, firsts_in_trouble] :
+         {load_case{100, 100}, load_case{100, 10}, load_case{10, 100}}) {
+        leaf_budget state;
+        const auto played = play_refusals(state, 600, 300, firsts, firsts_in_trouble, 4);
+        for (std::size_t from = 100; from + 100 <= played.size(); ++from) {
+            const auto in_window = sum_of_window(played, from);
+            const int most = std::max(in_window.firsts, sum_of_window(played, from - 100).firsts);
+            CAPTURE(firsts, firsts_in_trouble, from);
+            REQUIRE(in_window.repeats <= 0.15 * most + state.burst);
+        }
+    }
+}
+
+TEST_CASE("what calls earned in a calm is lost to the trouble after it", "[retry]") {
+    leaf_budget state;
+    const auto played = play_refusals(state, 400, 300, 100, 10, 4);
+    const auto in_trouble = sum_of_window(played, 300);
+    CHECK(in_trouble.repeats >= in_trouble.firsts / 3);
+}
+
+TEST_CASE("calls at the beginning of a series use up the retries for those at its end", "[retry]") {
+    leaf_budget state;
+    static_cast<void>(play_refusals(state, 310, 300, 100, 100, 0));
+    CHECK_FALSE(may_retry(state, 0));
+    CHECK(may_retry(state, 4));
+    CHECK(state.tokens > 40);
+}
+
+TEST_CASE("repeats that another budget allowed are retried again out of the budget of the service",
+          "[retry]") {
+    leaf_budget state;
+    random_engine random(1);
+    auto context = idempotent_call(0);
+    for (int repeat = 0; repeat < 20; ++repeat) {
+        charge(state);
+    }
+    CHECK_FALSE(next_attempt(state, context, {}, 4, random, now));
+    for (int call = 0; call < 100; ++call) {
+        record_first_attempt(state, now);
+    }
+    CHECK_FALSE(next_attempt(state, context, {}, 4, random, now));
+}
+
+TEST_CASE("a retry out of the budget of a service is allowed though the attempt may have run", "[retry]") {
+    for (const auto run : {verdict::may_have_run, verdict::ran}) {
+        leaf_budget state;
+        random_engine random(1);
+        attempt_outcome outcome;
+        outcome.run = run;
+        CHECK_FALSE(next_attempt(state, idempotent_call(1), outcome, 4, random, now));
+        CHECK(state.tokens == 10);
+    }
+}
+
 TEST_CASE("a call is retried although its verdict forbids it", "[retry]") {
     struct verdict_case {
         verdict run;
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -89,6 +89,9 @@
     if (end.nested_attempts) {
         target.set_nested_attempts(*end.nested_attempts);
     }
+    if (end.nested_calls) {
+        target.set_nested_calls(*end.nested_calls);
+    }
     if (end.retry_after) {
         target.set_retry_after_ms(static_cast<std::uint32_t>(end.retry_after->count()));
     }
@@ -133,6 +136,9 @@
     if (source.has_nested_attempts()) {
         end.nested_attempts = source.nested_attempts();
     }
+    if (source.has_nested_calls()) {
+        end.nested_calls = source.nested_calls();
+    }
     if (source.retry_after_ms() != 0) {
         end.retry_after = std::chrono::milliseconds(source.retry_after_ms());
     }
--- a/src/transport/tests/frame_codec_tests.cpp
+++ b/src/transport/tests/frame_codec_tests.cpp
@@ -60,10 +60,13 @@
     end.retry_after = 40ms;
     const auto unknown = decode(encode(sample(end), now), now);
     REQUIRE_FALSE(std::get<attempt_end>(unknown->payload).nested_attempts);
+    REQUIRE_FALSE(std::get<attempt_end>(unknown->payload).nested_calls);
     end.nested_attempts = 0;
+    end.nested_calls = 5;
     const auto known = decode(encode(sample(end), now), now);
     const auto& read = std::get<attempt_end>(known->payload);
     REQUIRE(read.nested_attempts == 0U);
+    REQUIRE(read.nested_calls == 5U);
     REQUIRE(read.retry_after == 40ms);
     REQUIRE(read.run == core::verdict::not_run);
 }
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -53,6 +53,7 @@
     std::optional<std::chrono::milliseconds> retry_after;
     /// Attempts made by nested calls beyond the first attempt of each; empty if the number is not known.
     std::optional<std::uint32_t> nested_attempts;
+    std::optional<std::uint32_t> nested_calls; ///< Calls that the run made; empty if not known.
     std::optional<routing::load_report> load;
     admission::shed_level nested_level; ///< Strictest shed level that the nested calls of the request met.
     std::chrono::microseconds service_time{0};
