--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -126,6 +126,9 @@
         target.present_number(wire_end::kNestedBucketFieldNumber, end.nested_level.bucket);
     }
     target.fixed(wire_end::kSuccessorOfFieldNumber, end.successor_of.value);
+    if (end.nested_calls) {
+        target.present_number(wire_end::kNestedCallsFieldNumber, *end.nested_calls);
+    }
 }
 
 routing::load_report read(const wire::load_report& source) {
@@ -155,6 +158,9 @@
     if (source.has_nested_attempts()) {
         end.nested_attempts = source.nested_attempts();
     }
+    if (source.has_nested_calls()) {
+        end.nested_calls = source.nested_calls();
+    }
     if (source.retry_after_ms() != 0) {
         end.retry_after = std::chrono::milliseconds(source.retry_after_ms());
     }
