Look for an answer that has arrived before an attempt is cancelled at its deadline

Callers saw: 504 for a call whose streamed answer had begun to arrive on the link when the process went on after a standstill past the deadline.

Cause: the deadline's timer runs in the turn in which the link is found readable, before its frames reach the call; the attempt was cancelled at once, and what arrives after a cancel is taken only if it is whole in one frame.

Change: at the deadline the entry first looks for 20 ms for frames that have arrived, and cancels then. The gate ends the attempt by its own deadline meanwhile. A 504 at the deadline is 20 ms later than before.

Evidence, late_wake_tests in entry: before, the streamed answer of 100000 bytes is lost to a 504; here it comes whole.

--- a/src/entry/internal/answer_exchange.cpp
+++ b/src/entry/internal/answer_exchange.cpp
@@ -17,6 +17,10 @@
 /// How long the entry waits for the gate to report the end of a cancelled attempt.
 constexpr std::chrono::milliseconds cancel_timeout = 50ms;
 
+/// How long the entry looks for an answer that has arrived before it cancels an attempt at its deadline: the
+/// process may have stood still until then.
+constexpr std::chrono::milliseconds last_look = 20ms;
+
 transport::attempt_end local_end(verdict run, end_reason reason, std::string detail) {
     transport::attempt_end end;
     end.run = run;
@@ -32,17 +36,24 @@
 
 boost::asio::awaitable<call_exchange::attempt_outcome> call_exchange::follow_attempt() {
     attempt_watch watch;
+    const auto deadline = m_call.context.deadline;
+    auto limit = deadline;
     while (true) {
-        const auto deadline = m_call.context.deadline;
-        auto event = co_await m_channel->events.next(wait_until(watch, deadline));
+        auto event = co_await m_channel->events.next(wait_until(watch, limit));
         if (!event && is_given_up(watch, m_shared.clock.now()) && m_shared.clock.now() < deadline) {
             send(transport::cancel{});
             co_return attempt_outcome{false, local_end(verdict::may_have_run, end_reason::backend_failed,
                                                        "the daemon of the backend server does not answer")};
         }
-        if (!event) {
+        const bool has_looked = limit > deadline;
+        if (!event && has_looked) {
             co_return co_await cancel_attempt(end_reason::deadline);
         }
+        if (!event) {
+            limit = m_shared.clock.now() + last_look;
+            note_frame(watch);
+            continue;
+        }
         if (auto* head = std::get_if<transport::response_head>(&*event)) {
             co_return co_await forward_answer(std::move(*head));
         }
--- a/src/entry/tests/late_wake_tests.cpp
+++ b/src/entry/tests/late_wake_tests.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
@@ -83,3 +84,21 @@
     REQUIRE(waiting.fleet.run_until([&] { return waiting.all_ended(); }));
     CHECK(waiting.answered("HTTP/1.1 200", "\r\n0\r\n\r\n") == connections);
 }
+
+TEST_CASE("an answer on the link to its entry when the deadline passes is dropped if it is streamed",
+          "[late_wake]") {
+    constexpr std::uint64_t request_and_head = 2;
+    wired_fleet fleet({}, 1);
+    fleet.daemon(0).announce();
+    fleet.daemon(1).announce();
+    raw_caller caller(fleet.io(), fleet.daemon(0).caller_address());
+    caller.read_answer();
+    caller.send(request("GET /answer/1/100000", call_timeout));
+    REQUIRE(fleet.run_until([&] {
+        return fleet.daemon(0).frames().passed() + fleet.daemon(1).frames().passed() >= request_and_head;
+    }));
+    std::this_thread::sleep_for(call_timeout);
+    REQUIRE(fleet.run_until([&] { return caller.has_ended(); }));
+    CHECK(caller.answer().starts_with("HTTP/1.1 200"));
+    CHECK(caller.answer().size() > 100000);
+}
