--- a/src/entry/tests/connection_limit_tests.cpp
+++ b/src/entry/tests/connection_limit_tests.cpp
@@ -5,11 +5,15 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
+#include <string>
+#include <thread>
 #include <vector>
 
 using namespace monsoonlift;
 using namespace monsoonlift::entry::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -74,3 +78,37 @@
     REQUIRE(entry.fleet.run_until([&] { return entry.served() == 2; }));
     CHECK(entry.ended() <= 1);
 }
+
+TEST_CASE("a request that has come whole or in part is cut to make room for a new caller",
+          "[connection_limit]") {
+    const std::string head = "POST /effect/1 HTTP/1.1\r\nHost: x\r\nMonsoonlift-Service: mappa\r\n"
+                             "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    const auto half = head.size() / 2;
+    constexpr std::ptrdiff_t new_callers = most_callers / 8;
+    full_entry entry;
+    std::vector<raw_caller*> whole;
+    std::vector<raw_caller*> in_part;
+    for (std::size_t number = 0; number + 4 <= entry.callers.size(); number += 4) {
+        whole.push_back(entry.callers[number].get());
+        in_part.push_back(entry.callers[number + 1].get());
+    }
+    const auto all_served = [](const std::vector<raw_caller*>& callers) {
+        return std::ranges::all_of(callers, [](const auto* caller) {
+            return caller->has_ended() && caller->answer().starts_with("HTTP/1.1 200");
+        });
+    };
+    entry.fleet.run_ready();
+    // NOTE: only a connection that has waited for a second is closed for another.
+    std::this_thread::sleep_for(1s);
+    std::ranges::for_each(in_part, [&](auto* caller) { caller->send(head.substr(0, half)); });
+    std::ranges::for_each(whole, [&](auto* caller) { caller->send(head); });
+    entry.fleet.run_ready();
+    for (std::ptrdiff_t number = 0; number < new_callers; ++number) {
+        entry.call();
+    }
+    REQUIRE(entry.fleet.run_until([&] { return entry.served() == new_callers; }));
+    std::ranges::for_each(in_part, [&](auto* caller) { caller->send(head.substr(half)); });
+    CHECK(entry.fleet.run_until([&] { return all_served(whole) && all_served(in_part); }));
+    REQUIRE(entry.fleet.settle());
+    CHECK(entry.fleet.runs("/effect/1") == whole.size() + in_part.size());
+}
