--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -18,9 +18,6 @@
 
 constexpr std::chrono::seconds close_timeout = 2s;
 
-/// Time for the rest of a head that has begun to arrive when the wait for it ends.
-constexpr std::chrono::seconds rest_of_head_timeout = 2s;
-
 /// A connection that has waited less isn't closed for another: its first request may be on its way.
 constexpr std::chrono::seconds shortest_idle = 1s;
 constexpr auto not_idle = core::steady_time::max();
@@ -83,7 +80,7 @@
 void caller_session::end_wait(bool closes_unread) {
     m_closes_unread = closes_unread;
     m_has_waited_on = true;
-    m_watchdog->allow_until(m_shared.clock.now() + rest_of_head_timeout);
+    m_watchdog->allow_until(m_shared.clock.now() + m_shared.options.head_patience);
     m_connection->end_wait(caller_connection::wait_end::before_request);
 }
 
@@ -104,7 +101,7 @@
         watch_until(until);
         return;
     }
-    watch_until(m_shared.clock.now() + rest_of_head_timeout);
+    watch_until(m_shared.clock.now() + m_shared.options.head_patience);
     if (m_has_waited_on) {
         m_connection->end_wait(caller_connection::wait_end::always);
         return;
--- a/src/entry/tests/idle_end_tests.cpp
+++ b/src/entry/tests/idle_end_tests.cpp
@@ -38,8 +38,11 @@
 
 /// Callers that have had an answer each; their kept connections wait for the next request.
 struct idle_callers {
-    explicit idle_callers(std::size_t count = connections)
-        : fleet({}, 1, [](entry::entry_options& options) { options.idle_patience = idle_patience; }) {
+    explicit idle_callers(std::size_t count = connections, std::chrono::milliseconds head_patience = 1min)
+        : fleet({}, 1, [=](entry::entry_options& options) {
+              options.idle_patience = idle_patience;
+              options.head_patience = head_patience;
+          }) {
         fleet.daemon(0).announce();
         fleet.daemon(1).announce();
         while (callers.size() < count) {
@@ -107,7 +110,7 @@
 }
 
 TEST_CASE("a head that never comes whole is not answered, or keeps its connection open", "[idle_end]") {
-    idle_callers idle(1);
+    idle_callers idle(1, 100ms);
     idle.callers.front()->send("POST /effect/1 HTTP/1.1\r\nHost: x\r\n");
     REQUIRE(idle.fleet.run_until([&] { return idle.all_ended(); }));
     const auto& answers = idle.callers.front()->answer();
