--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -40,7 +40,7 @@
     /// Longest time between two requests of one connection, unless the configuration lets callers keep
     /// connections for longer.
     std::chrono::milliseconds idle_patience{75'000};
-    std::chrono::milliseconds head_patience{2'000}; ///< Time for the rest of a head as the wait ends.
+    std::chrono::milliseconds head_patience{2'000};   ///< Time for the rest of a head as the wait ends.
     std::chrono::milliseconds stall_patience{30'000}; ///< A body without progress for this long is aborted.
     std::chrono::milliseconds answer_patience{5'000}; ///< Time after its deadline to read a call's answer.
     std::chrono::milliseconds route_patience{300};    ///< Longest wait for a reachable backend server.
