Break the connection of a test only after a frame was written whole

Cause, by reading: the peer closed as soon as one frame had been refused for want of room, which can be before the first frame of 64 KiB was written whole, and then nothing may be left out.

--- a/src/transport/tests/tcp_fault_tests.cpp
+++ b/src/transport/tests/tcp_fault_tests.cpp
@@ -224,7 +224,10 @@
         daemons.left.send(peer.id(), bulk_frame(call, bulk_bytes));
     }
     {
-        const tcp::socket closed_unread = peer.accept();
+        tcp::socket broken = peer.accept();
+        // NOTE: the second frame is begun once the first one counts as written whole.
+        REQUIRE(slow_peer::read(broken) == 1);
+        REQUIRE(slow_peer::read(broken) == 2);
         REQUIRE_FALSE(daemons.left_seen.unsent(1).empty());
     }
     tcp::socket again = peer.accept();
