Encode frames by the generated classes again, in memory of the stack

The users ask that codecs come from libraries; a writer of the wire format of our own doesn't keep to that.

--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -1,12 +1,12 @@
 #include "transport/frame_codec.h"
 
-#include "transport/internal/field_writer.h"
 #include "transport/proto/frames.pb.h"
 
 #include <google/protobuf/arena.h>
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 
 namespace monsoonlift::transport {
 
@@ -15,10 +15,26 @@
 constexpr std::uint32_t wire_version = 1;
 constexpr std::chrono::microseconds longest_time_left = std::chrono::hours(1);
 
-/// Size of the stack buffer into which a frame is parsed; most frames fit, apart from their longer texts.
-constexpr std::size_t parse_buffer_bytes = 4096;
+/// Memory of one message of the schema, on the stack; most frames fit, apart from their longer texts.
+class message_memory {
+public:
+    [[nodiscard]] wire::frame& make() {
+        return *google::protobuf::Arena::CreateMessage<wire::frame>(&m_arena);
+    }
+
+private:
+    static constexpr std::size_t buffer_bytes = 4096;
+
+    [[nodiscard]] google::protobuf::ArenaOptions options() {
+        google::protobuf::ArenaOptions chosen;
+        chosen.initial_block = m_buffer.data();
+        chosen.initial_block_size = m_buffer.size();
+        return chosen;
+    }
 
-template <class Output> using writer = internal::field_writer<Output>;
+    alignas(std::max_align_t) std::array<char, buffer_bytes> m_buffer;
+    google::protobuf::Arena m_arena{options()};
+};
 
 template <class... Kinds> struct overloaded : Kinds... { using Kinds::operator()...; };
 template <class... Kinds> overloaded(Kinds...) -> overloaded<Kinds...>;
@@ -27,12 +43,11 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
 }
 
-template <class Output> void write(const std::vector<header>& headers, int number, writer<Output>& target) {
+void write(const std::vector<header>& headers, google::protobuf::RepeatedPtrField<wire::header>& target) {
     for (const auto& field : headers) {
-        target.message(number, [&](auto& added) {
-            added.text(wire::header::kNameFieldNumber, field.name);
-            added.text(wire::header::kValueFieldNumber, field.value);
-        });
+        auto* added = target.Add();
+        added->set_name(field.name);
+        added->set_value(field.value);
     }
 }
 
@@ -45,23 +60,17 @@
     return headers;
 }
 
-std::string_view text_of(const core::root_id& root) {
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the bytes are read as characters.
-    return {reinterpret_cast<const char*>(root.bytes.data()), root.bytes.size()};
-}
-
-template <class Output>
-void write(const core::call_context& context, writer<Output>& target, core::steady_time now) {
-    using wire_context = wire::call_context;
+void write(const core::call_context& context, wire::call_context& target, core::steady_time now) {
     const auto left = std::chrono::duration_cast<std::chrono::microseconds>(core::time_left(context, now));
-    target.text(wire_context::kRootFieldNumber, text_of(context.root));
-    target.number(wire_context::kDepthFieldNumber, context.depth);
-    target.number(wire_context::kRankFieldNumber, context.rank);
-    target.number(wire_context::kTimeLeftUsFieldNumber, static_cast<std::uint64_t>(left.count()));
-    target.number(wire_context::kAttemptsLeftFieldNumber, context.attempts_left);
-    target.text(wire_context::kCallerFieldNumber, context.caller);
-    target.text(wire_context::kKeyFieldNumber, context.key);
-    target.number(wire_context::kIdempotentFieldNumber, context.idempotent ? 1 : 0);
+    target.mutable_root()->resize(context.root.bytes.size());
+    std::ranges::copy(context.root.bytes, target.mutable_root()->begin());
+    target.set_depth(context.depth);
+    target.set_rank(context.rank);
+    target.set_time_left_us(left.count());
+    target.set_attempts_left(context.attempts_left);
+    target.set_caller(context.caller);
+    target.set_key(context.key);
+    target.set_idempotent(context.idempotent);
 }
 
 std::optional<core::call_context> read(wire::call_context& source, core::steady_time now) {
@@ -83,51 +92,46 @@
     return context;
 }
 
-template <class Output> void write(const body_total& total, writer<Output>& target) {
-    target.number(wire::body_total::kLengthFieldNumber, total.length);
-    target.fixed(wire::body_total::kDigestFieldNumber, total.digest);
+void write(const body_total& total, wire::body_total& target) {
+    target.set_length(total.length);
+    target.set_digest(total.digest);
 }
 
 body_total read(const wire::body_total& source) {
     return {source.length(), source.digest()};
 }
 
-template <class Output> void write(const routing::load_report& load, writer<Output>& target) {
-    target.number(wire::load_report::kRankFieldNumber, load.level.rank);
-    target.number(wire::load_report::kBucketFieldNumber, load.level.bucket);
-    target.number(wire::load_report::kRunningFieldNumber, load.running);
-    target.number(wire::load_report::kWaitingFieldNumber, load.waiting);
-    target.number(wire::load_report::kLimitFieldNumber, load.limit);
-}
-
-template <class Output> void write(const attempt_end& end, writer<Output>& target) {
-    using wire_end = wire::attempt_end;
-    target.number(wire_end::kRunFieldNumber, static_cast<std::uint32_t>(end.run));
-    target.number(wire_end::kReasonFieldNumber, static_cast<std::uint32_t>(end.reason));
-    target.text(wire_end::kDetailFieldNumber, end.detail);
-    if (end.retry_after) {
-        target.number(wire_end::kRetryAfterMsFieldNumber,
-                      static_cast<std::uint32_t>(end.retry_after->count()));
+void write(const attempt_end& end, wire::attempt_end& target) {
+    target.set_run(static_cast<std::uint32_t>(end.run));
+    target.set_reason(static_cast<std::uint32_t>(end.reason));
+    target.set_detail(end.detail);
+    target.set_service_us(end.service_time.count());
+    if (!end.home.address.empty()) {
+        target.set_home_address(end.home.address);
+        target.set_home_life(end.home.life.value);
     }
+    target.set_homes_version(end.homes_version);
+    target.set_successor_of(end.successor_of.value);
     if (end.nested_attempts) {
-        target.present_number(wire_end::kNestedAttemptsFieldNumber, *end.nested_attempts);
+        target.set_nested_attempts(*end.nested_attempts);
     }
-    if (end.load) {
-        target.message(wire_end::kLoadFieldNumber, [&](auto& load) { write(*end.load, load); });
+    if (end.nested_calls) {
+        target.set_nested_calls(*end.nested_calls);
     }
-    target.number(wire_end::kServiceUsFieldNumber, static_cast<std::uint64_t>(end.service_time.count()));
-    if (!end.home.address.empty()) {
-        target.text(wire_end::kHomeAddressFieldNumber, end.home.address);
-        target.fixed(wire_end::kHomeLifeFieldNumber, end.home.life.value);
+    if (end.retry_after) {
+        target.set_retry_after_ms(static_cast<std::uint32_t>(end.retry_after->count()));
     }
-    target.number(wire_end::kHomesVersionFieldNumber, end.homes_version);
     if (end.nested_level != admission::shed_level{}) {
-        target.present_number(wire_end::kNestedRankFieldNumber, end.nested_level.rank);
-        target.present_number(wire_end::kNestedBucketFieldNumber, end.nested_level.bucket);
+        target.set_nested_rank(end.nested_level.rank);
+        target.set_nested_bucket(end.nested_level.bucket);
     }
-    target.fixed(wire_end::kSuccessorOfFieldNumber, end.successor_of.value);
-    if (end.nested_calls) {
-        target.present_number(wire_end::kNestedCallsFieldNumber, *end.nested_calls);
+    if (end.load) {
+        auto& load = *target.mutable_load();
+        load.set_rank(end.load->level.rank);
+        load.set_bucket(end.load->level.bucket);
+        load.set_running(end.load->running);
+        load.set_waiting(end.load->waiting);
+        load.set_limit(end.load->limit);
     }
 }
 
@@ -174,24 +178,22 @@
     return end;
 }
 
-template <class Output> void write(const request_head& head, writer<Output>& target, core::steady_time now) {
-    using wire_head = wire::request_head;
-    target.text(wire_head::kReplyAddressFieldNumber, head.reply_address);
-    target.message(wire_head::kContextFieldNumber, [&](auto& context) { write(head.context, context, now); });
-    target.text(wire_head::kServiceFieldNumber, head.service);
-    target.text(wire_head::kMethodFieldNumber, head.method);
-    target.text(wire_head::kTargetFieldNumber, head.target);
-    write(head.headers, wire_head::kHeadersFieldNumber, target);
-    target.text(wire_head::kBodyFieldNumber, head.body);
-    if (head.total) {
-        target.message(wire_head::kTotalFieldNumber, [&](auto& total) { write(*head.total, total); });
-    }
+void write(const request_head& head, wire::request_head& target, core::steady_time now) {
+    target.set_reply_address(head.reply_address);
+    target.set_gate_address(head.gate_address);
+    write(head.context, *target.mutable_context(), now);
+    target.set_service(head.service);
+    target.set_method(head.method);
+    target.set_target(head.target);
+    write(head.headers, *target.mutable_headers());
+    target.set_body(head.body);
+    target.set_homes_version(head.homes_version);
     if (head.expires != core::wall_time::max()) {
-        target.number(wire_head::kExpiresUsFieldNumber,
-                      static_cast<std::uint64_t>(since_epoch(head.expires).count()));
+        target.set_expires_us(since_epoch(head.expires).count());
+    }
+    if (head.total) {
+        write(*head.total, *target.mutable_total());
     }
-    target.number(wire_head::kHomesVersionFieldNumber, head.homes_version);
-    target.text(wire_head::kGateAddressFieldNumber, head.gate_address);
 }
 
 std::optional<request_head> read(wire::request_head& source, core::steady_time now) {
@@ -218,15 +220,14 @@
     return head;
 }
 
-template <class Output> void write(const response_head& head, writer<Output>& target) {
-    using wire_head = wire::response_head;
-    target.number(wire_head::kStatusFieldNumber, head.status);
-    target.text(wire_head::kReasonFieldNumber, head.reason);
-    write(head.headers, wire_head::kHeadersFieldNumber, target);
-    target.text(wire_head::kBodyFieldNumber, head.body);
+void write(const response_head& head, wire::response_head& target) {
+    target.set_status(head.status);
+    target.set_reason(head.reason);
+    write(head.headers, *target.mutable_headers());
+    target.set_body(head.body);
     if (head.total) {
-        target.message(wire_head::kTotalFieldNumber, [&](auto& total) { write(*head.total, total); });
-        target.message(wire_head::kEndFieldNumber, [&](auto& end) { write(head.end, end); });
+        write(*head.total, *target.mutable_total());
+        write(head.end, *target.mutable_end());
     }
 }
 
@@ -259,61 +260,41 @@
     return end;
 }
 
-template <class Output> void write(const body_chunk& chunk, writer<Output>& target) {
-    target.number(wire::body_chunk::kOffsetFieldNumber, chunk.offset);
-    target.text(wire::body_chunk::kDataFieldNumber, chunk.data);
-}
-
-template <class Output> void write(const body_end& end, writer<Output>& target) {
-    target.message(wire::body_end::kTotalFieldNumber, [&](auto& total) { write(end.total, total); });
-    if (end.end) {
-        target.message(wire::body_end::kEndFieldNumber, [&](auto& inner) { write(*end.end, inner); });
-    }
-}
-
-template <class Output> void write(const credit& granted, writer<Output>& target) {
-    target.number(wire::credit::kChunksFieldNumber, granted.chunks);
-}
-
-template <class Output> void write(const link_opening& opening, writer<Output>& target) {
-    target.number(wire::link_opening::kLinkFieldNumber, opening.link);
-    target.number(wire::link_opening::kFirstSequenceFieldNumber, opening.first_sequence);
-}
-
-template <class Output>
-void write_payload(const frame& message, writer<Output>& target, core::steady_time now) {
-    const auto add = [&](int number, const auto& payload) {
-        target.message(number, [&](auto& inner) { write(payload, inner); });
-    };
-    const auto add_empty = [&](int number) {
-        target.message(number, [](auto& /*inner*/) {});
-    };
+void write_payload(const frame& message, wire::frame& target, core::steady_time now) {
     std::visit(overloaded{
-                   [&](const request_head& head) {
-                       target.message(wire::frame::kRequestFieldNumber,
-                                      [&](auto& inner) { write(head, inner, now); });
+                   [&](const request_head& head) { write(head, *target.mutable_request(), now); },
+                   [&](const response_head& head) { write(head, *target.mutable_response()); },
+                   [&](const body_chunk& chunk) {
+                       target.mutable_chunk()->set_offset(chunk.offset);
+                       target.mutable_chunk()->set_data(chunk.data);
+                   },
+                   [&](const body_end& end) {
+                       write(end.total, *target.mutable_end()->mutable_total());
+                       if (end.end) {
+                           write(*end.end, *target.mutable_end()->mutable_end());
+                       }
+                   },
+                   [&](const credit& granted) { target.mutable_credit()->set_chunks(granted.chunks); },
+                   [&](const cancel&) { target.mutable_cancel(); },
+                   [&](const attempt_end& end) { write(end, *target.mutable_failure()); },
+                   [&](const status_query&) { target.mutable_query(); },
+                   [&](const status_in_progress&) { target.mutable_in_progress(); },
+                   [&](const link_opening& opening) {
+                       target.mutable_opening()->set_link(opening.link);
+                       target.mutable_opening()->set_first_sequence(opening.first_sequence);
                    },
-                   [&](const response_head& head) { add(wire::frame::kResponseFieldNumber, head); },
-                   [&](const body_chunk& chunk) { add(wire::frame::kChunkFieldNumber, chunk); },
-                   [&](const body_end& end) { add(wire::frame::kEndFieldNumber, end); },
-                   [&](const credit& granted) { add(wire::frame::kCreditFieldNumber, granted); },
-                   [&](const cancel&) { add_empty(wire::frame::kCancelFieldNumber); },
-                   [&](const attempt_end& end) { add(wire::frame::kFailureFieldNumber, end); },
-                   [&](const link_opening& opening) { add(wire::frame::kOpeningFieldNumber, opening); },
-                   [&](const status_query&) { add_empty(wire::frame::kQueryFieldNumber); },
-                   [&](const status_in_progress&) { add_empty(wire::frame::kInProgressFieldNumber); },
                },
                message.payload);
 }
 
-template <class Output> void write(const frame& message, writer<Output>& target, core::steady_time now) {
-    target.number(wire::frame::kVersionFieldNumber, wire_version);
-    target.fixed(wire::frame::kReceiverFieldNumber, message.receiver.value);
-    target.fixed(wire::frame::kSenderFieldNumber, message.sender.value);
-    target.fixed(wire::frame::kOriginFieldNumber, message.attempt.origin.value);
-    target.number(wire::frame::kCallFieldNumber, message.attempt.call);
-    target.number(wire::frame::kAttemptFieldNumber, message.attempt.attempt);
-    target.number(wire::frame::kToGateFieldNumber, message.target == frame_target::gate ? 1 : 0);
+void write(const frame& message, wire::frame& target, core::steady_time now) {
+    target.set_version(wire_version);
+    target.set_receiver(message.receiver.value);
+    target.set_sender(message.sender.value);
+    target.set_origin(message.attempt.origin.value);
+    target.set_call(message.attempt.call);
+    target.set_attempt(message.attempt.attempt);
+    target.set_to_gate(message.target == frame_target::gate);
     write_payload(message, target, now);
 }
 
@@ -363,16 +344,19 @@
 } // namespace
 
 std::string encode(const frame& message, core::steady_time now, std::size_t room) {
-    return internal::written(room, [&](auto& target) { write(message, target, now); });
+    message_memory memory;
+    auto& target = memory.make();
+    write(message, target, now);
+    std::string bytes;
+    bytes.reserve(room + target.ByteSizeLong());
+    bytes.resize(room);
+    target.AppendToString(&bytes);
+    return bytes;
 }
 
 std::optional<frame> decode(std::string_view bytes, core::steady_time now) {
-    alignas(std::max_align_t) std::array<char, parse_buffer_bytes> buffer;
-    google::protobuf::ArenaOptions options;
-    options.initial_block = buffer.data();
-    options.initial_block_size = buffer.size();
-    google::protobuf::Arena arena(options);
-    auto& source = *google::protobuf::Arena::CreateMessage<wire::frame>(&arena);
+    message_memory memory;
+    auto& source = memory.make();
     if (!source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return std::nullopt;
     }
