--- a/src/transfer/tests/idle_cost_tests.cpp
+++ b/src/transfer/tests/idle_cost_tests.cpp
@@ -1,3 +1,4 @@
+#include "testing/allocation_count.h"
 #include "transfer/async_queue.h"
 #include "transfer/body_room.h"
 #include "transfer/credit_gate.h"
@@ -5,39 +6,13 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
-#include <atomic>
-#include <cstdlib>
-#include <new>
-
-namespace {
-
-std::atomic<std::size_t> allocations = 0;
-
-} // namespace
-
-void* operator new(std::size_t size) {
-    ++allocations;
-    if (void* const memory = std::malloc(size)) {
-        return memory;
-    }
-    throw std::bad_alloc();
-}
-
-void operator delete(void* memory) noexcept {
-    std::free(memory);
-}
-
-void operator delete(void* memory, std::size_t) noexcept {
-    std::free(memory);
-}
-
 using namespace monsoonlift;
 using namespace monsoonlift::transfer;
 
 TEST_CASE("a queue or credit gate that no call uses allocates nothing", "[transfer]") {
     boost::asio::io_context io;
     const boost::asio::any_io_executor strand = io.get_executor();
-    const auto before = allocations.load();
+    const auto before = testing::allocations;
     {
         async_queue<int> queue(strand);
         credit_gate gate(strand);
@@ -45,7 +20,7 @@
         gate.grant(1);
         gate.close();
     }
-    REQUIRE(allocations - before == 0);
+    REQUIRE(testing::allocations - before == 0);
 }
 
 TEST_CASE("a body of a stated length is given no more room than it needs", "[transfer]") {
--- a/src/transport/tests/frame_codec_tests.cpp
+++ b/src/transport/tests/frame_codec_tests.cpp
@@ -1,12 +1,10 @@
 #include "transport/frame_codec.h"
 
+#include "testing/allocation_count.h"
 #include "transport/proto/frames.pb.h"
 
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-#include <new>
-
 using namespace monsoonlift;
 using namespace monsoonlift::transport;
 using namespace std::chrono_literals;
@@ -76,28 +74,8 @@
     return head;
 }
 
-thread_local std::size_t allocations = 0;
-
 } // namespace
 
-// NOLINTBEGIN(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
-void* operator new(std::size_t size) {
-    ++allocations;
-    if (void* memory = std::malloc(size)) {
-        return memory;
-    }
-    throw std::bad_alloc();
-}
-
-void operator delete(void* memory) noexcept {
-    std::free(memory);
-}
-
-void operator delete(void* memory, std::size_t /*size*/) noexcept {
-    std::free(memory);
-}
-// NOLINTEND(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
-
 TEST_CASE("frames are encoded as the generated classes of the schema encode them", "[transport]") {
     using payload = decltype(frame::payload);
     const std::pair<const char*, payload> cases[] = {
@@ -137,9 +115,9 @@
 
 TEST_CASE("encoding a frame allocates little but its bytes and copies of its long texts", "[transport]") {
     const auto message = sample(sample_full_request());
-    const auto before = allocations;
+    const auto before = testing::allocations;
     const auto bytes = encode(message, now, 4);
-    const auto made = allocations - before;
+    const auto made = testing::allocations - before;
     const auto header_texts = 2 * 10;
     const auto other_long_texts = 3; // caller, target and root
     REQUIRE(made <= header_texts + other_long_texts + 1);
@@ -147,9 +125,9 @@
 
 TEST_CASE("decoding a frame allocates little but its long texts", "[transport]") {
     const auto bytes = encode(sample(sample_full_request()), now);
-    const auto before = allocations;
+    const auto before = testing::allocations;
     const auto read = decode(bytes, now);
-    const auto made = allocations - before;
+    const auto made = testing::allocations - before;
     REQUIRE(read);
     const auto header_texts = 2 * 10;
     const auto other_long_texts = 3; // caller, target and root
