--- a/src/gate/tests/attempt_decisions_tests.cpp
+++ b/src/gate/tests/attempt_decisions_tests.cpp
@@ -18,7 +18,7 @@
 struct attempt_under_test {
     attempt_under_test() { root.bytes[0] = 0xab; }
 
-    [[nodiscard]] decided_attempt subject() const { return {root, attempt, service, class_name}; }
+    [[nodiscard]] decided_attempt subject() const { return {root, attempt, service, class_name, account}; }
     std::string field(const std::string& name) { return log.lines.at(0).fields[name]; }
 
     testing::recording_log log;
@@ -27,6 +27,7 @@
     const core::attempt_id attempt{{9}, 3, 1};
     const std::string service = "squadre";
     const std::string class_name = "lookup";
+    const std::string account = "school";
 };
 
 } // namespace
@@ -38,6 +39,7 @@
     CHECK(test.log.lines.at(0).id == event_id::attempt_started);
     CHECK(test.field("root") == "ab000000000000000000000000000000");
     CHECK(test.field("attempt") == "9/3/1");
+    CHECK(test.field("account") == "school");
     CHECK(test.field("waited_ms") == "1.500");
     CHECK(test.field("running") == "4");
     CHECK(test.field("limit") == "8");
