Read the time since boot, which passes while the VM is suspended

Cause: the steady clock stands still while a VM is suspended, so a lease or the age of a configuration that is measured by it looks younger than it is after the VM wakes.

--- a/src/core/system_clock.h
+++ b/src/core/system_clock.h
@@ -8,6 +8,7 @@
 class system_clock final : public clock {
 public:
     [[nodiscard]] steady_time now() const override;
+    [[nodiscard]] boot_time boot_now() const override;
     [[nodiscard]] wall_time wall_now() const override;
 };
 
