--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -53,8 +53,9 @@
                 }),
       m_gate(m_io, gate_options_of(m_settings, m_running), m_transport, m_ledger, m_crashes, m_budgets,
              m_clock, log, m_metrics),
+      m_quota(make_quota()),
       m_entry(
-          m_io, entry_options_of(m_settings, m_running), m_transport, m_budgets,
+          m_io, entry_options_of(m_settings, m_running, m_quota), m_transport, m_budgets,
           [this] { return m_configuration.current(); }, m_clock, log, m_metrics),
       m_admin(m_io, m_settings.admin_address, m_settings.admin_token, m_clock, log) {
     if (m_settings.deployment) {
@@ -71,6 +72,7 @@
     start_configuration();
     start_membership();
     start_homes();
+    start_quota();
     m_gate.start();
     m_entry.start();
     add_routes();
@@ -176,6 +178,20 @@
         [this](const std::string& service) { return other_gates(service); }, options);
 }
 
+std::shared_ptr<quota::quota_service> daemon::make_quota() {
+    const auto has_joined = [this] {
+        return m_membership && m_membership->joined();
+    };
+    return std::make_shared<quota::quota_service>(quota::quota_parts{
+        m_scheduler, *m_platform_client, m_clock, m_transport, m_directory, m_log, has_joined});
+}
+
+void daemon::start_quota() {
+    m_configuration.on_change([this](std::uint64_t, const configuration::document& rules) {
+        m_quota->set_limits(rules.accounts ? quota::limits_of(*rules.accounts) : quota::account_limits());
+    });
+}
+
 std::vector<core::endpoint_id> daemon::other_gates(const std::string& service) const {
     std::vector<core::endpoint_id> others;
     for (const auto& known : m_directory.members()) {
@@ -327,8 +343,11 @@
 }
 
 void daemon::take_control(const transport::frame& message) {
-    // NOTE: no topic has an owner yet; a message of a later version is dropped.
-    static_cast<void>(message);
+    // NOTE: a message of a topic of a later version is dropped.
+    const auto* control = std::get_if<transport::control_message>(&message.payload);
+    if (control != nullptr && control->topic == transport::control_topic::quota) {
+        m_quota->received({control->reply_address, message.sender}, control->payload);
+    }
 }
 
 void daemon::take_unsent(const transport::unsent_frame& unsent) {
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -21,6 +21,7 @@
 #include "membership/membership_service.h"
 #include "metrics/metrics_registry.h"
 #include "platform/local_server.h"
+#include "quota/quota_service.h"
 #include "settings/daemon_settings.h"
 #include "store/asio_scheduler.h"
 #include "store/budgeted_object_api.h"
@@ -84,6 +85,8 @@
     void start_transport();
     void start_configuration();
     void start_homes();
+    void start_quota();
+    [[nodiscard]] std::shared_ptr<quota::quota_service> make_quota();
     [[nodiscard]] std::vector<core::endpoint_id> other_gates(const std::string& service) const;
     [[nodiscard]] bool has_non_idempotent_calls(const std::string& service) const;
 
@@ -210,6 +213,7 @@
     execution::execution_ledger m_ledger;
     execution::crash_guard m_crashes;
     gate::gate_service m_gate;
+    const std::shared_ptr<quota::quota_service> m_quota;
     entry::entry_service m_entry;
     admin::admin_server m_admin;
     std::shared_ptr<configuration::configuration_follower> m_follower;
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -104,8 +104,10 @@
 }
 
 entry::entry_options entry_options_of(const settings::daemon_settings& chosen,
-                                      const std::shared_ptr<gate::running_requests>& running) {
+                                      const std::shared_ptr<gate::running_requests>& running,
+                                      std::shared_ptr<quota::token_source> quota) {
     entry::entry_options options;
+    options.quota = std::move(quota);
     options.address = chosen.caller_address;
     options.data_centre = chosen.data_centre;
     options.decisions_on = chosen.decisions != "off";
--- a/src/app/monsoonliftd/daemon_options.h
+++ b/src/app/monsoonliftd/daemon_options.h
@@ -30,9 +30,11 @@
 [[nodiscard]] gate::gate_options gate_options_of(const settings::daemon_settings& chosen,
                                                  const std::shared_ptr<gate::running_requests>& running);
 
-/// `running` is used to find the running request that a nested call belongs to.
+/// `running` is used to find the running request that a nested call belongs to, `quota` for the limits of
+/// accounts.
 [[nodiscard]] entry::entry_options entry_options_of(const settings::daemon_settings& chosen,
-                                                    const std::shared_ptr<gate::running_requests>& running);
+                                                    const std::shared_ptr<gate::running_requests>& running,
+                                                    std::shared_ptr<quota::token_source> quota);
 
 /// Timing rule by which a configuration change is in force within the deployment's bound despite any single
 /// failure.
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -68,6 +68,24 @@
             {"shed_bucket", load.level.bucket}};
 }
 
+boost::json::object describe(const quota::quota_status& quotas) {
+    boost::json::array shards;
+    for (const auto shard : quotas.owned_shards) {
+        shards.emplace_back(shard);
+    }
+    boost::json::array accounts;
+    for (const auto& known : quotas.accounts) {
+        accounts.push_back({{"name", known.name},
+                            {"rate_per_second", known.limit.rate_per_second},
+                            {"burst", known.limit.burst},
+                            {"demand", known.demand},
+                            {"taken", known.taken},
+                            {"limited", known.limited},
+                            {"unanswered", known.unanswered}});
+    }
+    return {{"owned_shards", std::move(shards)}, {"accounts", std::move(accounts)}};
+}
+
 } // namespace
 
 void daemon::add_routes() {
@@ -140,6 +158,7 @@
           [this] { return m_log.left_out(); });
     total("monsoonlift_frames_corrupt_total", "Frames dropped as corrupt.",
           [this] { return m_transport.counters().corrupt; });
+    m_quota->add_metrics(m_metrics);
     total("monsoonlift_frames_wrong_incarnation_total", "Frames dropped as meant for another life.",
           [this] { return m_transport.counters().wrong_incarnation; });
 }
@@ -199,6 +218,7 @@
         {"entry", describe(m_entry.counters())},
         {"gate", describe(m_gate.counters())},
         {"transport", describe(m_transport.counters())},
+        {"quota", describe(m_quota->status())},
         {"members", std::move(members)},
     };
     return boost::json::serialize(document);
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -83,10 +83,11 @@
 void daemon::begin_drain() {
     m_hand_over_deadline = m_clock.now() + hand_over_timeout;
     set_stop_deadlines();
-    const std::array<std::function<void()>, 6> steps{
+    const std::array<std::function<void()>, 7> steps{
         [this] { m_log.write(logging::event_id::drain_started, {}); },
         [this] { m_drain_watch.begin(drain_time()); },
         [this] { m_membership->drain(); },
+        [this] { m_quota->drain(); },
         [this] {
             m_homes->drain([this] { boost::asio::post(m_control, [this] { m_homes_handed_over = true; }); });
         },
@@ -232,8 +233,9 @@
 }
 
 void daemon::stop_parts() {
-    const std::array<std::function<void()>, 6> steps{
+    const std::array<std::function<void()>, 7> steps{
         [this] { m_homes->stop(); },
+        [this] { m_quota->stop(); },
         [this] { m_follower->stop(); },
         [this] { m_membership->stop(); },
         [this] { m_gate.stop(); },
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -9,6 +9,7 @@
 #include "membership/member_directory.h"
 #include "metrics/metrics_registry.h"
 #include "network/acceptor.h"
+#include "quota/token_source.h"
 #include "transport/frame_sender.h"
 
 #include <boost/asio/io_context.hpp>
@@ -50,6 +51,7 @@
     std::size_t retry_burst = 10; ///< Retries allowed in a burst beyond the ratio to first attempts.
     std::size_t grant_burst = 10; ///< Retries that root calls in flight may hold beyond that ratio.
     caller_protocol protocol;
+    std::shared_ptr<quota::token_source> quota; ///< Limits of accounts; nullptr for none.
 };
 
 /// Totals since the start.
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -156,6 +156,10 @@
         co_return;
     }
     watch_caller();
+    const bool is_within_limit = co_await take_quota();
+    if (!is_within_limit) {
+        co_return;
+    }
     co_await make_attempts();
 }
 
@@ -387,6 +391,9 @@
 
 boost::asio::awaitable<void> call_exchange::refuse(const problem& trouble) {
     m_is_counted = true;
+    if (trouble.run == verdict::not_run && m_arrivals == 0) {
+        return_token();
+    }
     ++(trouble.run == verdict::not_run ? m_shared.refused : m_shared.failed);
     if (m_caller_gone) {
         count_abandoned(trouble.run);
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -5,6 +5,7 @@
 #include "entry/internal/caller_connection.h"
 #include "entry/internal/entry_state.h"
 #include "execution/types/execution_key.h"
+#include "quota/purse.h"
 #include "transfer/body_receiver.h"
 #include "transfer/watchdog.h"
 
@@ -61,6 +62,13 @@
     awaitable<void> serve();
     awaitable<bool> read_first_bytes();
     awaitable<void> make_attempts();
+
+    /// Takes a token if the call's account has a limit; answers the call and returns false if it gets none.
+    awaitable<bool> take_quota();
+    awaitable<quota::token_decision> await_token();
+
+    /// Gives back the token of a call that reached no backend server.
+    void return_token();
     [[nodiscard]] std::optional<problem> begin_attempt();
     [[nodiscard]] destination choose_destination();
     [[nodiscard]] destination choose_any();
@@ -161,6 +169,7 @@
     std::vector<core::endpoint_id> m_tried;
     std::shared_ptr<attempt_channel> m_channel;
     core::attempt_id m_attempt;
+    std::optional<quota::taken_token> m_token; ///< Of the account's limit.
     core::steady_time m_attempt_began;
 };
 
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -114,6 +114,12 @@
     answer_crossed = 6006,
     peer_not_connected = 6007,
     frame_failed = 6008,
+
+    // 7000: quotas of client accounts
+    quota_lease_gained = 7000,
+    quota_lease_lost = 7001,
+    quota_refused = 7002,
+    quota_unanswered = 7003,
 };
 
 /// Catalogue entry of one event.
@@ -320,6 +326,19 @@
      "An internal error came up while a frame was handled: its attempt, the part that it was for, and what "
      "it was. "
      "Later frames are handled."},
+
+    // 7000: quotas of client accounts
+    {event_id::quota_lease_gained, severity::notice, "quota_lease_gained",
+     "This daemon owns a shard of the client accounts: it grants the tokens of their limits."},
+    {event_id::quota_lease_lost, severity::notice, "quota_lease_lost",
+     "This daemon no longer owns a shard of the client accounts."},
+    {event_id::quota_refused, severity::warning, "quota_refused",
+     "Calls of an account are refused with 429: its limit, its demand over the fleet and the time until "
+     "there "
+     "is a token."},
+    {event_id::quota_unanswered, severity::warning, "quota_unanswered",
+     "Calls of an account are refused with 503, as no owner of its quota answered in time: the daemon that "
+     "was asked."},
 });
 
 } // namespace monsoonlift::logging
