--- a/src/entry/internal/call_class.cpp
+++ b/src/entry/internal/call_class.cpp
@@ -13,27 +13,15 @@
 
 /// Problems are counted by type. The list bounds the number of counters: all errors in a request's head count
 /// as malformed, and types not listed as other.
-constexpr std::array<std::string_view, 19> problem_names{"shed",
-                                                         "draining",
-                                                         "no-backend-server",
-                                                         "backend-refused",
-                                                         "deadline",
-                                                         "cancelled",
-                                                         "key-conflict",
-                                                         "refused-key",
-                                                         "home-unknown",
-                                                         "quarantined",
-                                                         "body-incomplete",
-                                                         "body-damaged",
-                                                         "already-run",
-                                                         "backend-failed",
-                                                         "no-configuration",
-                                                         "unknown-service",
-                                                         "unknown-call",
-                                                         "malformed",
-                                                         "other"};
-constexpr std::size_t malformed = 17;
-constexpr std::size_t other = 18;
+constexpr std::array<std::string_view, 21> problem_names{
+    "shed",         "draining",       "no-backend-server", "backend-refused",
+    "deadline",     "cancelled",      "key-conflict",      "refused-key",
+    "home-unknown", "quarantined",    "body-incomplete",   "body-damaged",
+    "already-run",  "backend-failed", "no-configuration",  "unknown-service",
+    "unknown-call", "account-limit",  "quota-unknown",     "malformed",
+    "other"};
+constexpr std::size_t malformed = 19;
+constexpr std::size_t other = 20;
 
 std::size_t position_of(const problem& trouble) {
     const auto* found = std::find(problem_names.begin(), problem_names.end(), trouble.type);
--- a/src/entry/internal/quota_exchange.cpp
+++ b/src/entry/internal/quota_exchange.cpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -31,17 +32,17 @@
 };
 
 problem limit_reached(const std::string& account, const configuration::document* rules,
-                      std::chrono::milliseconds retry_after) {
-    std::string detail = "the limit of account " + account + " is reached";
+                      const quota::token_decision& decision) {
+    std::ostringstream detail;
+    detail << "the limit of account " << account << " is reached";
     const auto* known =
         rules != nullptr && rules->accounts ? accounts::find_by_name(*rules->accounts, account) : nullptr;
     if (known != nullptr) {
-        detail += ": " + std::to_string(known->limit.rate_per_second) + " calls a second over all entries, " +
-                  std::to_string(known->limit.burst) + " more at once";
+        detail << ": " << known->limit.rate_per_second << " calls a second over all entries and "
+               << known->limit.burst << " more at once; " << decision.demand << " calls a second come";
     }
-    return {
-        429,        verdict::not_run, "account-limit", "The account's limit is reached", std::move(detail),
-        retry_after};
+    return {429,          verdict::not_run,    "account-limit", "The account's limit is reached",
+            detail.str(), decision.retry_after};
 }
 
 problem limit_unknown(std::chrono::milliseconds retry_after) {
@@ -80,7 +81,7 @@
     }
     const auto rules = m_shared.configuration();
     const auto trouble = decision.what == outcome::limited
-                             ? limit_reached(m_call.context.account, rules.get(), decision.retry_after)
+                             ? limit_reached(m_call.context.account, rules.get(), decision)
                              : limit_unknown(decision.retry_after);
     co_await refuse(trouble);
     co_return false;
--- a/src/quota/internal/purse.cpp
+++ b/src/quota/internal/purse.cpp
@@ -36,6 +36,7 @@
     ++account.limited;
     token_decision decision;
     decision.what = outcome::limited;
+    decision.demand = account.fleet_demand;
     decision.retry_after = std::max(std::chrono::ceil<std::chrono::milliseconds>(account.refused_until - now),
                                     std::chrono::milliseconds(1));
     return decision;
@@ -57,7 +58,7 @@
         if (!token) {
             break;
         }
-        settled.push_back({account.waiting.front().id, {outcome::granted, *std::move(token), {}, 0}});
+        settled.push_back({account.waiting.front().id, {outcome::granted, *std::move(token), {}, 0, 0}});
         account.waiting.pop_front();
     }
     return settled;
@@ -66,6 +67,7 @@
 /// Refuses the calls for which an answer brought no token.
 void refuse_waiting(account_purse& account, const account_grant& grant, std::uint32_t refused,
                     core::boot_time now, std::vector<settled_call>& settled) {
+    account.fleet_demand = grant.demand;
     account.refused_until = std::max(account.refused_until, now + grant.retry_after);
     for (; refused > 0 && !account.waiting.empty(); --refused) {
         settled.push_back({account.waiting.front().id, limited(account, now)});
@@ -153,7 +155,7 @@
     count_calls(known.demand, 1, now);
     ++known.unreported;
     if (auto token = take_token(known, account, now)) {
-        return {outcome::granted, *std::move(token), {}, 0};
+        return {outcome::granted, *std::move(token), {}, 0, 0};
     }
     if (now < known.refused_until) {
         return limited(known, now);
--- a/src/quota/internal/quota_service.cpp
+++ b/src/quota/internal/quota_service.cpp
@@ -6,6 +6,7 @@
 #include "quota/message_codec.h"
 #include "quota/shards.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 #include <variant>
@@ -100,7 +101,8 @@
     }
     auto decision = m_entry->take(account, deadline, std::move(done));
     if (decision.what == token_decision::outcome::waits) {
-        m_parts.scheduler.after(longest_wait, [entry = m_entry] { entry->expire(); });
+        const auto left = std::min<std::chrono::nanoseconds>(longest_wait, deadline - m_parts.clock.now());
+        m_parts.scheduler.after(left, [entry = m_entry] { entry->expire(); });
     }
     return decision;
 }
--- a/src/quota/purse.h
+++ b/src/quota/purse.h
@@ -33,6 +33,7 @@
     } what = outcome::granted;
     taken_token token;
     std::chrono::milliseconds retry_after{0};
+    double demand = 0;        ///< Of the account over the fleet, as the owner that refused it said.
     std::uint64_t waiter = 0; ///< Identifies a call that waits.
 };
 
@@ -58,6 +59,7 @@
     demand_meter demand;     ///< At this entry.
     std::uint32_t unreported = 0;
     core::boot_time refused_until = core::boot_time::min(); ///< By the owner's last answer.
+    double fleet_demand = 0;                                ///< The same.
     std::uint64_t taken = 0;
     std::uint64_t limited = 0;
     std::uint64_t unanswered = 0;
