--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -44,7 +44,7 @@
       m_platform_client(make_store_client(m_settings, m_platform_address, m_control, log)),
       m_platform(*m_platform_client, m_scheduler, m_clock, log, store_limits_of(m_settings),
                  m_incarnation.value),
-      m_configuration(log), m_peers(m_control),
+      m_configuration(log), m_proofs(make_proofs(m_settings)), m_peers(m_control),
       m_transport(m_io, transport_options_of(m_settings), m_incarnation, m_clock, log),
       m_ledger(m_clock, m_transport.self(), {}),
       m_crashes(m_clock, m_transport.self(), {}, log,
@@ -54,7 +54,7 @@
       m_gate(m_io, gate_options_of(m_settings, m_running), m_transport, m_ledger, m_crashes, m_budgets,
              m_clock, log, m_metrics),
       m_entry(
-          m_io, entry_options_of(m_settings, m_running), m_transport, m_budgets,
+          m_io, entry_options_of(m_settings, m_running, m_proofs), m_transport, m_budgets,
           [this] { return m_configuration.current(); }, m_clock, log, m_metrics),
       m_admin(m_io, m_settings.admin_address, m_settings.admin_token, m_clock, log) {
     if (m_settings.deployment) {
@@ -67,6 +67,7 @@
 
 void daemon::start() {
     m_directory.on_change([this](const membership::member& changed) { member_changed(changed); });
+    prepare_freshness();
     start_transport();
     start_configuration();
     start_membership();
@@ -85,6 +86,9 @@
         watch_settings();
         record_turns();
         m_follower->start();
+        if (m_freshness) {
+            m_freshness->start();
+        }
         m_lifecycle.handle(lifecycle::signal::sockets_open);
         wait_until_ready();
     });
@@ -252,7 +256,8 @@
 }
 
 void daemon::check_ready() {
-    if (m_follower->has_settled() && m_configuration.revision() > 0 && m_membership->joined()) {
+    const bool is_proven = !m_proofs || m_proofs->proven();
+    if (m_follower->has_settled() && m_configuration.revision() > 0 && is_proven && m_membership->joined()) {
         m_lifecycle.handle(lifecycle::signal::configuration_known);
     }
 }
@@ -327,8 +332,15 @@
 }
 
 void daemon::take_control(const transport::frame& message) {
-    // NOTE: no topic has an owner yet; a message of a later version is dropped.
-    static_cast<void>(message);
+    const auto* received = std::get_if<transport::control_message>(&message.payload);
+    if (received == nullptr) {
+        return;
+    }
+    const core::endpoint_id from{received->reply_address, message.sender};
+    // NOTE: a message of a topic without an owner is dropped: this daemon doesn't use what it is about.
+    if (received->topic == transport::control_topic::freshness && m_freshness) {
+        m_freshness->received(from, received->payload);
+    }
 }
 
 void daemon::take_unsent(const transport::unsent_frame& unsent) {
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -4,6 +4,8 @@
 #include "app/monsoonliftd/settings_in_force.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/configuration_holder.h"
+#include "configuration/freshness_holder.h"
+#include "configuration/freshness_keeper.h"
 #include "configuration/http_peer_source.h"
 #include "core/system_clock.h"
 #include "entry/entry_service.h"
@@ -83,6 +85,9 @@
     void note_failure(const std::string& work, const std::string& why);
     void start_transport();
     void start_configuration();
+    /// Prepares to keep proofs that the configuration is recent, if the deployment bounds their age.
+    void prepare_freshness();
+    void add_freshness_metrics();
     void start_homes();
     [[nodiscard]] std::vector<core::endpoint_id> other_gates(const std::string& service) const;
     [[nodiscard]] bool has_non_idempotent_calls(const std::string& service) const;
@@ -203,6 +208,8 @@
     std::unique_ptr<store::object_api> m_platform_client;
     store::budgeted_object_api m_platform;
     configuration::configuration_holder m_configuration;
+    /// Proofs that the configuration is recent; null if the deployment doesn't bound their age.
+    const std::shared_ptr<configuration::freshness_holder> m_proofs;
     configuration::http_peer_source m_peers;
     transport::tcp_transport m_transport;
     const std::shared_ptr<gate::running_requests> m_running = std::make_shared<gate::running_requests>();
@@ -213,6 +220,7 @@
     entry::entry_service m_entry;
     admin::admin_server m_admin;
     std::shared_ptr<configuration::configuration_follower> m_follower;
+    std::shared_ptr<configuration::freshness_keeper> m_freshness; ///< Null without `m_proofs`.
     std::unique_ptr<membership::membership_service> m_membership;
     std::unique_ptr<execution::home_keeper> m_homes;
     lifecycle::drain_watch m_drain_watch{m_clock};
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -103,9 +103,17 @@
     return {chosen.transport_address, chosen.advertised_transport_address, chosen.transport_source_ip};
 }
 
+std::shared_ptr<configuration::freshness_holder> make_proofs(const settings::daemon_settings& chosen) {
+    const bool is_bounded = chosen.deployment && chosen.deployment->revocation_bound > 0ms;
+    return is_bounded ? std::make_shared<configuration::freshness_holder>(chosen.deployment->revocation_bound)
+                      : nullptr;
+}
+
 entry::entry_options entry_options_of(const settings::daemon_settings& chosen,
-                                      const std::shared_ptr<gate::running_requests>& running) {
+                                      const std::shared_ptr<gate::running_requests>& running,
+                                      const std::shared_ptr<configuration::freshness_holder>& proofs) {
     entry::entry_options options;
+    options.proofs = proofs;
     options.address = chosen.caller_address;
     options.data_centre = chosen.data_centre;
     options.decisions_on = chosen.decisions != "off";
--- a/src/app/monsoonliftd/daemon_options.h
+++ b/src/app/monsoonliftd/daemon_options.h
@@ -1,6 +1,7 @@
 /// Derives the options of the daemon's components from its settings.
 #pragma once
 
+#include "configuration/freshness_holder.h"
 #include "configuration/types/follower_state.h"
 #include "entry/entry_service.h"
 #include "gate/gate_service.h"
@@ -30,9 +31,16 @@
 [[nodiscard]] gate::gate_options gate_options_of(const settings::daemon_settings& chosen,
                                                  const std::shared_ptr<gate::running_requests>& running);
 
-/// `running` is used to find the running request that a nested call belongs to.
-[[nodiscard]] entry::entry_options entry_options_of(const settings::daemon_settings& chosen,
-                                                    const std::shared_ptr<gate::running_requests>& running);
+/// `running` is used to find the running request that a nested call belongs to; `proofs` may be null.
+[[nodiscard]] entry::entry_options
+entry_options_of(const settings::daemon_settings& chosen,
+                 const std::shared_ptr<gate::running_requests>& running,
+                 const std::shared_ptr<configuration::freshness_holder>& proofs);
+
+/// Makes the holder of proofs that the configuration is recent; null if the deployment doesn't bound their
+/// age.
+[[nodiscard]] std::shared_ptr<configuration::freshness_holder>
+make_proofs(const settings::daemon_settings& chosen);
 
 /// Timing rule by which a configuration change is in force within the deployment's bound despite any single
 /// failure.
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -142,6 +142,7 @@
           [this] { return m_transport.counters().corrupt; });
     total("monsoonlift_frames_wrong_incarnation_total", "Frames dropped as meant for another life.",
           [this] { return m_transport.counters().wrong_incarnation; });
+    add_freshness_metrics();
 }
 
 std::string daemon::quarantined() const {
--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -232,8 +232,13 @@
 }
 
 void daemon::stop_parts() {
-    const std::array<std::function<void()>, 6> steps{
+    const std::array<std::function<void()>, 7> steps{
         [this] { m_homes->stop(); },
+        [this] {
+            if (m_freshness) {
+                m_freshness->stop();
+            }
+        },
         [this] { m_follower->stop(); },
         [this] { m_membership->stop(); },
         [this] { m_gate.stop(); },
--- a/src/configuration/follower_rules.h
+++ b/src/configuration/follower_rules.h
@@ -23,6 +23,10 @@
 [[nodiscard]] bool is_watcher(const std::string& address, const std::string& data_centre,
                               const std::vector<membership::member>& members, std::size_t watchers);
 
+/// Returns the daemons of all data centres for which is_watcher() holds, the best of each data centre first.
+[[nodiscard]] std::vector<membership::member> find_watchers(const std::vector<membership::member>& members,
+                                                            std::size_t watchers);
+
 /// Records that a peer has a revision; ignored unless it is higher than `in_force`.
 void note_offer(follower_state& state, const peer_offer& offer, std::uint64_t in_force,
                 const follower_rule& rule, store::random_engine& random, core::steady_time now);
--- a/src/configuration/internal/follower_rules.cpp
+++ b/src/configuration/internal/follower_rules.cpp
@@ -1,6 +1,7 @@
 #include "configuration/follower_rules.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <xxhash.h>
@@ -23,9 +24,8 @@
     return {XXH3_64bits(address.data(), address.size()), address};
 }
 
-bool is_eligible(const membership::member& candidate, const std::string& data_centre) {
-    return candidate.data_centre == data_centre && candidate.status == membership::member_status::alive &&
-           !candidate.draining;
+bool is_eligible(const membership::member& candidate) {
+    return candidate.status == membership::member_status::alive && !candidate.draining;
 }
 
 bool is_stuck(const follower_state& state, std::uint64_t in_force, const follower_rule& rule,
@@ -64,12 +64,34 @@
                 const std::vector<membership::member>& members, std::size_t watchers) {
     const auto own = score_of(address);
     const auto better = std::count_if(members.begin(), members.end(), [&](const membership::member& other) {
-        return is_eligible(other, data_centre) && other.id.address != address &&
+        return other.data_centre == data_centre && is_eligible(other) && other.id.address != address &&
                score_of(other.id.address) > own;
     });
     return static_cast<std::size_t>(better) < watchers;
 }
 
+std::vector<membership::member> find_watchers(const std::vector<membership::member>& members,
+                                              std::size_t watchers) {
+    using scored_member = std::pair<std::pair<std::uint64_t, std::string>, const membership::member*>;
+    std::map<std::string, std::vector<scored_member>> by_data_centre;
+    for (const auto& each : members) {
+        if (is_eligible(each)) {
+            by_data_centre[each.data_centre].emplace_back(score_of(each.id.address), &each);
+        }
+    }
+    std::vector<membership::member> found;
+    for (auto& [data_centre, candidates] : by_data_centre) {
+        const auto kept = std::min(watchers, candidates.size());
+        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept),
+                          candidates.end(),
+                          [](const auto& left, const auto& right) { return left.first > right.first; });
+        for (std::size_t at = 0; at < kept; ++at) {
+            found.push_back(*candidates[at].second);
+        }
+    }
+    return found;
+}
+
 void note_offer(follower_state& state, const peer_offer& offer, std::uint64_t in_force,
                 const follower_rule& rule, store::random_engine& random, core::steady_time now) {
     drop_old_offers(state, in_force);
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,6 +1,7 @@
 /// The entry: accepts calls over HTTP, chooses a gate for each, and returns the answers.
 #pragma once
 
+#include "configuration/freshness_holder.h"
 #include "configuration/types/document.h"
 #include "core/clock.h"
 #include "entry/caller_protocol.h"
@@ -50,6 +51,8 @@
     std::size_t retry_burst = 10; ///< Retries allowed in a burst beyond the ratio to first attempts.
     std::size_t grant_burst = 10; ///< Retries that root calls in flight may hold beyond that ratio.
     caller_protocol protocol;
+    /// Proofs that the configuration is recent, without which calls that need a key are refused; may be null.
+    std::shared_ptr<configuration::freshness_holder> proofs;
 };
 
 /// Totals since the start.
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -2,6 +2,7 @@
 #include "entry/internal/attempt_result.h"
 
 #include "entry/internal/attempt_problem.h"
+#include "entry/internal/freshness_check.h"
 #include "logging/contained_step.h"
 #include "transfer/body_digest.h"
 
@@ -86,12 +87,17 @@
 }
 
 std::optional<problem> call_exchange::parse() {
+    // NOTE: read before the configuration, so that the proof holds for the revision that is used.
+    const auto age_check = begin_freshness_check(m_shared.options.proofs.get());
     const auto configuration = m_shared.configuration();
     if (!configuration) {
         return no_configuration();
     }
     const parsing_rules rules{*configuration, m_shared.options.default_patience, m_shared.sender.self().life};
     auto parsed = m_shared.options.protocol.parse(m_connection->request(), rules, m_shared.clock.now());
+    if (auto outdated = age_check.refuse(parsed, configuration->revision, m_shared.clock, m_shared.log)) {
+        return outdated;
+    }
     if (auto* trouble = std::get_if<problem>(&parsed)) {
         return std::move(*trouble);
     }
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -103,6 +103,8 @@
     platform_unreachable = 5004,
     platform_reachable = 5005,
     platform_call_failed = 5006,
+    configuration_outdated = 5007,
+    configuration_current = 5008,
 
     // 6000: transport and transfer
     frame_corrupt = 6000,
@@ -297,6 +299,14 @@
     {event_id::platform_reachable, severity::info, "platform_reachable", "The platform answers again."},
     {event_id::platform_call_failed, severity::notice, "platform_call_failed",
      "A list or watch of the configuration on the platform failed; a full list follows."},
+    {event_id::configuration_outdated, severity::warning, "configuration_outdated",
+     "Calls that need a key begin to be refused, as nothing proves that the configuration in force is "
+     "recent: "
+     "the age of the latest proof, the bound and the revision."},
+    {event_id::configuration_current, severity::notice, "configuration_current",
+     "The configuration in force is proven to be recent again, and calls that need a key are served: how "
+     "many "
+     "were refused, and for how long."},
 
     // 6000: transport and transfer
     {event_id::frame_corrupt, severity::warning, "frame_corrupt",
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -102,6 +102,13 @@
 
 } // namespace
 
+/// The configuration as get() read it last. Versions are assigned again after a restore of the store, so the
+/// whole answers are compared.
+struct platform_store::read_configuration {
+    std::string answer;
+    store::object decoded;
+};
+
 /// Reads a list page by page.
 class platform_store::listing : public std::enable_shared_from_this<platform_store::listing> {
 public:
@@ -159,7 +166,8 @@
 
 platform_store::platform_store(const boost::asio::any_io_executor& executor,
                                std::shared_ptr<const store::service_address> address, logging::event_log& log)
-    : m_client(executor), m_address(std::move(address)), m_log(log) {}
+    : m_client(executor), m_address(std::move(address)), m_log(log),
+      m_last_configuration(std::make_shared<read_configuration>()) {}
 
 template <class T, class Parser>
 void platform_store::call(store::http_request&& request, std::chrono::milliseconds patience, Parser parse,
@@ -172,9 +180,21 @@
 
 void platform_store::get(const std::string& name, std::chrono::milliseconds patience,
                          handler<store::object> done) {
-    const auto parse = [this, name](const std::string& text) -> std::optional<store::object> {
+    const auto parse =
+        [this, name, last = m_last_configuration](const std::string& text) -> std::optional<store::object> {
+        if (is_configuration(name) && text == last->answer) {
+            return last->decoded;
+        }
         const auto stored = decode_object(text);
-        return stored ? translate(name, *stored, m_log) : std::nullopt;
+        if (!stored || !is_configuration(name)) {
+            return stored ? translate(name, *stored, m_log) : std::nullopt;
+        }
+        // NOTE: the store did answer, so a configuration that can't be used is not a failed call.
+        auto decoded = translate(name, *stored, m_log)
+                           .value_or(store::object{std::string(configuration::current_object),
+                                                   stored->version, std::string()});
+        *last = {text, std::move(decoded)};
+        return last->decoded;
     };
     call<store::object>({"GET", object_target(name), {}, {}}, patience, parse, std::move(done));
 }
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -14,7 +14,9 @@
 namespace monsoonlift::platform {
 
 /// Object API over the platform's store. "configuration/current" is the operator's configuration, translated
-/// and read-only; objects under any other prefix, such as "members/NAME", have a kind that belongs to this
+/// and read-only; get() returns an empty value for one that can't be used. An answer of get() that equals the
+/// one before is not decoded again, so that daemons can read an unchanged configuration often. No read allows
+/// the store a stale answer. Objects under any other prefix, such as "members/NAME", have a kind that belongs to this
 /// project. Errors are those of store::object_api.
 class platform_store final : public store::object_api {
 public:
@@ -35,6 +37,7 @@
 
 private:
     class listing;
+    struct read_configuration;
 
     template <class T, class Parser>
     void call(store::http_request&& request, std::chrono::milliseconds patience, Parser parse,
@@ -43,6 +46,7 @@
     store::http_client m_client;
     std::shared_ptr<const store::service_address> m_address;
     logging::event_log& m_log;
+    std::shared_ptr<read_configuration> m_last_configuration; ///< Used on the executor only.
 };
 
 } // namespace monsoonlift::platform
--- a/src/platform/tests/platform_store_tests.cpp
+++ b/src/platform/tests/platform_store_tests.cpp
@@ -63,6 +63,39 @@
     CHECK(stored->digest == configuration::digest_of(*stored));
 }
 
+// Guards against daemons that go on with the text that they decoded before, and against a circuit that opens
+// because a configuration can't be used.
+TEST_CASE("a configuration that is read again is the one that the store has", "[platform]") {
+    platform_environment environment;
+    const auto read = [&] {
+        return environment.wait<store::object>(
+            [&](auto done) { environment.api().get(configuration::current_object, 5000ms, done); });
+    };
+    const auto revision = [&] {
+        const auto answer = read();
+        REQUIRE(answer.value);
+        const auto stored = configuration::parse_stored_configuration(answer.value->value);
+        return stored ? stored->revision : 0;
+    };
+    CHECK(read().failure.code == core::error_code::not_found);
+    environment.post("/api/objects/config",
+                     R"({"Metadata":{"Name":"main"},"Spec":{"Version":"0000001f","Listeners":[],)"
+                     R"("Clusters":[{"Name":"mappa"}]}})");
+    CHECK(revision() == 31);
+    CHECK(revision() == 31);
+    const auto version = read().value->version;
+    environment.post("/api/objects/config",
+                     R"({"Metadata":{"Name":"main","Rev":)" + std::to_string(version) +
+                         R"(},"Spec":{"Version":"00000020","Listeners":[],"Clusters":[{"Name":"mappa"}]}})");
+    CHECK(revision() == 32);
+    CHECK(revision() == 32);
+    environment.post("/api/objects/config", R"({"Metadata":{"Name":"main","Rev":)" +
+                                                std::to_string(read().value->version) +
+                                                R"(},"Spec":{"Version":"none"}})");
+    CHECK(revision() == 0);
+    CHECK(revision() == 0);
+}
+
 TEST_CASE("an object that another writer replaced can be read with its version and overwritten",
           "[platform]") {
     platform_environment environment;
