--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -44,7 +44,7 @@
       m_platform_client(make_store_client(m_settings, m_platform_address, m_control, log)),
       m_platform(*m_platform_client, m_scheduler, m_clock, log, store_limits_of(m_settings),
                  m_incarnation.value),
-      m_configuration(log), m_peers(m_control),
+      m_configuration(log), m_proofs(make_proofs(m_settings)), m_peers(m_control),
       m_transport(m_io, transport_options_of(m_settings), m_incarnation, m_clock, log),
       m_ledger(m_clock, m_transport.self(), {}),
       m_crashes(m_clock, m_transport.self(), {}, log,
@@ -55,7 +55,7 @@
              m_clock, log, m_metrics),
       m_quota(make_quota()),
       m_entry(
-          m_io, entry_options_of(m_settings, m_running, m_quota), m_transport, m_budgets,
+          m_io, entry_options_of(m_settings, m_running, m_quota, m_proofs), m_transport, m_budgets,
           [this] { return m_configuration.current(); }, m_clock, log, m_metrics),
       m_admin(m_io, m_settings.admin_address, m_settings.admin_token, m_clock, log) {
     if (m_settings.deployment) {
@@ -68,6 +68,7 @@
 
 void daemon::start() {
     m_directory.on_change([this](const membership::member& changed) { member_changed(changed); });
+    prepare_freshness();
     start_transport();
     start_configuration();
     start_membership();
@@ -87,6 +88,9 @@
         watch_settings();
         record_turns();
         m_follower->start();
+        if (m_freshness) {
+            m_freshness->start();
+        }
         m_lifecycle.handle(lifecycle::signal::sockets_open);
         wait_until_ready();
     });
@@ -268,7 +272,8 @@
 }
 
 void daemon::check_ready() {
-    if (m_follower->has_settled() && m_configuration.revision() > 0 && m_membership->joined()) {
+    const bool is_proven = !m_proofs || m_proofs->proven();
+    if (m_follower->has_settled() && m_configuration.revision() > 0 && is_proven && m_membership->joined()) {
         m_lifecycle.handle(lifecycle::signal::configuration_known);
     }
 }
@@ -343,10 +348,16 @@
 }
 
 void daemon::take_control(const transport::frame& message) {
-    // NOTE: a message of a topic of a later version is dropped.
-    const auto* control = std::get_if<transport::control_message>(&message.payload);
-    if (control != nullptr && control->topic == transport::control_topic::quota) {
-        m_quota->received({control->reply_address, message.sender}, control->payload);
+    const auto* received = std::get_if<transport::control_message>(&message.payload);
+    if (received == nullptr) {
+        return;
+    }
+    const core::endpoint_id from{received->reply_address, message.sender};
+    // NOTE: a message of a topic without an owner is dropped: this daemon doesn't use what it is about.
+    if (received->topic == transport::control_topic::quota) {
+        m_quota->received(from, received->payload);
+    } else if (received->topic == transport::control_topic::freshness && m_freshness) {
+        m_freshness->received(from, received->payload);
     }
 }
 
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -161,6 +161,7 @@
     m_quota->add_metrics(m_metrics);
     total("monsoonlift_frames_wrong_incarnation_total", "Frames dropped as meant for another life.",
           [this] { return m_transport.counters().wrong_incarnation; });
+    add_freshness_metrics();
 }
 
 std::string daemon::quarantined() const {
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,6 +1,7 @@
 /// The entry: accepts calls over HTTP, chooses a gate for each, and returns the answers.
 #pragma once
 
+#include "configuration/freshness_holder.h"
 #include "configuration/types/document.h"
 #include "core/clock.h"
 #include "entry/caller_protocol.h"
@@ -52,6 +53,8 @@
     std::size_t grant_burst = 10; ///< Retries that root calls in flight may hold beyond that ratio.
     caller_protocol protocol;
     std::shared_ptr<quota::token_source> quota; ///< Limits of accounts; nullptr for none.
+    /// Proofs that the configuration is recent, without which calls that need a key are refused; may be null.
+    std::shared_ptr<configuration::freshness_holder> proofs;
 };
 
 /// Totals since the start.
