Serve pipelined idempotent requests of a connection side by side

The session goes on reading while idempotent requests without a body are in progress; request_connection writes each answer in its turn. Requests that are not idempotent or have a body still run alone. The number of requests in progress and the bytes of waiting answers are bounded per connection.

--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -47,6 +47,11 @@
     std::uint64_t random_seed = 1;
     /// Connections of callers that are open at once; beyond it the longest idle are closed.
     std::size_t most_connections = std::numeric_limits<std::size_t>::max();
+    /// Requests of one connection that are in progress at once, if its caller sends further ones before the
+    /// first is answered; 1 serves them one after another. The next head isn't read beyond it.
+    std::size_t most_pipelined = 32;
+    /// Bytes of answers that wait for their turn on one connection beyond which no further head is read.
+    std::size_t most_held_bytes = 256 * 1024;
     std::size_t retry_burst = 10; ///< Retries allowed in a burst beyond the ratio to first attempts.
     std::size_t grant_burst = 10; ///< Retries that root calls in flight may hold beyond that ratio.
     caller_protocol protocol;
--- a/src/entry/internal/broken_exchange.cpp
+++ b/src/entry/internal/broken_exchange.cpp
@@ -23,10 +23,10 @@
                           "an internal error broke the call off",
                           {}};
     try_step([&] { count_broken(trouble); });
-    if (m_connection->answered() == caller_connection::answer_state::complete) {
+    if (m_connection->answered() == request_connection::answer_state::complete) {
         co_return;
     }
-    if (m_caller_gone || m_connection->answered() == caller_connection::answer_state::begun) {
+    if (m_caller_gone || m_connection->answered() == request_connection::answer_state::begun) {
         m_connection->abort();
         co_return;
     }
@@ -55,16 +55,16 @@
         return;
     }
     switch (m_connection->answered()) {
-    case caller_connection::answer_state::none:
+    case request_connection::answer_state::none:
         ++(trouble.run == verdict::not_run ? m_shared.refused : m_shared.failed);
         m_class->count_end(m_caller_gone ? call_outcome::caller_gone : call_outcome::problem, trouble.run);
         m_class->count_problem(trouble);
         break;
-    case caller_connection::answer_state::begun:
+    case request_connection::answer_state::begun:
         ++m_shared.failed;
         m_class->count_end(call_outcome::cut_short, trouble.run);
         break;
-    case caller_connection::answer_state::complete:
+    case request_connection::answer_state::complete:
         ++m_shared.answered;
         m_class->count_end(call_outcome::answered, verdict::ran);
         break;
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -46,6 +46,15 @@
             stopping_retry_after};
 }
 
+/// The problem of a call that ended before it could begin.
+problem not_begun(end_reason reason, std::string detail) {
+    transport::attempt_end end;
+    end.run = verdict::not_run;
+    end.reason = reason;
+    end.detail = std::move(detail);
+    return problem_of(end);
+}
+
 problem incomplete_body() {
     return {
         400,
@@ -59,54 +68,93 @@
 } // namespace
 
 call_exchange::call_exchange(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
-                             std::shared_ptr<caller_connection> connection,
-                             std::shared_ptr<transfer::watchdog> watchdog)
+                             std::shared_ptr<request_connection> connection)
     : m_shared(shared), m_keep_alive(std::move(keep_alive)), m_connection(std::move(connection)),
-      m_watchdog(std::move(watchdog)), m_class(&shared.classes.unknown()) {}
+      m_in_flight(std::in_place, shared.in_flight), m_class(&shared.classes.unknown()),
+      m_began(m_connection->arrived()), m_call_number(shared.next_call()) {
+    ++m_shared.calls;
+}
+
+bool call_exchange::prepare() {
+    if (is_permit_request()) {
+        return false;
+    }
+    try {
+        m_parse_trouble = parse();
+    } catch (...) {
+        m_preparation_failure = std::current_exception();
+        return false;
+    }
+    const bool can_run_beside = m_parse_trouble || m_call.context.idempotent;
+    return can_run_beside && !m_connection->has_body();
+}
 
 boost::asio::awaitable<void> call_exchange::run() {
-    m_began = m_shared.clock.now();
-    m_call_number = m_shared.next_call();
+    if (m_preparation_failure) {
+        std::rethrow_exception(m_preparation_failure);
+    }
     if (is_permit_request()) {
         set_root_id(m_shared.routes.draw_root());
         co_await issue_permit();
         co_return;
     }
-    auto trouble = parse();
+    const auto trouble = m_parse_trouble ? m_parse_trouble : begin();
     if (trouble) {
-        set_root_id(m_shared.routes.draw_root());
+        if (m_parse_trouble) {
+            set_root_id(m_shared.routes.draw_root());
+        }
         co_await refuse(*trouble);
         co_return;
     }
-    m_watchdog->allow_until(m_call.context.deadline + m_shared.options.answer_patience);
+    m_connection->allow_until(m_call.context.deadline + m_shared.options.answer_patience);
     co_await serve();
     m_class->call_time.record(m_shared.clock.now() - m_began);
     m_connection->stop_watching();
     return_budget();
 }
 
+void call_exchange::finish() {
+    m_connection->finish();
+    m_in_flight.reset();
+}
+
 std::optional<problem> call_exchange::parse() {
-    const auto configuration = m_shared.configuration();
-    if (!configuration) {
+    m_configuration = m_shared.configuration();
+    if (!m_configuration) {
         return no_configuration();
     }
-    const parsing_rules rules{*configuration, m_shared.options.default_patience, m_shared.sender.self().life};
-    auto parsed = m_shared.options.protocol.parse(m_connection->request(), rules, m_shared.clock.now());
+    const parsing_rules rules{*m_configuration, m_shared.options.default_patience,
+                              m_shared.sender.self().life};
+    auto parsed = m_shared.options.protocol.parse(m_connection->request(), rules, m_began);
     if (auto* trouble = std::get_if<problem>(&parsed)) {
         return std::move(*trouble);
     }
     m_call = std::move(std::get<parsed_call>(parsed));
+    return std::nullopt;
+}
+
+std::optional<problem> call_exchange::begin() {
     m_class = &m_shared.classes.of(m_call.context.rank);
     if (m_call.parent) {
         set_root_id(m_call.parent->root);
     } else {
         set_root_id(m_call.request ? *m_call.request : m_shared.routes.draw_root());
     }
+    if (m_connection->is_gone()) {
+        m_caller_gone = true;
+        return not_begun(end_reason::cancelled, "the caller went away before the request could run");
+    }
     if (m_shared.refuses_all() || (m_shared.refuses_roots() && !m_call.parent)) {
         return stopping();
     }
-    begin_context(*configuration);
-    m_shared.decisions.accepted(decided(), m_call, configuration->revision);
+    const bool has_waited_too_long =
+        m_call.context.deadline > m_began && m_shared.clock.now() >= m_call.context.deadline;
+    if (has_waited_too_long) {
+        return not_begun(end_reason::deadline, "the deadline passed before the request could run");
+    }
+    begin_context(*m_configuration);
+    m_shared.decisions.accepted(decided(), m_call, m_configuration->revision);
+    m_configuration.reset();
     return std::nullopt;
 }
 
@@ -156,6 +204,12 @@
         co_return;
     }
     watch_caller();
+    if (m_caller_gone) {
+        const auto trouble =
+            not_begun(end_reason::cancelled, "the caller went away before the request could run");
+        co_await refuse(trouble);
+        co_return;
+    }
     co_await make_attempts();
 }
 
@@ -427,7 +481,7 @@
 
 void call_exchange::extend_timeout() {
     const auto until = m_shared.clock.now() + m_shared.options.stall_patience;
-    m_watchdog->allow_until(std::max(until, m_call.context.deadline + m_shared.options.answer_patience));
+    m_connection->allow_until(std::max(until, m_call.context.deadline + m_shared.options.answer_patience));
 }
 
 void call_exchange::send(decltype(transport::frame::payload) payload) {
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -2,11 +2,11 @@
 
 #include "entry/attempt_watch.h"
 #include "entry/internal/attempt_channel.h"
-#include "entry/internal/caller_connection.h"
 #include "entry/internal/entry_state.h"
+#include "entry/internal/in_flight_mark.h"
+#include "entry/internal/request_connection.h"
 #include "execution/types/execution_key.h"
 #include "transfer/body_receiver.h"
-#include "transfer/watchdog.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -24,17 +24,22 @@
 class call_exchange : public std::enable_shared_from_this<call_exchange> {
 public:
     call_exchange(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
-                  std::shared_ptr<caller_connection> connection,
-                  std::shared_ptr<transfer::watchdog> watchdog);
+                  std::shared_ptr<request_connection> connection);
 
-    /// Serves the call to its end; afterwards the connection's can_go_on() says whether it takes another
-    /// request.
+    /// Parses the head and finds the route; nothing is reserved or sent yet. Returns whether the call may run
+    /// beside others of its connection: it is idempotent, or refused, and nothing of it is left to read.
+    [[nodiscard]] bool prepare();
+
+    /// Serves the call to its end, once it was prepared.
     boost::asio::awaitable<void> run();
 
     /// Ends the call after an exception has left run(): the gate is told, budgets return, and the caller gets
     /// a problem document, or a reset connection if its answer had begun.
     boost::asio::awaitable<void> break_off(std::exception_ptr failure);
 
+    /// Ends the call's part in the connection and in the number of calls in flight.
+    void finish();
+
 private:
     template <class T> using awaitable = boost::asio::awaitable<T>;
 
@@ -55,6 +60,9 @@
     using destination = std::variant<core::endpoint_id, problem>;
 
     [[nodiscard]] std::optional<problem> parse();
+
+    /// Begins a call that was parsed, or returns why it is refused.
+    [[nodiscard]] std::optional<problem> begin();
     void set_root_id(const core::root_id& root);
     void begin_context(const configuration::document& configuration);
     void return_budget();
@@ -130,8 +138,11 @@
 
     entry_state& m_shared;
     std::shared_ptr<entry_state> m_keep_alive;
-    std::shared_ptr<caller_connection> m_connection;
-    std::shared_ptr<transfer::watchdog> m_watchdog;
+    std::shared_ptr<request_connection> m_connection;
+    std::optional<in_flight_mark> m_in_flight;
+    std::exception_ptr m_preparation_failure;
+    std::optional<problem> m_parse_trouble;                         ///< Why the head is refused.
+    std::shared_ptr<const configuration::document> m_configuration; ///< In force when the head was parsed.
 
     parsed_call m_call;
     gate::run_progress m_made_by; ///< The run that made the call, as it was when the call came.
--- a/src/entry/internal/caller_connection.cpp
+++ b/src/entry/internal/caller_connection.cpp
@@ -1,25 +1,18 @@
 #include "entry/internal/caller_connection.h"
 
-#include "entry/caller_presence.h"
+#include "entry/internal/request_connection.h"
 #include "transfer/body_room.h"
-#include "transfer/http_headers.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
-#include <cerrno>
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace monsoonlift::entry::internal {
 
 namespace http = boost::beast::http;
@@ -33,33 +26,37 @@
     return {text.data(), text.size()};
 }
 
-bool has_no_body(unsigned status) {
-    return status == 204 || status == 304;
+/// Whether a failed read says nothing about the connection, only about this machine.
+bool is_passing(const boost::system::error_code& failure) {
+    return failure == boost::asio::error::no_buffer_space || failure == boost::asio::error::no_memory ||
+           failure == boost::asio::error::interrupted;
 }
 
 } // namespace
 
-caller_connection::caller_connection(boost::asio::ip::tcp::socket socket, std::uint32_t head_limit,
-                                     const caller_protocol& protocol)
-    : m_socket(std::move(socket)), m_head_limit(head_limit), m_protocol(protocol) {
+caller_connection::caller_connection(boost::asio::ip::tcp::socket socket,
+                                     std::shared_ptr<transfer::watchdog> watchdog,
+                                     const connection_rules& rules)
+    : m_socket(std::move(socket)), m_watchdog(std::move(watchdog)), m_rules(rules) {
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
 }
 
 boost::asio::awaitable<caller_connection::head_outcome> caller_connection::read_head() {
-    m_request = {};
-    m_request_id.reset();
-    m_answered = answer_state::none;
+    m_watches = false;
     m_wait_end = wait_end::none;
     m_parser.emplace();
-    m_parser->header_limit(m_head_limit);
+    m_parser->header_limit(m_rules.head_limit_bytes);
     m_parser->body_limit(boost::none);
     const auto failure = co_await read_whole_head();
+    const bool was_closed = !std::exchange(m_can_go_on, m_can_go_on && !failure);
+    if (was_closed) {
+        co_return head_outcome::closed;
+    }
     if (!failure) {
-        store_request();
+        m_can_go_on = m_parser->get().keep_alive();
         co_return head_outcome::arrived;
     }
-    m_can_go_on = false;
     co_return outcome_of(failure);
 }
 
@@ -67,7 +64,9 @@
     while (true) {
         boost::system::error_code failure = http::error::need_more;
         if (m_buffer.size() > 0) {
-            m_buffer.consume(m_parser->put(m_buffer.data(), failure));
+            const auto taken = m_parser->put(m_buffer.data(), failure);
+            m_buffer.consume(taken);
+            m_head_arrived = m_arrivals.consume(taken, m_rules.clock.now());
         }
         if (m_parser->is_header_done() || failure != http::error::need_more) {
             co_return failure;
@@ -84,12 +83,28 @@
     if (room == 0) {
         co_return http::error::buffer_overflow;
     }
+    m_is_reading = true;
+    const auto failure = co_await read_some(room);
+    m_is_reading = false;
+    co_return failure;
+}
+
+boost::asio::awaitable<boost::system::error_code> caller_connection::read_some(std::size_t room) {
     while (true) {
         const auto [failure, got] = co_await m_socket.async_read_some(m_buffer.prepare(room), to_tuple);
-        if (!failure) {
+        if (!failure && m_can_go_on) {
             m_buffer.commit(got);
+            m_arrivals.read(got, m_rules.clock.now());
             co_return failure;
         }
+        if (!failure) {
+            // NOTE: an answer has closed the connection, so what arrives is no request.
+            continue;
+        }
+        if (is_passing(failure)) {
+            co_await m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, to_tuple);
+            continue;
+        }
         const bool is_wait_ended =
             failure == boost::asio::error::operation_aborted && m_wait_end != wait_end::none;
         const bool reads_on = has_begun() && m_wait_end == wait_end::before_request;
@@ -121,33 +136,28 @@
     return m_socket.available(ignored) > 0;
 }
 
-void caller_connection::store_request() {
+request_head caller_connection::take_head() {
+    request_head head;
     const auto& message = m_parser->get();
-    m_can_go_on = message.keep_alive();
-    m_request.method = view(message.method_string());
-    m_request.target = view(message.target());
-    m_request.headers.clear();
+    head.version = message.version();
+    head.arrived = m_head_arrived;
+    if (!m_parser->is_header_done()) {
+        return head;
+    }
+    head.keeps_alive = message.keep_alive();
+    head.has_body = !m_parser->is_done();
+    head.expects_continue = boost::beast::iequals(message[http::field::expect], "100-continue");
+    head.fields.method = view(message.method_string());
+    head.fields.target = view(message.target());
     for (const auto& field : message) {
-        m_request.headers.push_back(
+        head.fields.headers.push_back(
             {std::string(view(field.name_string())), std::string(view(field.value()))});
     }
-}
-
-boost::asio::awaitable<bool> caller_connection::send_continue() {
-    const bool expects_continue = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
-    if (!expects_continue || m_parser->is_done()) {
-        co_return true;
-    }
-    static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-    const auto [failure, written] =
-        co_await boost::asio::async_write(m_socket, boost::asio::buffer(continue_response), to_tuple);
-    co_return !failure;
+    return head;
 }
 
 boost::asio::awaitable<bool> caller_connection::read_body(std::string& into, std::size_t limit) {
-    if (m_parser->is_done()) {
-        co_return true;
-    }
+    m_watches = false;
     const auto before = into.size();
     const auto room = transfer::room_for(m_parser->content_length_remaining(), limit);
     into.resize(before + room);
@@ -156,140 +166,99 @@
     body.size = room;
     const auto [failure, got] = co_await http::async_read(m_socket, m_buffer, *m_parser, to_tuple);
     into.resize(before + room - body.size);
+    m_arrivals.reset(m_buffer.size(), m_rules.clock.now());
     co_return !failure || failure == http::error::need_buffer;
 }
 
-template <class Body>
-void caller_connection::label(http::response<Body>& response, answer_labels labels) const {
-    response.set("Monsoonlift-Verdict", core::to_string(labels.run));
-    response.set("Monsoonlift-Attempts", std::to_string(labels.attempts));
-    if (m_request_id) {
-        response.set("Monsoonlift-Request-Id", core::to_string(*m_request_id));
+void caller_connection::add(request_connection& request) {
+    if (m_open.empty()) {
+        m_busy_until = {};
     }
+    m_open.push_back(&request);
 }
 
-template <class Body>
-void caller_connection::fill_response(http::response<Body>& response, const transport::response_head& head,
-                                      answer_labels labels) {
-    response.version(m_parser->get().version());
-    response.result(head.status);
-    response.reason(head.reason);
-    for (const auto& field : head.headers) {
-        response.insert(field.name, field.value);
+void caller_connection::remove(request_connection& request) {
+    std::erase(m_open, &request);
+    if (!m_open.empty()) {
+        m_open.front()->wake();
     }
-    if (m_protocol.labels_answers) {
-        label(response, labels);
-    }
-    m_can_go_on = m_can_go_on && !m_close_after_answer && m_parser->is_done();
-    response.keep_alive(m_can_go_on);
+    notify_change();
 }
 
-boost::asio::awaitable<bool> caller_connection::write_answer(transport::response_head head,
-                                                             answer_labels labels) {
-    http::response<http::string_body> response;
-    fill_response(response, head, labels);
-    response.body() = std::move(head.body);
-    const bool bodiless = m_request.method == "HEAD" || has_no_body(head.status);
-    if (bodiless) {
-        response.body().clear();
-    } else {
-        response.content_length(response.body().size());
-    }
-    m_answered = answer_state::begun;
-    const auto [failure, written] = co_await http::async_write(m_socket, response, to_tuple);
-    note_written(failure);
-    co_return !failure;
+bool caller_connection::is_turn_of(const request_connection& request) const {
+    return !m_open.empty() && m_open.front() == &request;
 }
 
-boost::asio::awaitable<bool> caller_connection::begin_answer(const transport::response_head& head,
-                                                             answer_labels labels) {
-    m_response.emplace();
-    fill_response(*m_response, head, labels);
-    const bool has_length = m_response->find(http::field::content_length) != m_response->end();
-    if (!has_length && m_response->version() >= 11) {
-        m_response->chunked(true);
-    } else if (!has_length) {
-        m_can_go_on = false;
-        m_response->keep_alive(false);
-    }
-    m_serializer.emplace(*m_response);
-    m_answered = answer_state::begun;
-    co_return co_await write_piece(head.body);
+void caller_connection::begin_turn() {
+    allow_until(m_rules.clock.now() + m_rules.answer_patience);
 }
 
-boost::asio::awaitable<bool> caller_connection::write_piece(std::string_view bytes) {
-    auto& body = m_response->body();
-    // NOTE: a non-null buffer of zero bytes would be written as the last chunk.
-    body.data = bytes.empty() ? nullptr : const_cast<char*>(bytes.data());
-    body.size = bytes.size();
-    body.more = true;
-    const auto [failure, written] = co_await http::async_write(m_socket, *m_serializer, to_tuple);
-    co_return !failure || failure == http::error::need_buffer;
+void caller_connection::remove_held(std::size_t bytes) {
+    m_held_bytes -= bytes;
+    notify_change();
 }
 
-boost::asio::awaitable<bool> caller_connection::end_answer() {
-    auto& body = m_response->body();
-    body.data = nullptr;
-    body.size = 0;
-    body.more = false;
-    const auto [failure, written] = co_await http::async_write(m_socket, *m_serializer, to_tuple);
-    note_written(failure);
-    co_return !failure;
+bool caller_connection::is_answer_begun() const {
+    return !m_open.empty() && m_open.front()->answered() == request_connection::answer_state::begun;
 }
 
-void caller_connection::note_written(const boost::system::error_code& failure) {
-    m_can_go_on = m_can_go_on && !failure;
-    if (!failure) {
-        m_answered = answer_state::complete;
+bool caller_connection::closes_after(const request_connection& request) const {
+    return m_close_after_answer && !m_open.empty() && m_open.back() == &request;
+}
+
+void caller_connection::end_after(const request_connection& request) {
+    m_can_go_on = false;
+    const auto place = std::ranges::find(m_open, &request);
+    if (place != m_open.end()) {
+        drop_from(static_cast<std::size_t>(place - m_open.begin()) + 1);
     }
+    notify_change();
 }
 
-boost::asio::awaitable<bool> caller_connection::write_problem(const problem& trouble,
-                                                              std::uint32_t attempts) {
-    auto head = m_protocol.tell(trouble);
-    head.reason = http::obsolete_reason(static_cast<http::status>(head.status));
-    co_return co_await write_answer(std::move(head), {trouble.run, attempts});
+void caller_connection::drop_from(std::size_t first) {
+    for (auto index = first; index < m_open.size(); ++index) {
+        m_open[index]->drop();
+    }
 }
 
-boost::asio::awaitable<bool> caller_connection::write_json(unsigned status, std::string document) {
-    transport::response_head head;
-    head.status = status;
-    head.reason = http::obsolete_reason(static_cast<http::status>(status));
-    head.headers.push_back({"Content-Type", "application/json"});
-    head.body = std::move(document);
-    co_return co_await write_answer(std::move(head), {core::verdict::ran, 0});
+void caller_connection::watch() {
+    if (m_is_reading || m_has_caller_left || m_open.empty()) {
+        return;
+    }
+    m_watches = true;
+    if (!m_is_looking) {
+        wait_for_readable();
+    }
 }
 
-void caller_connection::watch(std::function<void()> gone) {
-    m_on_closed = std::move(gone);
-    wait_for_readable();
+void caller_connection::caller_left() {
+    m_has_caller_left = true;
+    m_can_go_on = false;
+    for (auto* request : m_open) {
+        request->caller_left();
+    }
+    notify_change();
 }
 
-void caller_connection::wait_for_readable() {
-    if (std::exchange(m_watching, true)) {
-        return;
+boost::asio::awaitable<void> caller_connection::wait_for_change() {
+    if (!m_change) {
+        m_change.emplace(strand());
     }
-    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
-                        [self = shared_from_this()](const boost::system::error_code& failure) {
-                            self->m_watching = false;
-                            if (!failure && self->m_on_closed) {
-                                self->check_caller_closed();
-                            }
-                        });
+    m_change->expires_at(boost::asio::steady_timer::time_point::max());
+    co_await m_change->async_wait(to_tuple);
 }
 
-void caller_connection::check_caller_closed() {
-    char byte = 0;
-    const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const auto presence = presence_from_peek(got, errno);
-    if (presence == caller_presence::unknown) {
-        // NOTE: the socket became readable with bytes of this request, which its handler has read since.
-        wait_for_readable();
-    } else if (presence == caller_presence::gone) {
-        std::exchange(m_on_closed, nullptr)();
+void caller_connection::notify_change() {
+    if (m_change) {
+        m_change->cancel();
     }
 }
 
+void caller_connection::allow_until(core::steady_time until) {
+    m_busy_until = std::max(m_busy_until, until);
+    m_watchdog->allow_until(m_busy_until);
+}
+
 void caller_connection::end_wait(wait_end which) {
     m_wait_end = which;
     boost::system::error_code ignored;
@@ -304,7 +273,10 @@
 
 void caller_connection::abort() {
     m_can_go_on = false;
-    m_on_closed = nullptr;
+    m_watches = false;
+    m_has_caller_left = true;
+    drop_from(0);
+    notify_change();
     if (!m_socket.is_open()) {
         return;
     }
@@ -313,13 +285,20 @@
     m_socket.close(ignored);
 }
 
+void caller_connection::shut_down() {
+    if (std::exchange(m_is_shut_down, true) || !m_socket.is_open()) {
+        return;
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 boost::asio::awaitable<void> caller_connection::close() {
-    m_on_closed = nullptr;
+    m_watches = false;
     if (!m_socket.is_open()) {
         co_return;
     }
-    boost::system::error_code ignored;
-    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    shut_down();
     // NOTE: closing a socket with unread bytes would reset the connection before the caller has read the
     // answer.
     std::array<char, discard_bytes> unread{};
@@ -328,6 +307,7 @@
         std::tie(failure, std::ignore) =
             co_await m_socket.async_read_some(boost::asio::buffer(unread), to_tuple);
     }
+    boost::system::error_code ignored;
     m_socket.close(ignored);
 }
 
--- a/src/entry/internal/caller_session.cpp
+++ b/src/entry/internal/caller_session.cpp
@@ -1,12 +1,8 @@
 #include "entry/internal/caller_session.h"
 
-#include "entry/internal/call_exchange.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 
-#include <atomic>
-#include <cstdint>
 #include <exception>
 #include <utility>
 
@@ -22,26 +18,16 @@
 constexpr std::chrono::seconds shortest_idle = 1s;
 constexpr auto not_idle = core::steady_time::max();
 
-/// Counts a call as in flight as long as it lives.
-class in_flight_mark {
-public:
-    explicit in_flight_mark(std::atomic<std::uint64_t>& count) : m_count(count) { ++m_count; }
-    in_flight_mark(const in_flight_mark&) = delete;
-    in_flight_mark& operator=(const in_flight_mark&) = delete;
-    ~in_flight_mark() { --m_count; }
-
-private:
-    std::atomic<std::uint64_t>& m_count;
-};
-
 } // namespace
 
 caller_session::caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
                                boost::asio::ip::tcp::socket socket)
     : m_shared(shared), m_keep_alive(std::move(keep_alive)),
-      m_connection(std::make_shared<caller_connection>(std::move(socket), shared.options.head_limit_bytes,
-                                                       shared.options.protocol)),
-      m_watchdog(std::make_shared<transfer::watchdog>(m_connection->strand())),
+      m_watchdog(std::make_shared<transfer::watchdog>(socket.get_executor())),
+      m_connection(std::make_shared<caller_connection>(
+          std::move(socket), m_watchdog,
+          connection_rules{shared.options.head_limit_bytes, shared.options.answer_patience,
+                           shared.options.protocol, shared.clock})),
       m_idle_since(shared.clock.now()) {}
 
 caller_session::~caller_session() {
@@ -114,7 +100,7 @@
         watch_until(m_shared.clock.now() + transfer::look_interval);
         return;
     }
-    const bool may_be_truncated = m_connection->answered() == caller_connection::answer_state::begun;
+    const bool may_be_truncated = m_connection->is_answer_begun();
     if (m_is_closing && !may_be_truncated) {
         // NOTE: a reset would discard what the caller has not read yet of its last answer.
         m_connection->close_unread();
@@ -137,19 +123,26 @@
 boost::asio::awaitable<void> caller_session::run() {
     watch_until(idle_until());
     co_await serve_requests();
-    m_is_closing = true;
-    m_watchdog->allow_until(m_shared.clock.now() + close_timeout);
+    co_await wait_for_open(0);
+    begin_close();
     co_await m_connection->close();
 }
 
 boost::asio::awaitable<void> caller_session::serve_requests() {
-    while (m_connection->can_go_on()) {
-        m_idle_since = m_shared.clock.now();
-        m_watchdog->allow_until(idle_until());
-        m_is_idle = true;
-        m_closes_unread = false;
-        m_has_waited_on = false;
+    while (true) {
+        while (m_connection->can_go_on() && !may_read_ahead()) {
+            watch_caller();
+            co_await m_connection->wait_for_change();
+        }
+        if (!m_connection->can_go_on()) {
+            co_return;
+        }
+        m_waits_for_head = true;
+        if (m_connection->open_requests() == 0) {
+            become_idle();
+        }
         const auto outcome = co_await m_connection->read_head();
+        m_waits_for_head = false;
         m_is_idle = false;
         m_idle_since = not_idle;
         m_looks = {};
@@ -163,14 +156,57 @@
         if (m_shared.is_closing()) {
             m_connection->close_after_answer();
         }
-        co_await serve_request();
+        co_await take_request();
     }
 }
 
-boost::asio::awaitable<void> caller_session::serve_request() {
-    ++m_shared.calls;
-    const in_flight_mark mark(m_shared.in_flight);
-    auto exchange = std::make_shared<call_exchange>(m_shared, m_keep_alive, m_connection, m_watchdog);
+bool caller_session::may_read_ahead() const {
+    const auto open = m_connection->open_requests();
+    if (open == 0) {
+        return true;
+    }
+    return !m_runs_alone && !m_connection->is_to_close() && open < m_shared.options.most_pipelined &&
+           m_connection->held_bytes() < m_shared.options.most_held_bytes;
+}
+
+void caller_session::watch_caller() {
+    // NOTE: a request that runs alone may have a body to read; it watches its caller once it has read it.
+    if (!m_runs_alone) {
+        m_connection->watch();
+    }
+}
+
+boost::asio::awaitable<void> caller_session::wait_for_open(std::size_t count) {
+    while (m_connection->open_requests() > count) {
+        watch_caller();
+        co_await m_connection->wait_for_change();
+    }
+}
+
+boost::asio::awaitable<void> caller_session::take_request() {
+    auto request = std::make_shared<request_connection>(m_connection, m_connection->take_head());
+    auto exchange = std::make_shared<call_exchange>(m_shared, m_keep_alive, std::move(request));
+    const bool runs_alone = !exchange->prepare();
+    if (runs_alone) {
+        co_await wait_for_open(1);
+    }
+    m_runs_alone = runs_alone;
+    start_exchange(std::move(exchange));
+}
+
+void caller_session::start_exchange(std::shared_ptr<call_exchange> exchange) {
+    boost::asio::co_spawn(
+        m_connection->strand(),
+        [self = shared_from_this(), exchange = std::move(exchange)] { return self->serve_request(exchange); },
+        [self = shared_from_this()](const std::exception_ptr& failure) {
+            if (failure) {
+                self->m_connection->abort();
+            }
+            self->request_ended();
+        });
+}
+
+boost::asio::awaitable<void> caller_session::serve_request(std::shared_ptr<call_exchange> exchange) {
     std::exception_ptr failure;
     try {
         co_await exchange->run();
@@ -180,6 +216,33 @@
     if (failure) {
         co_await exchange->break_off(failure);
     }
+    exchange->finish();
+}
+
+void caller_session::request_ended() {
+    if (m_connection->open_requests() > 0 || !m_waits_for_head || m_is_idle) {
+        return;
+    }
+    if (m_connection->can_go_on()) {
+        become_idle();
+        return;
+    }
+    begin_close();
+    m_connection->shut_down();
+}
+
+void caller_session::become_idle() {
+    m_idle_since = m_shared.clock.now();
+    m_watchdog->allow_until(idle_until());
+    m_is_idle = true;
+    m_closes_unread = false;
+    m_has_waited_on = false;
+}
+
+void caller_session::begin_close() {
+    if (!std::exchange(m_is_closing, true)) {
+        m_watchdog->allow_until(m_shared.clock.now() + close_timeout);
+    }
 }
 
 boost::asio::awaitable<void> caller_session::refuse_head(caller_connection::head_outcome outcome) {
@@ -204,14 +267,18 @@
         trouble.detail = "the request line and headers did not arrive in time";
         break;
     default:
+        m_connection->caller_left();
         co_return;
     }
+    const auto request = std::make_shared<request_connection>(m_connection, m_connection->take_head());
+    co_await wait_for_open(1);
     ++m_shared.calls;
     ++m_shared.refused;
     m_shared.classes.unknown().count_end(call_outcome::problem, trouble.run);
     m_shared.classes.unknown().count_problem(trouble);
     m_shared.events.malformed(trouble);
-    co_await m_connection->write_problem(trouble, 0);
+    co_await request->write_problem(trouble, 0);
+    request->finish();
 }
 
 } // namespace monsoonlift::entry::internal
--- a/src/entry/internal/caller_session.h
+++ b/src/entry/internal/caller_session.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/clock.h"
+#include "entry/internal/call_exchange.h"
 #include "entry/internal/caller_connection.h"
 #include "entry/internal/entry_state.h"
+#include "entry/internal/request_connection.h"
 #include "transfer/further_looks.h"
 #include "transfer/watchdog.h"
 
@@ -14,8 +16,8 @@
 
 namespace monsoonlift::entry::internal {
 
-/// Serves the requests of one caller connection, one after another. Keeps itself alive until the connection
-/// ends.
+/// Serves the requests of one caller connection. Reads on while requests are in progress that may run side by
+/// side; every other request runs alone. Keeps itself alive until the connection ends.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(entry_state& shared, std::shared_ptr<entry_state> keep_alive,
@@ -59,18 +61,32 @@
 
     awaitable<void> run();
     awaitable<void> serve_requests();
-    awaitable<void> serve_request();
+    awaitable<void> take_request();
+    void start_exchange(std::shared_ptr<call_exchange> exchange);
+    awaitable<void> serve_request(std::shared_ptr<call_exchange> exchange);
     awaitable<void> refuse_head(caller_connection::head_outcome outcome);
 
+    /// Whether the next head may be read while requests are in progress.
+    [[nodiscard]] bool may_read_ahead() const;
+
+    /// Waits until no more than `count` requests are in progress; meanwhile the connection isn't read.
+    awaitable<void> wait_for_open(std::size_t count);
+    void watch_caller();
+    void become_idle();
+    void request_ended();
+    void begin_close();
+
     entry_state& m_shared;
     std::shared_ptr<entry_state> m_keep_alive;
-    std::shared_ptr<caller_connection> m_connection;
     std::shared_ptr<transfer::watchdog> m_watchdog;
-    bool m_is_idle = true;        ///< The session waits for read_head(), which may have its request already.
-    bool m_closes_unread = false; ///< A connection whose wait was ended is closed without reading on.
-    bool m_is_closing = false;    ///< The session serves no further request.
-    bool m_has_waited_on = false; ///< The time for the rest of a head that has begun to arrive is running.
-    transfer::further_looks m_looks;             ///< Looks at the request in progress after its time limit.
+    std::shared_ptr<caller_connection> m_connection;
+    bool m_waits_for_head = false; ///< read_head() is pending.
+    bool m_runs_alone = false;     ///< The request in progress must end before anything behind it is read.
+    bool m_is_idle = true; ///< No request is in progress and read_head() is pending; it may have its request.
+    bool m_closes_unread = false;    ///< A connection whose wait was ended is closed without reading on.
+    bool m_is_closing = false;       ///< The session serves no further request.
+    bool m_has_waited_on = false;    ///< The time for the rest of a head that has begun to arrive is running.
+    transfer::further_looks m_looks; ///< Looks at the request in progress after its time limit.
     std::atomic<core::steady_time> m_idle_since; ///< The latest possible moment while it doesn't wait.
 };
 
