--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -471,7 +471,11 @@
     if (!m_connection->is_body_read()) {
         return;
     }
-    m_connection->watch([self = shared_from_this()] {
+    m_connection->watch([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
         self->m_caller_gone = true;
         if (self->m_channel) {
             self->m_channel->events.push(local_event::caller_gone);
--- a/src/entry/internal/request_connection.cpp
+++ b/src/entry/internal/request_connection.cpp
@@ -188,6 +188,9 @@
 }
 
 void request_connection::watch(std::function<void()> gone) {
+    if (m_is_finished) {
+        return;
+    }
     if (m_is_caller_gone || m_is_dropped) {
         gone();
         return;
