Detect overload from the queue and order waiting calls by position

The daemon setting chain_admission=on starts the calls of a class in the order of their root calls' positions. Overload is then detected from the length of the queue, from calls that leave it unserved and from late timers: while the queue starts the newest call first, some call always starts without a wait.

--- a/src/admission/call_queue.h
+++ b/src/admission/call_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/types/shed_level.h"
 #include "core/clock.h"
 #include "core/types/call_context.h"
 
@@ -19,14 +20,21 @@
     std::uint32_t depth = 0;
     core::steady_time arrived;
     core::steady_time deadline;
+    std::uint32_t order = 0; ///< Set to order_of() for queue_order::by_position; lower is started first.
 };
 
+/// Returns the place of a call among those of its class for queue_order::by_position: calls that continue a
+/// chain, of these first the ones whose chain has done more work and whose root call has a lower position;
+/// then other nested calls and then root calls, by position.
+[[nodiscard]] std::uint32_t order_of(const core::call_context& context);
+
 /// Order in which waiting calls of one class are started.
 enum class queue_order {
     first_come,
     last_come,
     adaptive, ///< First come, but last come while the oldest call has waited for over half the longest wait.
-    earliest_deadline
+    earliest_deadline,
+    by_position ///< By waiting_call::order, then first come; all hops starve calls of the same root calls.
 };
 
 /// Calls that wait at a gate, by class; both the waiting time and the length are bounded. A call waits for at
@@ -49,8 +57,9 @@
 };
 
 /// Adds a call. If the queue is full, the oldest call of the least preferred class is refused, provided that
-/// class is less preferred than that of the new call; otherwise the new call is refused. A call whose
-/// deadline has passed is refused, as is every call if `max_length` is 0.
+/// class is less preferred than that of the new call; otherwise the new call is refused. With
+/// queue_order::by_position, it is the last call of that class, and may be of the class of the new call. A
+/// call whose deadline has passed is refused, as is every call if `max_length` is 0.
 [[nodiscard]] queue_outcome push(call_queue& queue, const waiting_call& call, core::steady_time now);
 
 /// Removes and returns the next call to run, and refuses calls that waited too long or cannot finish before
@@ -62,6 +71,10 @@
 [[nodiscard]] queue_outcome expire(call_queue& queue, std::chrono::nanoseconds typical_service,
                                    core::steady_time now);
 
+/// Removes the waiting calls that the threshold no longer admits. With queue_order::by_position they would
+/// otherwise wait behind all calls that it admits until their time is over.
+[[nodiscard]] queue_outcome shed(call_queue& queue, const shed_level& level);
+
 /// Removes a cancelled call; returns false if it was not in the queue.
 bool remove(call_queue& queue, std::uint64_t ticket);
 
--- a/src/admission/shedding.h
+++ b/src/admission/shedding.h
@@ -20,12 +20,19 @@
 /// Returns the position of a call within its class, in [0, shed_buckets). Lower positions are shed later.
 [[nodiscard]] std::uint32_t position_of(const core::call_context& context);
 
+/// Returns the position of the root call of a call, in [0, root_buckets).
+[[nodiscard]] std::uint32_t root_position(const core::call_context& context);
+
+/// Whether work of other services would be lost if the call were refused.
+[[nodiscard]] bool continues_chain(const core::call_context& context);
+
 /// Returns whether a call passes the threshold. Nested calls are preferred over new root calls of the same
-/// class, because their root calls have been admitted already.
+/// class, because their root calls have been admitted already. A call that continues a chain passes unless
+/// its whole class is refused.
 [[nodiscard]] bool admits(const shed_level& level, const core::call_context& context);
 
-/// Returns whether nested calls of the given root pass the threshold.
-[[nodiscard]] bool admits_nested(const shed_level& level, core::class_rank rank, const core::root_id& root);
+/// Returns whether the first nested calls of the root call of `context` pass the threshold.
+[[nodiscard]] bool admits_nested(const shed_level& level, const core::call_context& context);
 
 /// Returns the median of the thresholds, ordered by strictness (the less strict of the middle two for an even
 /// number); the threshold that admits everything if `levels` is empty.
@@ -37,12 +44,31 @@
     std::chrono::milliseconds max_window{400}; ///< A window with few calls ends after this time.
     std::uint32_t min_samples = 16;            ///< Started calls needed to end a window before `max_window`.
     std::chrono::milliseconds target_wait{10}; ///< Lower bound of the target for the mean wait.
+
+    /// Whether overload is detected from the queue and from late timers, rather than from the waits of
+    /// started calls. These are short under overload if the queue runs the last call first.
+    bool watches_queue = false;
+};
+
+/// State of a gate's queue in one window.
+struct queue_samples {
+    std::uint64_t unserved = 0;           ///< Calls that left the queue without being started or cancelled.
+    bool was_empty = false;               ///< The queue was empty at some moment.
+    std::uint64_t samples = 0;            ///< Samples taken by record_queue().
+    std::uint64_t total = 0;              ///< Sum of the lengths in these samples.
+    std::uint64_t timers = 0;             ///< Timers that record_lateness() reported.
+    std::chrono::nanoseconds lateness{0}; ///< Sum of their lateness, each counted up to a bound.
 };
 
 /// Arrivals of one class at one gate; index 0 is nested calls, index 1 is new root calls.
 struct arrival_counts {
     std::array<std::uint32_t, 2> visible{}; ///< Calls admitted by the threshold in this window.
     std::array<double, 2> per_second{}; ///< Estimated rate of all arrivals, including those refused earlier.
+
+    std::uint32_t continuing = 0;     ///< Admitted calls in this window that continue a chain.
+    double continuing_per_second = 0; ///< Their smoothed rate.
+    double long_continuing = 0;       ///< Their rate, smoothed over seconds.
+    double long_first = 0;            ///< Rate of the other admitted nested calls, smoothed over seconds.
 };
 
 /// Overload state of a gate, one per backend server.
@@ -59,6 +85,7 @@
     double capacity = 0;        ///< Calls per second that the backend server starts when busy; 0 if unknown.
     std::chrono::nanoseconds typical_service{0};
     std::array<arrival_counts, shed_ranks> arrivals{};
+    queue_samples queue; ///< Used only with `watches_queue`.
 };
 
 /// Counts a call that reached the gate; `admitted` says whether it passed the threshold.
@@ -72,6 +99,18 @@
 /// the threshold at the end of each window.
 void record_wait(overload_state& state, std::chrono::nanoseconds wait, core::steady_time now);
 
+/// Records the number of waiting calls; call it from a timer.
+void record_queue(overload_state& state, std::size_t length);
+
+/// Records that a call found no other call waiting and a free slot.
+void record_empty_queue(overload_state& state);
+
+/// Records calls that were removed from the queue because they waited too long or could not end in time.
+void record_unserved(overload_state& state, std::size_t calls);
+
+/// Records how late a periodic timer of the process fired, which shows a shortage of processor time.
+void record_lateness(overload_state& state, std::chrono::nanoseconds lateness);
+
 /// Ends the window if it is due, so that the threshold also relaxes while no call starts; call it from a
 /// timer.
 void tick(overload_state& state, core::steady_time now);
--- a/src/admission/tests/call_queue_tests.cpp
+++ b/src/admission/tests/call_queue_tests.cpp
@@ -107,3 +107,49 @@
     REQUIRE_FALSE(remove(queue, 2));
     REQUIRE(queue.length == 1);
 }
+
+namespace {
+
+waiting_call positioned(std::uint64_t ticket, std::uint32_t position, std::uint32_t depth,
+                        std::uint32_t work_spent = 0) {
+    monsoonlift::core::call_context context;
+    context.position = position;
+    context.depth = depth;
+    context.work_spent = work_spent;
+    return {ticket, 0, depth, start, start + 1s, order_of(context)};
+}
+
+} // namespace
+
+TEST_CASE("hops start calls of different root calls under overload", "[call_queue]") {
+    // Root calls 1 and 4, first nested calls 2 and 5, and calls 3 and 6 that continue a chain.
+    auto queue = queue_of(queue_order::by_position,
+                          {positioned(1, 3, 0), positioned(2, 90, 1), positioned(3, 120, 1, 1),
+                           positioned(4, 2, 0), positioned(5, 7, 1), positioned(6, 120, 1, 7)});
+    for (const std::uint64_t ticket : {6, 3, 5, 2, 4, 1}) {
+        REQUIRE(pop(queue, 1ms, start).next->ticket == ticket);
+    }
+}
+
+TEST_CASE("calls that the threshold refuses wait until their time is over", "[call_queue]") {
+    auto queue = queue_of(queue_order::by_position,
+                          {positioned(1, 3, 0), positioned(2, 90, 1), positioned(3, 120, 1, 1)});
+    const auto refused = shed(queue, {0, 60}).refused;
+    REQUIRE(refused.size() == 2);
+    REQUIRE(queue.length == 1);
+    REQUIRE(pop(queue, 1ms, start).next->ticket == 3);
+}
+
+TEST_CASE("a full queue keeps a call of high position instead of one of low position", "[call_queue]") {
+    auto queue = queue_of(queue_order::by_position, {positioned(1, 3, 1), positioned(2, 90, 1)});
+    queue.max_length = 2;
+    REQUIRE(push(queue, positioned(3, 10, 1), start).refused.front().ticket == 2);
+    REQUIRE(push(queue, positioned(4, 100, 1), start).refused.front().ticket == 4);
+}
+
+TEST_CASE("a first nested call waits until half of its time is over", "[call_queue]") {
+    auto queue = queue_of(queue_order::by_position, {positioned(1, 3, 1), positioned(2, 90, 1, 2)});
+    const auto refused = expire(queue, 1ms, start + 150ms).refused;
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused.front().ticket == 1);
+}
--- a/src/admission/tests/shedding_tests.cpp
+++ b/src/admission/tests/shedding_tests.cpp
@@ -172,3 +172,82 @@
         REQUIRE((state.level != shed_level{}) == tried.shed);
     }
 }
+
+namespace {
+
+/// Simulates one window of 100 ms in which each started call is the newest one, while `waiting` calls stay in
+/// the queue and `unserved` of them leave it without being served.
+void feed_last_come_window(overload_state& state, std::mt19937_64& random, steady_time& now, int served,
+                           std::size_t waiting, std::size_t unserved) {
+    for (int index = 0; index < 2 * served; ++index) {
+        const auto context = random_call(random, 0);
+        record_arrival(state, context, admits(state.level, context));
+    }
+    record_queue(state, waiting);
+    record_unserved(state, unserved);
+    for (int index = 0; index < served; ++index) {
+        now += std::chrono::nanoseconds(100ms) / served;
+        record_wait(state, 0ms, now);
+    }
+}
+
+overload_state queue_watching_state(steady_time now) {
+    overload_state state;
+    state.settings.watches_queue = true;
+    tick(state, now);
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("a queue that starts the newest call hides overload", "[shedding]") {
+    struct overload_case {
+        std::size_t waiting;
+        std::size_t unserved;
+        bool overloaded;
+    };
+    const overload_case cases[] = {{148, 0, true}, {0, 20, true}, {0, 0, false}, {5, 0, false}};
+    for (const auto& tried : cases) {
+        std::mt19937_64 random(1);
+        steady_time now{1h};
+        auto state = queue_watching_state(now);
+        for (int window = 0; window < 3; ++window) {
+            feed_last_come_window(state, random, now, 100, tried.waiting, tried.unserved);
+        }
+        CAPTURE(tried.waiting, tried.unserved);
+        REQUIRE((state.level != shed_level{}) == tried.overloaded);
+    }
+}
+
+TEST_CASE("a gate whose process is short of processor time admits everything", "[shedding]") {
+    struct lateness_case {
+        std::vector<std::chrono::milliseconds> lateness; ///< Of the timers in each window.
+        bool overloaded;
+    };
+    const lateness_case cases[] = {{{15ms, 20ms, 12ms, 18ms}, true},
+                                   {{1ms, 2ms, 1ms, 4ms}, false},
+                                   {{500ms, 0ms, 0ms, 0ms}, false}}; // one pause of the VM
+    for (const auto& tried : cases) {
+        std::mt19937_64 random(1);
+        steady_time now{1h};
+        auto state = queue_watching_state(now);
+        for (int window = 0; window < 3; ++window) {
+            for (const auto lateness : tried.lateness) {
+                record_lateness(state, lateness);
+            }
+            feed_last_come_window(state, random, now, 100, 0, 0);
+        }
+        REQUIRE((state.level != shed_level{}) == tried.overloaded);
+    }
+}
+
+TEST_CASE("a threshold refuses a call whose chain has done work already", "[shedding]") {
+    std::mt19937_64 random(1);
+    auto context = random_call(random, 1, 1);
+    context.position = 100;
+    REQUIRE_FALSE(admits({1, 50}, context));
+    context.work_spent = 3;
+    REQUIRE(admits({1, 50}, context));
+    REQUIRE_FALSE(admits({1, 0}, context));
+    REQUIRE_FALSE(admits({0, 128}, context));
+}
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -39,6 +39,10 @@
 /// admin port.
 constexpr std::size_t callers_share_of_descriptors = 2;
 
+bool admits_whole_chains(const settings::daemon_settings& chosen) {
+    return chosen.chain_admission == "on" && chosen.decisions != "off";
+}
+
 /// Returns how many connections of callers may be open at once; no limit if the system doesn't tell.
 std::size_t most_caller_connections() {
     rlimit descriptors{};
@@ -61,6 +65,7 @@
                                    const std::shared_ptr<gate::running_requests>& running) {
     gate::gate_options options;
     options.decisions_on = chosen.decisions != "off";
+    options.whole_chains = admits_whole_chains(chosen);
     options.body_chunk_bytes = chosen.body_chunk_bytes;
     options.body_credit_chunks = static_cast<std::uint32_t>(chosen.body_credit_chunks);
     options.backend_silence_timeout = backend_silence_of(chosen);
@@ -109,6 +114,7 @@
     options.address = chosen.caller_address;
     options.data_centre = chosen.data_centre;
     options.decisions_on = chosen.decisions != "off";
+    options.whole_chains = admits_whole_chains(chosen);
     options.body_chunk_bytes = chosen.body_chunk_bytes;
     options.body_credit_chunks = static_cast<std::uint32_t>(chosen.body_credit_chunks);
     options.default_patience = chosen.default_patience;
--- a/src/core/types/call_context.h
+++ b/src/core/types/call_context.h
@@ -27,6 +27,9 @@
     /// Position of the root call within its class, as admission::position_of() defines it; empty if it
     /// follows from the root id.
     std::optional<std::uint32_t> position;
+    /// Nested calls that had ended, in all runs of the chain above this call, when it was made. Counted only
+    /// while chains are admitted as a whole; 0 otherwise.
+    std::uint32_t work_spent = 0;
 };
 
 /// Returns the time left before the deadline; zero if it has passed.
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -33,6 +33,7 @@
     std::string address; ///< "ip:port" for callers; port 0 lets the system choose.
     std::string data_centre;
     bool decisions_on = true;
+    bool whole_chains = false; ///< Chains are admitted as a whole.
     std::size_t body_chunk_bytes = 64 * 1024;
     std::uint32_t body_credit_chunks = 8;
     std::uint32_t head_limit_bytes = 16 * 1024;
--- a/src/gate/gate_service.h
+++ b/src/gate/gate_service.h
@@ -25,6 +25,7 @@
 /// Buffer sizes and timeouts of a gate.
 struct gate_options {
     bool decisions_on = true;
+    bool whole_chains = false; ///< Chains are admitted as a whole; has no effect while decisions are off.
     std::size_t body_chunk_bytes = 64 * 1024;
     std::uint32_t body_credit_chunks = 8;
     std::chrono::milliseconds stall_patience{30'000}; ///< Timeout for an answer body without progress.
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -34,7 +34,9 @@
 public:
     /// With `decisions_on` false, calls wait for a slot in order of arrival, and none is shed unless 100'000
     /// calls are waiting already.
-    explicit gate_table(bool decisions_on);
+    /// With `whole_chains`, calls of one class are started by the positions of their root calls, and overload
+    /// is detected from the queue.
+    explicit gate_table(bool decisions_on, bool whole_chains = false);
 
     /// Handles an announcement; true if the backend server is new or announced other values than before.
     bool announce(const backend_server& server, core::steady_time now);
@@ -67,7 +69,9 @@
 
     /// Updates the shed level, refuses waiting calls that can no longer end in time and starts those for
     /// which a slot is free; does nothing while decisions are off. Call it regularly.
-    [[nodiscard]] gate_changes tick(core::steady_time now);
+    /// `lateness` is the time by which the timer that calls it fired too late.
+    [[nodiscard]] gate_changes tick(core::steady_time now,
+                                    std::chrono::nanoseconds lateness = std::chrono::nanoseconds::zero());
 
     /// Returns the load that answers report to entries.
     [[nodiscard]] routing::load_report report() const;
@@ -86,11 +90,13 @@
     reason_to_refuse(const std::string& service, const core::call_context& context, core::steady_time now);
     [[nodiscard]] gate_changes drop_backend();
     void take_outcome(const admission::queue_outcome& outcome, gate_changes& changes);
+    void refuse_unserved(const admission::queue_outcome& outcome, gate_changes& changes);
     void start_waiting(gate_changes& changes, core::steady_time now);
     void start_in_order(gate_changes& changes);
     void start_by_class(gate_changes& changes, core::steady_time now);
 
     bool m_decisions_on;
+    bool m_whole_chains;
     mutable std::mutex m_mutex;
     std::optional<backend_server> m_backend;
     core::steady_time m_leaves_at = core::steady_time::max();
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -37,7 +37,7 @@
     : m_options(options), m_clock(clock), m_classes([&metrics](const std::string& name) {
           return std::make_unique<internal::gate_class>(metrics, name);
       }),
-      m_events(log, clock, metrics), m_decisions(log), m_table(options.decisions_on),
+      m_events(log, clock, metrics), m_decisions(log), m_table(options.decisions_on, options.whole_chains),
       m_pool(io.get_executor()), m_env{m_options, sender, ledger,           crashes,  budgets,
                                        clock,     log,    m_classes,        m_events, m_decisions,
                                        m_table,   m_pool, io.get_executor()},
@@ -368,13 +368,14 @@
 
 void gate_service::state::tick() {
     const auto now = m_clock.now();
-    m_largest_lag = std::max<std::chrono::nanoseconds>(m_largest_lag, now - m_tick_due);
+    const std::chrono::nanoseconds lag = now - m_tick_due;
+    m_largest_lag = std::max(m_largest_lag, lag);
     // NOTE: each step is tried whatever becomes of the others, and the next tick comes in any case.
     const auto step = [this](const auto& work) {
         logging::contain(m_env.log, {"a tick of the gate"}, work);
     };
     step([&] { apply(m_table.withdraw_if_left(now)); });
-    step([&] { apply(m_table.tick(now)); });
+    step([&] { apply(m_table.tick(now, lag)); });
     step([&] { m_events.load_changed(m_load_watch.update(m_table.report(), now), m_classes); });
     step([&] { log_counts(now); });
     if (now < m_next_cleanup) {
--- a/src/gate/internal/gate_table.cpp
+++ b/src/gate/internal/gate_table.cpp
@@ -22,7 +22,13 @@
 
 } // namespace
 
-gate_table::gate_table(bool decisions_on) : m_decisions_on(decisions_on) {}
+gate_table::gate_table(bool decisions_on, bool whole_chains)
+    : m_decisions_on(decisions_on), m_whole_chains(whole_chains) {
+    if (whole_chains) {
+        m_queue.order = admission::queue_order::by_position;
+        m_overload.settings.watches_queue = true;
+    }
+}
 
 bool gate_table::announce(const backend_server& server, core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
@@ -105,6 +111,7 @@
     }
     changes.started.reserve(1);
     if (m_queue.length == 0 && concurrency::try_acquire(m_limit, now)) {
+        admission::record_empty_queue(m_overload);
         admission::record_wait(m_overload, std::chrono::nanoseconds::zero(), now);
         changes.started.push_back(run);
         return changes;
@@ -115,7 +122,8 @@
     call.depth = context.depth;
     call.arrived = now;
     call.deadline = context.deadline;
-    take_outcome(admission::push(m_queue, call, now), changes);
+    call.order = m_whole_chains ? admission::order_of(context) : 0;
+    refuse_unserved(admission::push(m_queue, call, now), changes);
     start_by_class(changes, now);
     return changes;
 }
@@ -135,15 +143,20 @@
     return admission::remove(m_queue, run) || std::erase(m_in_order, run) > 0;
 }
 
-gate_changes gate_table::tick(core::steady_time now) {
+gate_changes gate_table::tick(core::steady_time now, std::chrono::nanoseconds lateness) {
     const std::scoped_lock lock(m_mutex);
     gate_changes changes;
     m_allowed = concurrency::allowed(m_limit, now);
     if (!m_decisions_on) {
         return changes;
     }
+    admission::record_queue(m_overload, m_queue.length);
+    admission::record_lateness(m_overload, lateness);
     admission::tick(m_overload, now);
-    take_outcome(admission::expire(m_queue, concurrency::typical_service(m_limit), now), changes);
+    refuse_unserved(admission::expire(m_queue, concurrency::typical_service(m_limit), now), changes);
+    if (m_whole_chains) {
+        take_outcome(admission::shed(m_queue, m_overload.level), changes);
+    }
     start_by_class(changes, now);
     return changes;
 }
@@ -198,6 +211,11 @@
     }
 }
 
+void gate_table::refuse_unserved(const admission::queue_outcome& outcome, gate_changes& changes) {
+    admission::record_unserved(m_overload, outcome.refused.size());
+    take_outcome(outcome, changes);
+}
+
 void gate_table::start_waiting(gate_changes& changes, core::steady_time now) {
     if (m_decisions_on) {
         start_by_class(changes, now);
@@ -217,11 +235,13 @@
 void gate_table::start_by_class(gate_changes& changes, core::steady_time now) {
     while (m_queue.length > 0 && concurrency::try_acquire(m_limit, now)) {
         auto outcome = admission::pop(m_queue, concurrency::typical_service(m_limit), now);
-        for (const auto& call : outcome.refused) {
-            admission::record_wait(m_overload, now - call.arrived, now);
+        if (!m_whole_chains) {
+            for (const auto& call : outcome.refused) {
+                admission::record_wait(m_overload, now - call.arrived, now);
+            }
         }
         const auto next = outcome.next;
-        take_outcome(outcome, changes);
+        refuse_unserved(outcome, changes);
         if (!next) {
             --m_limit.running;
             return;
--- a/src/routing/internal/chain_levels.cpp
+++ b/src/routing/internal/chain_levels.cpp
@@ -46,8 +46,7 @@
 }
 
 bool chain_admits(const admission::shed_level& level, const core::call_context& context) {
-    return core::bucket_of(context.root, admission::root_buckets) < always_admitted ||
-           admission::admits_nested(level, context.rank, context.root);
+    return admission::root_position(context) < always_admitted || admission::admits_nested(level, context);
 }
 
 } // namespace monsoonlift::routing
