Refuse root calls at a gate whose runs lead to an overloaded service

A daemon learns from the nested calls of its backend server which services the runs of each kind of call lead to, and their thresholds. With chain_admission=on its gate refuses a call that these services would shed, and reports the threshold with each answer, so that entries need not wait for whole chains to fail.

--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -126,6 +126,9 @@
     const bool issued_here = m_call.parent->issuer == m_shared.sender.self().life;
     m_call.context.attempts_left = issued_here ? m_shared.budgets.reserve(m_call.parent->run) : 0;
     m_made_by = issued_here ? m_shared.budgets.progress(m_call.parent->run) : gate::run_progress{};
+    if (m_shared.options.whole_chains) {
+        m_call.context.work_spent += m_made_by.calls_ended;
+    }
 }
 
 void call_exchange::return_budget() {
@@ -246,6 +249,9 @@
     head.context = m_call.context;
     head.context.attempts_left = m_lent_attempts;
     head.service = m_call.service;
+    if (m_shared.options.whole_chains) {
+        head.kind = m_call.kind;
+    }
     head.method = m_connection->request().method;
     head.target = m_connection->request().target;
     head.headers = m_call.headers;
@@ -338,6 +344,7 @@
         return;
     }
     note_level(end.nested_level);
+    note_below(end);
     if (end.load) {
         note_level(end.load->level);
     }
@@ -349,6 +356,19 @@
     }
 }
 
+void call_exchange::note_called(const admission::shed_level& own) {
+    if (m_shared.options.whole_chains && m_call.parent &&
+        m_call.parent->issuer == m_shared.sender.self().life) {
+        m_shared.budgets.note_called(m_call.parent->run, m_call.service, own, m_shared.clock.now());
+    }
+}
+
+void call_exchange::note_below(const transport::attempt_end& end) {
+    if (m_shared.options.whole_chains && end.load) {
+        m_shared.budgets.note_below(m_call.service, end.nested_level, m_shared.clock.now());
+    }
+}
+
 void call_exchange::note_settled(const attempt_outcome& outcome) {
     if (outcome.end.reason == end_reason::answered) {
         m_shared.decisions.attempt_answered(decided(), ended(outcome));
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -106,6 +106,15 @@
     /// kind, those of a nested call for the request that made it.
     void note_levels(const transport::attempt_end& end);
     void note_level(const admission::shed_level& met);
+
+    /// Records the median threshold of the called service for the kind of the run that makes the call.
+    void note_called(const admission::shed_level& own);
+
+    /// Records the threshold that a gate of the called service reports for the services below it.
+    void note_below(const transport::attempt_end& end);
+
+    /// Whether a service further down refuses the call, so that every other gate would refuse it as well.
+    [[nodiscard]] bool is_refused_below(const transport::attempt_end& end) const;
     void note_settled(const attempt_outcome& outcome);
     void count_abandoned(core::verdict run);
     [[nodiscard]] retry_choice choose_retry(const attempt_outcome& outcome);
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -17,7 +17,7 @@
                          metrics::metrics_registry& metrics)
     : options(chosen), sender(frames), budgets(nested), configuration(std::move(source)), clock(time),
       log(written), routes(chosen.decisions_on, chosen.data_centre, chosen.random_seed, chosen.retry_burst,
-                           chosen.grant_burst),
+                           chosen.grant_burst, chosen.whole_chains),
       classes([&metrics, &time](const std::string& name) {
           return std::make_unique<call_class>(metrics, time, name);
       }),
--- a/src/entry/internal/home_exchange.cpp
+++ b/src/entry/internal/home_exchange.cpp
@@ -57,6 +57,7 @@
     m_route_reason = route_reason::load;
     m_evidence = choice.evidence;
     note_level(choice.evidence.level);
+    note_called(choice.evidence.level);
     if (choice.endpoint) {
         return *choice.endpoint;
     }
--- a/src/entry/internal/request_parsing.cpp
+++ b/src/entry/internal/request_parsing.cpp
@@ -91,6 +91,7 @@
         call.context.deadline = std::min(call.context.deadline, parent.deadline);
         call.context.account = parent.account;
         call.context.position = parent.position;
+        call.context.work_spent = parent.work_spent;
     }
     call.parent = parent;
 }
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -1,4 +1,5 @@
 // The part of call_exchange that decides whether a call is retried.
+#include "admission/shedding.h"
 #include "entry/internal/attempt_problem.h"
 #include "entry/internal/call_exchange.h"
 
@@ -59,6 +60,9 @@
 }
 
 call_exchange::retry_choice call_exchange::choose_retry(const attempt_outcome& outcome) {
+    if (is_refused_below(outcome.end)) {
+        return {std::nullopt, "a service further down refuses it"};
+    }
     const auto reason_against = reason_against_retry(outcome.end.reason);
     if (!reason_against.empty()) {
         return {std::nullopt, reason_against};
@@ -84,6 +88,11 @@
     return {delay, {}};
 }
 
+bool call_exchange::is_refused_below(const transport::attempt_end& end) const {
+    return m_shared.options.whole_chains && end.reason == end_reason::shed &&
+           !admission::admits_nested(end.nested_level, m_call.context);
+}
+
 std::string_view call_exchange::reason_against_retry(end_reason reason) {
     m_broken_attempts += reason == end_reason::backend_failed ? 1 : 0;
     m_arrivals += may_have_arrived(reason) ? 1 : 0;
--- a/src/entry/internal/routing_state.cpp
+++ b/src/entry/internal/routing_state.cpp
@@ -18,9 +18,9 @@
 } // namespace
 
 routing_state::routing_state(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
-                             std::size_t retry_burst, std::size_t grant_burst)
-    : m_decisions_on(decisions_on), m_retries(retry::make_retry_budgets(static_cast<double>(retry_burst))),
-      m_random(random_seed) {
+                             std::size_t retry_burst, std::size_t grant_burst, bool whole_chains)
+    : m_decisions_on(decisions_on), m_whole_chains(whole_chains),
+      m_retries(retry::make_retry_budgets(static_cast<double>(retry_burst))), m_random(random_seed) {
     m_grants.max_tokens = m_grants.tokens = static_cast<double>(grant_burst);
     m_table.data_centre = std::move(data_centre);
 }
@@ -111,7 +111,11 @@
 
 admission::shed_level routing_state::chain_level(const std::string& kind, core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    return m_decisions_on ? routing::chain_level(m_chains, kind, now) : admission::shed_level{};
+    if (!m_decisions_on) {
+        return {};
+    }
+    const auto rule = m_whole_chains ? routing::reported_levels : routing::chain_level_rule();
+    return routing::chain_level(m_chains, kind, now, rule);
 }
 
 std::optional<std::chrono::nanoseconds> routing_state::next_attempt(core::call_context& context,
--- a/src/entry/internal/routing_state.h
+++ b/src/entry/internal/routing_state.h
@@ -25,10 +25,11 @@
 class routing_state {
 public:
     /// If `decisions_on` is false, endpoints are chosen at random and retries have no budget.
+    /// `whole_chains` says that gates report the thresholds of all services below them.
     /// `retry_burst` bounds the retries sent in a burst beyond their ratio to first attempts, and
     /// `grant_burst` the retries that root calls in flight may hold.
     routing_state(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
-                  std::size_t retry_burst, std::size_t grant_burst);
+                  std::size_t retry_burst, std::size_t grant_burst, bool whole_chains = false);
 
     [[nodiscard]] core::root_id draw_root();
 
@@ -101,6 +102,7 @@
     [[nodiscard]] routing::route_choice choose_at_random(const routing::route_request& request);
 
     bool m_decisions_on;
+    bool m_whole_chains;
     std::mutex m_mutex;
     routing::routing_table m_table;
     routing::chain_levels m_chains;
--- a/src/gate/context_token.h
+++ b/src/gate/context_token.h
@@ -22,6 +22,7 @@
     core::incarnation issuer;
     std::string account;                   ///< As in the call's context; not part of the header's text.
     std::optional<std::uint32_t> position; ///< As in the call's context; not part of the header's text.
+    std::uint32_t work_spent = 0;          ///< As in the call's context; not part of the header's text.
 };
 
 /// Formats a token as the header's value.
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -1,6 +1,8 @@
 #include "gate/internal/gate_call.h"
 
+#include "admission/shedding.h"
 #include "gate/connection_idle_limit.h"
+#include "routing/chain_levels.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -40,6 +42,10 @@
     }
 }
 
+std::string describe_refusal_below() {
+    return "a service that calls of this kind need further down refuses this class for now";
+}
+
 constexpr std::string_view broken_off = "an internal error broke the call off";
 
 /// Whether the payload from a gate is the last one of its attempt.
@@ -101,6 +107,15 @@
     try_step("the end of a run", [this] { fail(m_end.run, m_end.reason, std::string(broken_off)); });
 }
 
+admission::shed_level gate_call::level_below() const {
+    const bool is_known = m_env.options.whole_chains && !m_head.kind.empty();
+    return is_known ? m_env.budgets.level_below(m_head.kind, m_env.clock.now()) : admission::shed_level{};
+}
+
+bool gate_call::is_admitted_below() const {
+    return admission::continues_chain(m_head.context) || routing::chain_admits(level_below(), m_head.context);
+}
+
 void gate_call::refuse(end_reason reason) {
     transport::attempt_end end;
     end.run = verdict::not_run;
@@ -123,7 +138,9 @@
 void gate_call::note_refusal(transport::attempt_end& end) {
     end.detail = describe(end.reason);
     end.load = m_env.table.report();
+    end.nested_level = level_below();
     if (end.reason == end_reason::shed) {
+        end.detail = is_admitted_below() ? end.detail : describe_refusal_below();
         end.retry_after = m_env.table.retry_after();
     }
     m_class.count_refusal(end.reason);
@@ -256,7 +273,7 @@
 
 boost::asio::awaitable<void> gate_call::run() {
     watch_until(m_head.context.deadline);
-    m_env.budgets.open(m_run, m_head.context.attempts_left, m_attempt.attempt > 0);
+    m_env.budgets.open(m_run, m_head.context.attempts_left, m_attempt.attempt > 0, m_head.kind);
     const bool ready = co_await open_connection();
     if (ready) {
         co_await exchange();
@@ -354,7 +371,8 @@
 
 transport::attempt_end gate_call::complete_end() {
     if (!m_end.nested_attempts) {
-        m_end.nested_level = m_env.budgets.strictest_level(m_run);
+        m_end.nested_level =
+            m_env.options.whole_chains ? level_below() : m_env.budgets.strictest_level(m_run);
         m_end.nested_calls = m_env.budgets.progress(m_run).calls_begun;
         m_end.nested_attempts = m_env.budgets.close(m_run);
     }
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -74,6 +74,10 @@
     /// returns false.
     [[nodiscard]] bool check_crash_guard();
 
+    /// Whether the services that runs of this kind lead to are likely to admit the nested calls of the
+    /// request.
+    [[nodiscard]] bool is_admitted_below() const;
+
     /// Opens the record of a non-idempotent request; false if the request may not run. It is then refused or
     /// answered from the record, or dropped if it copies an attempt that is being served.
     [[nodiscard]] bool begin_execution();
@@ -151,6 +155,7 @@
     [[nodiscard]] bool was_refused_by_backend() const;
     [[nodiscard]] transport::response_head make_response_head() const;
     [[nodiscard]] context_token make_token() const;
+    [[nodiscard]] admission::shed_level level_below() const;
 
     void register_running();
     void unregister_running();
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -111,6 +111,7 @@
     token.issuer = m_env.sender.self().life;
     token.account = m_head.context.account;
     token.position = m_head.context.position;
+    token.work_spent = m_head.context.work_spent;
     return token;
 }
 
--- a/src/gate/internal/gate_state.cpp
+++ b/src/gate/internal/gate_state.cpp
@@ -95,6 +95,10 @@
         ++m_refused;
         return;
     }
+    if (m_options.whole_chains && !fresh->is_admitted_below()) {
+        refuse_run({run, end_reason::shed});
+        return;
+    }
     apply(m_table.arrive(run, fresh->head().service, fresh->head().context, m_clock.now()));
 }
 
--- a/src/gate/internal/nested_budgets.cpp
+++ b/src/gate/internal/nested_budgets.cpp
@@ -4,9 +4,10 @@
 
 namespace monsoonlift::gate {
 
-void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat) {
+void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat,
+                          const std::string& kind) {
     const std::scoped_lock lock(m_mutex);
-    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}};
+    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}, kind};
 }
 
 std::uint32_t nested_budgets::reserve(std::uint64_t run) {
@@ -50,6 +51,26 @@
     return found == m_budgets.end() ? admission::shed_level{} : found->second.strictest;
 }
 
+void nested_budgets::note_called(std::uint64_t run, const std::string& service,
+                                 const admission::shed_level& own, core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    if (found != m_budgets.end() && !found->second.kind.empty()) {
+        routing::record_called(m_downstream, found->second.kind, service, own, now);
+    }
+}
+
+void nested_budgets::note_below(const std::string& service, const admission::shed_level& below,
+                                core::steady_time now) {
+    const std::scoped_lock lock(m_mutex);
+    routing::record_below(m_downstream, service, below, now);
+}
+
+admission::shed_level nested_budgets::level_below(const std::string& kind, core::steady_time now) const {
+    const std::scoped_lock lock(m_mutex);
+    return routing::downstream_level(m_downstream, kind, now);
+}
+
 bool nested_budgets::is_open(std::uint64_t run) const {
     const std::scoped_lock lock(m_mutex);
     return m_budgets.contains(run);
--- a/src/gate/nested_budgets.h
+++ b/src/gate/nested_budgets.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "admission/types/shed_level.h"
+#include "core/clock.h"
+#include "routing/downstream_levels.h"
 
 #include <cstdint>
 #include <mutex>
+#include <string>
 #include <unordered_map>
 
 namespace monsoonlift::gate {
@@ -21,8 +24,10 @@
 class nested_budgets {
 public:
     /// Registers a request that begins to run, with the attempts that its root call may still spend.
-    /// `is_repeat` says whether it is sent for the second time or more.
-    void open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat = false);
+    /// `is_repeat` says whether it is sent for the second time or more; `kind` is its kind of call, empty
+    /// unless chains are admitted as a whole.
+    void open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat = false,
+              const std::string& kind = {});
 
     /// Reserves the complete remaining budget for one nested call; concurrent nested calls get zero. Zero for
     /// a run that has ended.
@@ -41,6 +46,16 @@
     /// recorded.
     [[nodiscard]] admission::shed_level strictest_level(std::uint64_t run) const;
 
+    /// Records that the request calls a service whose gates have this median threshold.
+    void note_called(std::uint64_t run, const std::string& service, const admission::shed_level& own,
+                     core::steady_time now);
+
+    /// Records the threshold that a gate of a service reports for the services below it.
+    void note_below(const std::string& service, const admission::shed_level& below, core::steady_time now);
+
+    /// Returns the threshold that nested calls of requests of this kind are likely to meet.
+    [[nodiscard]] admission::shed_level level_below(const std::string& kind, core::steady_time now) const;
+
     /// Whether the request is still running.
     [[nodiscard]] bool is_open(std::uint64_t run) const;
 
@@ -53,10 +68,12 @@
         std::uint32_t spent = 0;
         admission::shed_level strictest;
         run_progress progress;
+        std::string kind;
     };
 
     mutable std::mutex m_mutex;
     std::unordered_map<std::uint64_t, budget> m_budgets;
+    routing::downstream_levels m_downstream;
 };
 
 } // namespace monsoonlift::gate
--- a/src/routing/chain_levels.h
+++ b/src/routing/chain_levels.h
@@ -30,10 +30,19 @@
 void record_chain(chain_levels& levels, const std::string& kind, const admission::shed_level& met,
                   core::steady_time now);
 
+/// Which recorded thresholds count.
+struct chain_level_rule {
+    std::size_t fewest = 4; ///< Fewer thresholds are not representative.
+    std::size_t newest = 31;
+};
+
+/// For thresholds that gates report for all services below them, whether or not the call met them.
+inline constexpr chain_level_rule reported_levels{1, 3};
+
 /// Returns the median of the thresholds recorded recently for that kind, ordered by strictness; the threshold
 /// that admits everything if there are too few of them.
 [[nodiscard]] admission::shed_level chain_level(const chain_levels& levels, const std::string& kind,
-                                                core::steady_time now);
+                                                core::steady_time now, const chain_level_rule& rule = {});
 
 /// Returns whether a root call is likely to pass at every hop. A small share of all roots is admitted at any
 /// level, so that the end of an overload is detected.
--- a/src/routing/internal/chain_levels.cpp
+++ b/src/routing/internal/chain_levels.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::chrono::milliseconds level_lifetime{1000};
 constexpr std::size_t max_recorded = 31;
-constexpr std::size_t min_recorded = 4; ///< Fewer thresholds are not representative.
 
 /// Number of root buckets that pass at any level, about one root call in twenty.
 constexpr std::uint32_t always_admitted = admission::root_buckets / 20;
@@ -27,19 +26,20 @@
     }
 }
 
-admission::shed_level chain_level(const chain_levels& levels, const std::string& kind,
-                                  core::steady_time now) {
+admission::shed_level chain_level(const chain_levels& levels, const std::string& kind, core::steady_time now,
+                                  const chain_level_rule& rule) {
     const auto found = levels.by_kind.find(kind);
     if (found == levels.by_kind.end()) {
         return {};
     }
     std::vector<admission::shed_level> fresh;
-    for (const auto& met : found->second) {
-        if (now - met.when <= level_lifetime) {
-            fresh.push_back(met.level);
+    for (auto met = found->second.rbegin(); met != found->second.rend() && fresh.size() < rule.newest;
+         ++met) {
+        if (now - met->when <= level_lifetime) {
+            fresh.push_back(met->level);
         }
     }
-    if (fresh.size() < min_recorded) {
+    if (fresh.size() < rule.fewest) {
         return {};
     }
     return admission::median_level(std::move(fresh));
--- a/src/routing/tests/chain_levels_tests.cpp
+++ b/src/routing/tests/chain_levels_tests.cpp
@@ -79,3 +79,15 @@
     record_chain(levels, "status", shed_level{0, 0}, start);
     CHECK(chain_level(levels, "status", start) == shed_level{});
 }
+
+TEST_CASE("an entry learns a reported threshold only after a whole chain", "[chain_levels]") {
+    chain_levels levels;
+    for (int answer = 0; answer < 10; ++answer) {
+        record_chain(levels, "status", {}, start);
+    }
+    record_chain(levels, "status", shed_level{2, 64}, start + 10ms);
+    record_chain(levels, "status", shed_level{2, 64}, start + 20ms);
+    REQUIRE(chain_level(levels, "status", start + 20ms) == shed_level{});
+    REQUIRE(chain_level(levels, "status", start + 20ms, reported_levels) == shed_level{2, 64});
+    REQUIRE(chain_level(levels, "status", start + 1100ms, reported_levels) == shed_level{});
+}
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -77,6 +77,7 @@
     if (context.position) {
         target.set_position(*context.position);
     }
+    target.set_work_spent(context.work_spent);
 }
 
 std::optional<core::call_context> read(wire::call_context& source, core::steady_time now) {
@@ -99,6 +100,7 @@
     if (source.has_position()) {
         context.position = source.position();
     }
+    context.work_spent = source.work_spent();
     return context;
 }
 
@@ -193,6 +195,9 @@
     target.set_gate_address(head.gate_address);
     write(head.context, *target.mutable_context(), now);
     target.set_service(head.service);
+    if (!head.kind.empty()) {
+        target.set_kind(head.kind);
+    }
     target.set_method(head.method);
     target.set_target(head.target);
     write(head.headers, *target.mutable_headers());
@@ -216,6 +221,7 @@
     head.reply_address = std::move(*source.mutable_reply_address());
     head.gate_address = std::move(*source.mutable_gate_address());
     head.service = std::move(*source.mutable_service());
+    head.kind = std::move(*source.mutable_kind());
     head.method = std::move(*source.mutable_method());
     head.target = std::move(*source.mutable_target());
     head.headers = read(*source.mutable_headers());
--- a/src/transport/types/frame.h
+++ b/src/transport/types/frame.h
@@ -37,6 +37,7 @@
     std::string gate_address;  ///< Transport address that the request is sent to.
     core::call_context context;
     std::string service;
+    std::string kind = {}; ///< Kind of the call; empty unless chains are admitted as a whole.
     std::string method;
     std::string target;
     std::vector<header> headers;
