--- a/src/model/internal/backend_model.cpp
+++ b/src/model/internal/backend_model.cpp
@@ -77,6 +77,9 @@
 void backend_model::start(const job_ptr& started) {
     ++m_running;
     ++m_runs;
+    if (m_started) {
+        m_started(started->request->context);
+    }
     if (m_cancels) {
         started->request->on_cancel = [this, started] {
             cancel(started);
@@ -102,7 +105,7 @@
         return;
     }
     if (current->nested_calls == m_spec.nested.size()) {
-        finish(current, {true, core::verdict::ran, false, current->spent});
+        finish(current, {true, core::verdict::ran, false, {}, current->spent});
         return;
     }
     const std::size_t service = m_spec.nested[current->nested_calls];
@@ -113,13 +116,14 @@
     ++current->nested_calls;
     current->cancel_nested = m_nested(nested, service, made_by, [this, current](const call_answer& below) {
         current->spent += below.spent;
+        current->met = admission::is_stricter(below.below, current->met) ? below.below : current->met;
         if (below.whole) {
             send_nested(current);
             return;
         }
         const auto run =
             suffers(fault_kind::closing_on_error) ? core::verdict::may_have_run : core::verdict::ran;
-        finish(current, {false, run, false, current->spent});
+        finish(current, {false, run, false, {}, current->spent});
     });
 }
 
@@ -137,7 +141,9 @@
     finished->ended = true;
     finished->request->on_cancel = nullptr;
     --m_running;
-    finished->done(answer);
+    auto told = answer;
+    told.below = finished->met;
+    finished->done(told);
     start_waiting();
 }
 
--- a/src/model/internal/backend_model.h
+++ b/src/model/internal/backend_model.h
@@ -25,6 +25,11 @@
     /// Sets how nested calls are sent.
     void set_nested_call(nested_call nested) { m_nested = std::move(nested); }
 
+    /// Sets what is called as a request begins to run.
+    void set_started(std::function<void(const core::call_context&)> started) {
+        m_started = std::move(started);
+    }
+
     /// Runs a request and calls `done` with its answer.
     void run(const attempt_ptr& request, const answer_handler& done);
 
@@ -45,6 +50,7 @@
         attempt_ptr request;
         answer_handler done;
         std::size_t nested_calls = 0; ///< Number of nested calls sent so far.
+        admission::shed_level met;    ///< Strictest threshold that its nested calls met.
         std::uint32_t spent = 0;      ///< Retries made by the nested calls.
         cancel_function cancel_nested;
         bool ended = false;
@@ -65,6 +71,7 @@
     std::vector<fault_spec> m_faults;
     bool m_cancels;
     nested_call m_nested;
+    std::function<void(const core::call_context&)> m_started;
     std::uint32_t m_running = 0;
     std::uint64_t m_runs = 0;
     std::deque<job_ptr> m_waiting;
--- a/src/model/internal/call.h
+++ b/src/model/internal/call.h
@@ -16,7 +16,8 @@
     bool whole = false;
     core::verdict run = core::verdict::not_run;
     bool shed = false;
-    std::uint32_t spent = 0; ///< Retries made by the call and its nested calls.
+    admission::shed_level below{}; ///< Strictest threshold that the gate reports or the nested calls met.
+    std::uint32_t spent = 0;       ///< Retries made by the call and its nested calls.
     std::optional<routing::load_report> report = std::nullopt;
 };
 
--- a/src/model/internal/caller_model.cpp
+++ b/src/model/internal/caller_model.cpp
@@ -66,7 +66,11 @@
 
 double caller_model::rate() const {
     const auto& spec = m_scenario.classes[m_class_index];
-    const bool surge = m_loop.elapsed() >= m_scenario.surge_from && m_loop.elapsed() < m_scenario.surge_until;
+    bool surge = m_loop.elapsed() >= m_scenario.surge_from && m_loop.elapsed() < m_scenario.surge_until;
+    if (m_scenario.surge_every.count() > 0) {
+        surge = surge &&
+                (m_loop.elapsed() - m_scenario.surge_from) % m_scenario.surge_every < m_scenario.burst_length;
+    }
     return capacity_of(m_scenario) * (surge ? spec.surge : spec.load);
 }
 
--- a/src/model/internal/entry_model.cpp
+++ b/src/model/internal/entry_model.cpp
@@ -1,5 +1,7 @@
 #include "model/internal/entry_model.h"
 
+#include "admission/shedding.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -38,6 +40,9 @@
     fresh->made_by = made_by;
     fresh->done = std::move(done);
     fresh->route.service = name_of(service);
+    if (m_rules.chains == chain_rule::whole) {
+        fresh->context.work_spent += made_by.calls_ended;
+    }
     if (!m_rules.has(rule::retry_budget)) {
         fresh->context.attempts_left = attempts_per_hop;
     }
@@ -65,10 +70,10 @@
         return;
     }
     sent->route.context = sent->context;
-    const auto endpoint = choose(sent);
+    const auto endpoint = is_refused_by_chain(sent) ? std::nullopt : choose(sent);
     if (!endpoint) {
         ++m_refused;
-        end(sent, {false, core::verdict::not_run, true, 0, {}});
+        end(sent, {false, core::verdict::not_run, true});
         return;
     }
     const auto lent = m_rules.has(rule::retry_budget) ? retry::lend(sent->context) : attempts_per_hop;
@@ -90,6 +95,7 @@
 void entry_model::on_answer(const call_ptr& sent, const core::endpoint_id& endpoint, std::uint32_t lent,
                             core::steady_time started, const call_answer& answer) {
     learn(endpoint, started, answer, sent->caller_left);
+    note_answer(sent, answer);
     if (sent->ended) {
         return;
     }
@@ -105,7 +111,46 @@
     repeat_or_end(sent, answer);
 }
 
+admission::shed_level entry_model::level_below() const {
+    return routing::downstream_level(m_downstream, std::string(), m_loop.now());
+}
+
+bool entry_model::is_refused_by_chain(const call_ptr& sent) const {
+    if (m_rules.chains == chain_rule::none || sent->context.depth > 0 || sent->attempts > 0) {
+        return false;
+    }
+    const auto rule =
+        m_rules.chains == chain_rule::whole ? routing::reported_levels : routing::chain_level_rule();
+    const auto level = routing::chain_level(m_chains, name_of(sent->service), m_loop.now(), rule);
+    return !routing::chain_admits(level, sent->context);
+}
+
+void entry_model::note_met(const call_ptr& sent, const admission::shed_level& met) {
+    if (admission::is_stricter(met, sent->met)) {
+        sent->met = met;
+    }
+}
+
+void entry_model::note_answer(const call_ptr& sent, const call_answer& answer) {
+    if (sent->context.depth == 0) {
+        routing::record_chain(m_chains, name_of(sent->service), answer.below, m_loop.now());
+        return;
+    }
+    note_met(sent, answer.below);
+    if (answer.report) {
+        note_met(sent, answer.report->level);
+    }
+    if (m_rules.chains == chain_rule::whole) {
+        routing::record_below(m_downstream, name_of(sent->service), answer.below, m_loop.now());
+    }
+}
+
 void entry_model::repeat_or_end(const call_ptr& sent, const call_answer& answer) {
+    if (m_rules.chains == chain_rule::whole && answer.shed &&
+        !admission::admits_nested(answer.below, sent->context)) {
+        end(sent, answer);
+        return;
+    }
     if (!routing::has_untried(m_table, sent->route)) {
         end(sent, answer);
         return;
@@ -163,7 +208,7 @@
     // NOTE: the retries made by the abandoned attempt are never reported, so the entire grant counts as
     // spent.
     sent->spent = std::max(sent->spent, sent->granted);
-    end(sent, {false, core::verdict::may_have_run, false, 0, {}});
+    end(sent, {false, core::verdict::may_have_run, false});
 }
 
 void entry_model::end(const call_ptr& ended, call_answer answer) {
@@ -171,6 +216,7 @@
     retry::give_back(m_grants, ended->granted - std::min(ended->granted, ended->spent));
     answer.spent = ended->spent;
     answer.report.reset();
+    answer.below = ended->met;
     ended->done(answer);
 }
 
@@ -194,6 +240,11 @@
         request.context.depth = 1;
     }
     auto choice = routing::choose(m_table, request, m_random, m_loop.now());
+    note_met(sent, choice.evidence.level);
+    if (m_rules.chains == chain_rule::whole && sent->context.depth > 0) {
+        routing::record_called(m_downstream, std::string(), name_of(sent->service), choice.evidence.level,
+                               m_loop.now());
+    }
     return choice.endpoint;
 }
 
--- a/src/model/internal/entry_model.h
+++ b/src/model/internal/entry_model.h
@@ -6,6 +6,8 @@
 #include "model/types/rules.h"
 #include "model/types/scenario.h"
 #include "retry/retry_budget.h"
+#include "routing/chain_levels.h"
+#include "routing/downstream_levels.h"
 #include "routing/routing_table.h"
 
 #include <cstddef>
@@ -33,6 +35,9 @@
     /// Returns the number of calls refused without an attempt.
     [[nodiscard]] std::uint64_t refused() const { return m_refused; }
 
+    /// Returns the threshold that nested calls of the local backend server are likely to meet.
+    [[nodiscard]] admission::shed_level level_below() const;
+
 private:
     struct call {
         core::call_context context;
@@ -43,6 +48,7 @@
         std::uint32_t attempts = 0;
         std::uint32_t spent = 0;
         std::uint32_t granted = 0;
+        admission::shed_level met; ///< Strictest threshold that the attempts of the call met.
         attempt_ptr current;
         bool ended = false;
         bool caller_left = false; ///< Whether the caller left before the deadline.
@@ -64,6 +70,9 @@
     void abandon(const call_ptr& sent, bool caller_left);
     void end(const call_ptr& ended, call_answer answer);
     [[nodiscard]] std::chrono::nanoseconds draw_delay(std::size_t data_centre);
+    [[nodiscard]] bool is_refused_by_chain(const call_ptr& sent) const;
+    void note_met(const call_ptr& sent, const admission::shed_level& met);
+    void note_answer(const call_ptr& sent, const call_answer& answer);
     [[nodiscard]] std::optional<core::endpoint_id> choose(const call_ptr& sent);
     void learn(const core::endpoint_id& endpoint, core::steady_time started, const call_answer& answer,
                bool caller_left);
@@ -77,6 +86,8 @@
     retry::retry_budgets m_retries = retry::make_retry_budgets(10);
     retry::ratio_state m_grants;
     std::unordered_map<std::size_t, retry::leaf_budget> m_leaf_retries; ///< By called service.
+    routing::chain_levels m_chains;
+    routing::downstream_levels m_downstream; ///< Of the local backend server's calls, all of one kind.
     std::uint64_t m_refused = 0;
     std::unordered_map<std::string, known_gate> m_gates;
 };
--- a/src/model/internal/gate_model.cpp
+++ b/src/model/internal/gate_model.cpp
@@ -1,5 +1,7 @@
 #include "model/internal/gate_model.h"
 
+#include "routing/chain_levels.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,10 @@
     : m_loop(loop), m_random(random), m_rules(rules), m_backend(backend),
       m_limit(concurrency::cold_start({spec.slots, spec.slots * connections_per_slot}, ramp_start())) {
     m_queue.order = rules.order;
+    if (rules.chains == chain_rule::whole) {
+        m_queue.order = admission::queue_order::by_position;
+        m_overload.settings.watches_queue = true;
+    }
     if (!rules.has(rule::queue_time_bound)) {
         m_queue.max_wait = unbounded_wait;
         m_queue.max_length = 1'000'000;
@@ -37,6 +43,11 @@
     if (!m_rules.has(rule::nested_first)) {
         seen.depth = 1;
     }
+    if (is_refused_below(received->context)) {
+        ++m_refusals.below;
+        reply(received, {false, core::verdict::not_run, true});
+        return;
+    }
     const bool admitted = !m_rules.has(rule::shedding) || admission::admits(m_overload.level, seen);
     admission::record_arrival(m_overload, seen, admitted);
     if (m_rules.has(rule::work_conserving) && m_queue.length == 0 && acquire()) {
@@ -46,13 +57,13 @@
     if (!admitted) {
         const bool has_free_slot = m_queue.length == 0 && m_limit.running < m_limit.bounds.slots;
         ++(has_free_slot ? m_refusals.with_a_free_slot : m_refusals.by_threshold);
-        reply(received, {false, core::verdict::not_run, true, 0, {}});
+        reply(received, {false, core::verdict::not_run, true});
         return;
     }
     const auto left = core::time_left(received->context, m_loop.now());
     if (m_rules.has(rule::hopeless_refusal) && left < service_estimate()) {
         ++m_refusals.without_time_left;
-        reply(received, {false, core::verdict::not_run, true, 0, {}});
+        reply(received, {false, core::verdict::not_run, true});
         return;
     }
     if (!m_rules.has(rule::work_conserving) && m_queue.length == 0 && acquire()) {
@@ -64,8 +75,14 @@
 
 void gate_model::start_timer() {
     m_loop.after(timer_period, [this] {
-        refuse(admission::expire(m_queue, service_estimate(), m_loop.now()).refused);
+        admission::record_queue(m_overload, m_queue.length);
+        const auto expired = admission::expire(m_queue, service_estimate(), m_loop.now()).refused;
+        admission::record_unserved(m_overload, expired.size());
+        refuse(expired);
         admission::tick(m_overload, m_loop.now());
+        if (m_rules.chains == chain_rule::whole) {
+            refuse(admission::shed(m_queue, m_overload.level).refused);
+        }
         start_waiting();
         start_timer();
     });
@@ -78,6 +95,9 @@
 }
 
 void gate_model::run(const attempt_ptr& admitted, std::chrono::nanoseconds waited) {
+    if (waited.count() == 0 && m_queue.length == 0) {
+        admission::record_empty_queue(m_overload);
+    }
     admission::record_wait(m_overload, waited, m_loop.now());
     const auto started = m_loop.now();
     m_backend.run(admitted, [this, admitted, started](const call_answer& answer) {
@@ -101,13 +121,17 @@
     m_waiting[ticket] = admitted;
     const auto& context = admitted->context;
     const auto outcome = admission::push(
-        m_queue, {ticket, context.rank, context.depth, m_loop.now(), context.deadline}, m_loop.now());
+        m_queue,
+        {ticket, context.rank, context.depth, m_loop.now(), context.deadline, admission::order_of(context)},
+        m_loop.now());
+    admission::record_unserved(m_overload, outcome.refused.size());
     refuse(outcome.refused);
 }
 
 void gate_model::start_waiting() {
     while (m_queue.length > 0 && acquire()) {
         const auto outcome = admission::pop(m_queue, service_estimate(), m_loop.now());
+        admission::record_unserved(m_overload, outcome.refused.size());
         refuse(outcome.refused);
         if (!outcome.next) {
             concurrency::release(m_limit, concurrency::run_outcome::cancelled,
@@ -132,7 +156,7 @@
         const auto found = m_waiting.find(call.ticket);
         const attempt_ptr dropped = found->second;
         m_waiting.erase(found);
-        reply(dropped, {false, core::verdict::not_run, true, 0, {}});
+        reply(dropped, {false, core::verdict::not_run, true});
     }
 }
 
@@ -140,9 +164,17 @@
     if (m_rules.has(rule::load_reports)) {
         answer.report = report();
     }
+    if (m_rules.chains == chain_rule::whole) {
+        answer.below = m_below ? m_below() : admission::shed_level{};
+    }
     answered->answer(answer);
 }
 
+bool gate_model::is_refused_below(const core::call_context& context) const {
+    return m_rules.chains == chain_rule::whole && m_below && !admission::continues_chain(context) &&
+           !routing::chain_admits(m_below(), context);
+}
+
 bool gate_model::acquire() {
     if (!m_rules.has(rule::concurrency_bound)) {
         ++m_limit.running;
--- a/src/model/internal/gate_model.h
+++ b/src/model/internal/gate_model.h
@@ -10,6 +10,7 @@
 #include "model/types/rules.h"
 
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,9 @@
     /// Admits, queues or refuses an attempt and answers it.
     void receive(const attempt_ptr& received);
 
+    /// Sets where the threshold of the services that runs lead to is found, for chain_rule::whole.
+    void set_below(std::function<admission::shed_level()> below) { m_below = std::move(below); }
+
     /// Starts the timer that expires waiting calls and updates the shed level.
     void start_timer();
 
@@ -61,6 +65,7 @@
     void start_waiting();
     void refuse(const std::vector<admission::waiting_call>& refused);
     void reply(const attempt_ptr& answered, call_answer answer);
+    [[nodiscard]] bool is_refused_below(const core::call_context& context) const;
     [[nodiscard]] bool acquire();
     void release(concurrency::run_outcome outcome, std::chrono::nanoseconds time);
     [[nodiscard]] core::steady_time ramp_start() const;
@@ -75,6 +80,7 @@
     admission::overload_state m_overload;
     concurrency::limit_state m_limit;
     std::unordered_map<std::uint64_t, attempt_ptr> m_waiting;
+    std::function<admission::shed_level()> m_below;
     std::uint64_t m_next_ticket = 0;
     std::uint64_t m_arrivals = 0;
     std::vector<arrivals_in_step> m_arrivals_by_step;
--- a/src/model/internal/scenarios.cpp
+++ b/src/model/internal/scenarios.cpp
@@ -290,6 +290,33 @@
     return simulated;
 }
 
+/// A service whose runs make eight calls one after another at a small one, called through 80 daemons.
+/// `surge` is the demand during the surge as a multiple of what the small service can serve.
+scenario fan(const std::string& name, double surge, run_time length) {
+    constexpr std::size_t calls = 8;
+    scenario simulated;
+    simulated.name = name;
+    simulated.services = {{76, 20, 0, 20ms, 0.5, false, std::vector<std::size_t>(calls, 1)},
+                          {4, 20, 0, 22ms, 0.5, false, {}}};
+    simulated.classes = {{"lookup", 1, 0.7 / calls, surge / calls, 1200ms, true}};
+    simulated.data_centres = 3;
+    simulated.local_delay = 500us;
+    simulated.remote_delay = 500us;
+    simulated.surge_from = 5s;
+    simulated.surge_until = 5s + length;
+    simulated.length = simulated.surge_until + 5s;
+    simulated.caller_resends = 0;
+    return simulated;
+}
+
+/// Bursts of 2 s at twice the capacity, every 4 s.
+scenario fan_bursts() {
+    scenario simulated = fan("fan_bursts", 2, 16s);
+    simulated.surge_every = 4s;
+    simulated.burst_length = 2s;
+    return simulated;
+}
+
 std::vector<scenario> all_scenarios() {
     return {overload(),
             single_slot(),
@@ -317,7 +344,12 @@
             degraded("strained", 4, fault_kind::strained),
             degraded("strained_one", 1, fault_kind::strained),
             overstated(),
-            refusing_excess()};
+            refusing_excess(),
+            fan("fan_1.2", 1.2, 10s),
+            fan("fan_2", 2, 10s),
+            fan("fan_5", 5, 10s),
+            fan("fan_burst", 2, 2s),
+            fan_bursts()};
 }
 
 } // namespace
--- a/src/model/internal/simulation.cpp
+++ b/src/model/internal/simulation.cpp
@@ -9,8 +9,10 @@
 #include "model/internal/slot_loss_sampler.h"
 
 #include <algorithm>
+#include <cstring>
 #include <memory>
 #include <random>
+#include <unordered_map>
 #include <vector>
 
 namespace monsoonlift::model {
@@ -31,8 +33,25 @@
     std::size_t data_centre = 0;
 };
 
+/// What became of one root call.
+struct root_tally {
+    run_time sent{0};
+    run_time ended{0};
+    std::uint64_t deepest_runs = 0; ///< Runs at the last service.
+    bool is_whole = false;
+    bool is_refused = false; ///< Refused unrun.
+    bool is_ended = false;
+};
+
+std::uint64_t key_of(const core::root_id& root) {
+    std::uint64_t key = 0;
+    std::memcpy(&key, root.bytes.data(), sizeof(key));
+    return key;
+}
+
 /// All objects of one run.
 struct simulation_run {
+    std::unordered_map<std::uint64_t, root_tally> roots;
     event_loop loop;
     std::mt19937_64 random;
     std::vector<node> nodes;
@@ -82,11 +101,16 @@
     }
 }
 
-void connect_nodes(simulation_run& run) {
+void connect_nodes(simulation_run& run, std::size_t service_count) {
     for (auto& from : run.nodes) {
         for (auto& to : run.nodes) {
             from.entry->add_gate(to.service, to.data_centre, *to.gate);
         }
+        from.gate->set_below([entry = from.entry.get()] { return entry->level_below(); });
+        if (from.service + 1 == service_count) {
+            from.backend->set_started(
+                [&run](const auto& context) { ++run.roots[key_of(context.root)].deepest_runs; });
+        }
         from.backend->set_nested_call([entry = from.entry.get()](const auto& context, std::size_t service,
                                                                  const auto& made_by, auto done) {
             return entry->send(context, service, std::chrono::nanoseconds::max(), made_by, std::move(done));
@@ -101,7 +125,17 @@
         auto send = [&run](const core::call_context& context, const class_spec& spec, answer_handler done) {
             const std::size_t chosen =
                 std::uniform_int_distribution<std::size_t>(0, run.nodes.size() - 1)(run.random);
-            run.nodes[chosen].entry->send(context, spec.service, spec.patience, {}, std::move(done));
+            const auto key = key_of(context.root);
+            run.roots[key].sent = run.loop.elapsed();
+            run.nodes[chosen].entry->send(context, spec.service, spec.patience, {},
+                                          [&run, key, done = std::move(done)](const call_answer& answer) {
+                                              auto& tally = run.roots[key];
+                                              tally.is_whole = answer.whole;
+                                              tally.is_refused = answer.run == core::verdict::not_run;
+                                              tally.ended = run.loop.elapsed();
+                                              tally.is_ended = true;
+                                              done(answer);
+                                          });
         };
         run.callers.push_back(std::make_unique<caller_model>(run.loop, run.random, simulated, index, rank,
                                                              recorder, std::move(send)));
@@ -165,12 +199,43 @@
     return worst;
 }
 
+/// Counts the runs of the last service that were made for failed root calls, and how fast root calls were
+/// refused during the surge.
+void count_roots(const simulation_run& run, const scenario& simulated, model_result& result) {
+    double runs = 0;
+    double wasted = 0;
+    double sent = 0;
+    double failed = 0;
+    std::vector<double> refused_ms;
+    for (const auto& [key, tally] : run.roots) {
+        const auto deepest = static_cast<double>(tally.deepest_runs);
+        runs += tally.is_ended ? deepest : 0;
+        wasted += tally.is_ended && !tally.is_whole ? deepest : 0;
+        if (tally.sent < simulated.surge_from || tally.sent >= simulated.surge_until) {
+            continue;
+        }
+        ++sent;
+        failed += tally.is_ended && !tally.is_whole && !tally.is_refused ? 1 : 0;
+        if (tally.is_refused) {
+            refused_ms.push_back(std::chrono::duration<double, std::milli>(tally.ended - tally.sent).count());
+        }
+    }
+    result.wasted_deepest_ratio = runs > 0 ? wasted / runs : 0;
+    result.failed_ratio_surge = sent > 0 ? failed / sent : 0;
+    std::sort(refused_ms.begin(), refused_ms.end());
+    if (!refused_ms.empty()) {
+        result.refused_p50_ms = refused_ms[refused_ms.size() / 2];
+        result.refused_p99_ms = refused_ms[refused_ms.size() * 99 / 100];
+    }
+}
+
 void count_refusals(const simulation_run& run, refusal_counts& sums) {
     for (const auto& counted : run.nodes) {
         const auto& refused = counted.gate->refusals();
         sums.at_entry += counted.entry->refused();
         sums.by_threshold += refused.by_threshold;
         sums.with_a_free_slot += refused.with_a_free_slot;
+        sums.below += refused.below;
         sums.without_time_left += refused.without_time_left;
         sums.in_queue += refused.in_queue;
     }
@@ -183,7 +248,7 @@
     run.random.seed(seed);
     goodput_recorder recorder(simulated);
     add_nodes(run, simulated, rules);
-    connect_nodes(run);
+    connect_nodes(run, simulated.services.size());
     schedule_restarts(run, simulated);
     add_callers(run, simulated, rules, recorder);
     slot_loss_sampler losses(run.loop);
@@ -197,6 +262,7 @@
     recorder.summarise(result);
     count_attempts(run, simulated, result);
     result.repeats_deepest_worst = worst_repeats(run, simulated);
+    count_roots(run, simulated, result);
     count_refusals(run, result.refusals);
     result.slots = losses.shares();
     return result;
--- a/src/model/model_main.cpp
+++ b/src/model/model_main.cpp
@@ -14,7 +14,7 @@
 constexpr const char* usage = R"(Runs a scenario against the policies, in virtual time.
 
 Usage:
-  monsoonlift-model SCENARIO [--seed=S] [--without=RULE]... [--order=ORDER] [--pass-through]
+  monsoonlift-model SCENARIO [--seed=S] [--without=RULE]... [--order=ORDER] [--chains=RULE] [--pass-through]
   monsoonlift-model --list
   monsoonlift-model --help
 
@@ -22,6 +22,8 @@
   --seed=S        Seed of the random generator [default: 1].
   --without=RULE  Disables one rule; may be given several times.
   --order=ORDER   Order of waiting calls: first_come, last_come, adaptive, earliest_deadline [default: adaptive].
+  --chains=RULE   How calls are admitted whose chain leads to an overloaded service: none, learned, whole
+                  [default: none].
   --pass-through  Disables every rule.
   --list          Prints the scenarios and the rules.
 )";
@@ -43,6 +45,19 @@
     return std::nullopt;
 }
 
+std::optional<model::chain_rule> parse_chains(const std::string& text) {
+    if (text == "none") {
+        return model::chain_rule::none;
+    }
+    if (text == "learned") {
+        return model::chain_rule::learned;
+    }
+    if (text == "whole") {
+        return model::chain_rule::whole;
+    }
+    return std::nullopt;
+}
+
 boost::json::object to_json(const model::model_result& result) {
     boost::json::array classes;
     for (const auto& figures : result.classes) {
@@ -59,6 +74,7 @@
     const boost::json::object refusals = {{"at_entry", result.refusals.at_entry},
                                           {"by_threshold", result.refusals.by_threshold},
                                           {"with_a_free_slot", result.refusals.with_a_free_slot},
+                                          {"below", result.refusals.below},
                                           {"without_time_left", result.refusals.without_time_left},
                                           {"in_queue", result.refusals.in_queue}};
     return {{"capacity_per_second", result.capacity_per_second},
@@ -68,6 +84,10 @@
             {"attempts_per_root_deepest", result.attempts_per_root_deepest},
             {"repeats_deepest_worst", result.repeats_deepest_worst},
             {"root_sends_per_call", result.root_sends_per_call},
+            {"wasted_deepest_ratio", result.wasted_deepest_ratio},
+            {"failed_ratio_surge", result.failed_ratio_surge},
+            {"refused_p50_ms", result.refused_p50_ms},
+            {"refused_p99_ms", result.refused_p99_ms},
             {"wasted_runs_ratio", result.wasted_runs_ratio},
             {"slots", slots},
             {"refusals", refusals},
@@ -100,6 +120,11 @@
         return refuse("no order named " + arguments["--order"].asString());
     }
     rules.order = *order;
+    const auto chains = parse_chains(arguments["--chains"].asString());
+    if (!chains) {
+        return refuse("no rule for chains named " + arguments["--chains"].asString());
+    }
+    rules.chains = *chains;
     boost::json::array without;
     for (const auto& name : arguments["--without"].asStringList()) {
         const auto unwanted = model::parse_rule(name);
--- a/src/model/types/model_result.h
+++ b/src/model/types/model_result.h
@@ -28,6 +28,7 @@
     std::uint64_t at_entry = 0;          ///< By the entry, because of the thresholds reported in answers.
     std::uint64_t by_threshold = 0;      ///< By the gate's threshold, while no slot was free.
     std::uint64_t with_a_free_slot = 0;  ///< By the gate's threshold, while a slot was free.
+    std::uint64_t below = 0;             ///< By the gate, because a service further down would refuse.
     std::uint64_t without_time_left = 0; ///< By the gate on arrival: the call could not finish in time.
     std::uint64_t in_queue = 0; ///< In the queue: waited too long, displaced, or could not finish in time.
 };
@@ -45,7 +46,12 @@
     /// before, whichever were more. Calls made by a run that was a repeat count as repeats.
     double repeats_deepest_worst = 0;
     double root_sends_per_call = 0; ///< Root calls sent, resends included, per call made.
-    double wasted_runs_ratio = 0;   ///< Share of the runs at all services that led to no complete answer.
+    double wasted_deepest_ratio =
+        0;                     ///< Share of the runs at the last service made for root calls that failed.
+    double refused_p50_ms = 0; ///< Time until a root call is refused unrun, median during the surge.
+    double refused_p99_ms = 0;
+    double failed_ratio_surge = 0; ///< Share of the root calls sent in the surge that failed after they ran.
+    double wasted_runs_ratio = 0;  ///< Share of the runs at all services that led to no complete answer.
     slot_losses slots;
     refusal_counts refusals;
     std::vector<class_result> classes;
--- a/src/model/types/rules.h
+++ b/src/model/types/rules.h
@@ -36,11 +36,19 @@
     count            ///< Number of rules.
 };
 
+/// How calls are admitted whose chain leads to an overloaded service.
+enum class chain_rule {
+    none,    ///< Each service decides for itself.
+    learned, ///< Entries learn the thresholds that root calls met, as with `chain_admission` set to off.
+    whole    ///< Chains are admitted as a whole, as with `chain_admission` set to on.
+};
+
 /// Enabled rules, and the order of waiting calls.
 struct rule_set {
     std::bitset<static_cast<std::size_t>(rule::count)> on =
         std::bitset<static_cast<std::size_t>(rule::count)>().set();
     admission::queue_order order = admission::queue_order::adaptive;
+    chain_rule chains = chain_rule::none;
 
     /// Returns whether a rule is enabled.
     [[nodiscard]] bool has(rule value) const { return on.test(static_cast<std::size_t>(value)); }
--- a/src/model/types/scenario.h
+++ b/src/model/types/scenario.h
@@ -70,6 +70,8 @@
     std::size_t data_centres = 2;
     run_time surge_from{0};
     run_time surge_until{0};
+    run_time surge_every{0};  ///< If not 0, the surge consists of bursts that begin at this interval.
+    run_time burst_length{0}; ///< Length of these bursts.
     run_time length{std::chrono::seconds(10)};
     std::uint32_t caller_resends = 3; ///< Maximum number of resends of a failed call by its caller.
     std::chrono::milliseconds resend_delay{100}; ///< Maximum random pause before a resend.
