Write client accounts with the operators' library

Change: Account takes API keys or their digests and prints digests only. Checks are those of the document reader; no fault and no text form of an account quotes a key or a digest.

--- a/operators/monsoonlift/__init__.py
+++ b/operators/monsoonlift/__init__.py
@@ -3,10 +3,10 @@
 Build a `Configuration`, then print `to_yaml(configuration)` and submit it with `monsoonctl submit`.
 """
 from monsoonlift.checks import Fault, InvalidConfiguration, check
-from monsoonlift.model import Call, Caller, Configuration, Execution, Retries, Service
+from monsoonlift.model import Account, Call, Caller, Configuration, Execution, Retries, Service
 from monsoonlift.yaml_text import to_yaml
 
 __all__ = [
-    "Call", "Caller", "Configuration", "Execution", "Fault", "InvalidConfiguration", "Retries", "Service",
-    "check", "to_yaml",
+    "Account", "Call", "Caller", "Configuration", "Execution", "Fault", "InvalidConfiguration", "Retries",
+    "Service", "check", "to_yaml",
 ]
--- a/operators/monsoonlift/checks.py
+++ b/operators/monsoonlift/checks.py
@@ -1,12 +1,13 @@
 """Validation of a configuration: reports every fault, not only the first."""
 from __future__ import annotations
 
+import hashlib
 import re
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
-from monsoonlift.model import Call, Configuration, Service
+from monsoonlift.model import Account, Call, Configuration, Service
 
 NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
 PATH = re.compile(r"/[!-\"$->@-~]*")
@@ -25,6 +26,8 @@
 MOST_SERVICES = 2_000
 MOST_CALLS = 500
 MOST_ATTEMPTS = 16
+HIGHEST_ACCOUNT_RATE = 1e9
+DIGEST = re.compile(r"[0-9a-fA-F]{64}")
 
 
 @dataclass(frozen=True)
@@ -63,9 +66,46 @@
         faults.append(Fault("retries.ratio", retries.ratio, "a number from 0 to 1"))
     faults += _check_time("execution.resend_window", configuration.execution.resend_window, SECOND,
                           LONGEST_RESEND_WINDOW)
+    if configuration.accounts is not None:
+        faults += _check_accounts(configuration.accounts, configuration.classes)
     return faults
 
 
+def _check_accounts(accounts: tuple[Account, ...], classes: tuple[str, ...]) -> Iterator[Fault]:
+    yield from _check_names("accounts", [account.name for account in accounts], 0, len(accounts))
+    holders: dict[str, str] = {}
+    for index, account in enumerate(accounts):
+        path = f"accounts[{index}]"
+        yield from _check_keys(path, account)
+        if account.account_class is not None and account.account_class not in classes:
+            yield Fault(f"{path}.class", account.account_class, "one of " + ", ".join(classes))
+        yield from _check_limit(f"{path}.rate_per_second", account.rate_per_second)
+        yield from _check_limit(f"{path}.burst", account.burst)
+        for digest in account.digests():
+            if digest in holders:
+                yield Fault(f"{path}.keys", f"a key that {holders[digest]!r} holds already", "each key once")
+            holders.setdefault(digest, account.name)
+
+
+def _check_keys(path: str, account: Account) -> Iterator[Fault]:
+    """Checks keys and digests. No fault quotes one: faults are printed and kept in logs of builds."""
+    for index, key in enumerate(account.keys):
+        if not key or not all("!" <= letter <= "~" for letter in key):
+            yield Fault(f"{path}.keys[{index}]", f"{len(key)} characters", "visible ASCII characters, at least one")
+    for index, digest in enumerate(account.key_digests):
+        if not DIGEST.fullmatch(digest):
+            yield Fault(f"{path}.key_digests[{index}]", f"{len(digest)} characters",
+                        "SHA-256 digests of API keys as 64 hexadecimal digits")
+        elif digest.lower() == hashlib.sha256(b"").hexdigest():
+            yield Fault(f"{path}.key_digests[{index}]", "the digest of an empty key", "digests of API keys")
+
+
+def _check_limit(path: str, value: float) -> Iterator[Fault]:
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= HIGHEST_ACCOUNT_RATE:
+        yield Fault(path, value, f"a number from 0 to {HIGHEST_ACCOUNT_RATE:.0f}")
+
+
 def _check_service(path: str, service: Service, classes: tuple[str, ...]) -> Iterator[Fault]:
     yield from _check_number(f"{path}.endpoints", service.endpoints, 1, MOST_ENDPOINTS)
     yield from _check_number(f"{path}.slots", service.slots, 1, MOST_SLOTS)
--- a/operators/monsoonlift/yaml_text.py
+++ b/operators/monsoonlift/yaml_text.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from monsoonlift.checks import InvalidConfiguration, check
-from monsoonlift.model import Configuration, Service
+from monsoonlift.model import Account, Configuration, Service
 
 FORMAT = 1
 PLAIN = re.compile(r"[A-Za-z/][A-Za-z0-9_/.-]*")
@@ -52,6 +52,21 @@
     yield "services:"
     for service in configuration.services:
         yield from _service_lines(service)
+    if configuration.accounts is not None:
+        yield "accounts:" if configuration.accounts else "accounts: []"
+        for account in configuration.accounts:
+            yield from _account_lines(account)
+
+
+def _account_lines(account: Account) -> Iterator[str]:
+    yield f"  - name: {_text(account.name)}"
+    yield "    key_digests: [" + ", ".join(map(json.dumps, account.digests())) + "]"
+    if account.account_class is not None:
+        yield f"    class: {_text(account.account_class)}"
+    if account.rate_per_second:
+        yield f"    rate_per_second: {account.rate_per_second}"
+    if account.burst:
+        yield f"    burst: {account.burst}"
 
 
 def _service_lines(service: Service) -> Iterator[str]:
--- a/operators/tests/test_yaml_text.py
+++ b/operators/tests/test_yaml_text.py
@@ -1,9 +1,10 @@
 """Tests of the YAML document that is printed for a configuration."""
+import hashlib
 import unittest
 from dataclasses import replace
 from datetime import timedelta
 
-from monsoonlift import InvalidConfiguration, to_yaml
+from monsoonlift import Account, InvalidConfiguration, to_yaml
 from monsoonlift.yaml_text import duration
 from tests.test_checks import GOOD
 
@@ -35,6 +36,21 @@
     def test_a_valid_configuration_is_printed_as_the_expected_document(self) -> None:
         self.assertEqual(to_yaml(GOOD), DOCUMENT)
 
+    def test_accounts_are_printed_with_digests_and_never_with_keys(self) -> None:
+        accounts = (Account("school", ("k1",), ("AB" * 32,), "bulk", 5.5, 8), Account("shop"))
+        own = hashlib.sha256(b"k1").hexdigest()
+        self.assertEqual(to_yaml(replace(GOOD, accounts=accounts)), DOCUMENT + f"""\
+accounts:
+  - name: school
+    key_digests: ["{own}", "{'ab' * 32}"]
+    class: bulk
+    rate_per_second: 5.5
+    burst: 8
+  - name: shop
+    key_digests: []
+""")
+        self.assertEqual(to_yaml(replace(GOOD, accounts=())), DOCUMENT + "accounts: []\n")
+
     def test_an_invalid_configuration_is_not_printed(self) -> None:
         with self.assertRaises(InvalidConfiguration):
             to_yaml(replace(GOOD, classes=()))
