Take the account of a call from its key or its running parent, in both protocols

Cause: a caller that gave its request the id of a running one with a dot behind it was served in the name of that one's account, with any key. Calls of this project's own protocol needed no key, and the text of a context token could raise a call's class. A name with a line break would have ended the header that carries it. One unreadable key left out its whole account, and the log didn't say which. A call refused before it was routed had a drawn id, so its caller's id led to no log line.

Change: a call with Authorization is a root call. parse_call asks for a key if the document has accounts; nested calls get account, class and position from what the daemon recorded for the run, and 503 without such a run. Refusals keep the caller's id. Missing and unknown keys are told apart. Deployments without accounts take the path as before.

--- a/src/accounts/account_table.h
+++ b/src/accounts/account_table.h
@@ -24,8 +24,9 @@
     std::unordered_map<std::string, std::size_t> by_name;                ///< Positions in `accounts`.
 };
 
-/// Adds an account without the keys that are in the table already, and returns what was left out: an account
-/// whose name is empty or taken is not added at all. Empty if everything was added.
+/// Adds an account without the keys that are empty or in the table already, and returns what was left out: an
+/// account whose name is empty, taken or no value of a header field is not added at all. Empty if everything
+/// was added.
 [[nodiscard]] std::vector<std::string> add(account_table& table, account added);
 
 /// Returns the account that holds the key, or nullptr. Keys are compared by their digests, so the time taken
--- a/src/accounts/internal/account_table.cpp
+++ b/src/accounts/internal/account_table.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/algorithm/hex.hpp>
 
+#include <algorithm>
 #include <cstring>
 #include <iterator>
 #include <stdexcept>
@@ -11,6 +12,39 @@
 
 namespace monsoonlift::accounts {
 
+namespace {
+
+/// Whether a name can be sent as the value of a header field: no control characters, which would end the
+/// field or the head, and no spaces at the ends, which a receiver would remove.
+bool is_field_value(const std::string& name) {
+    const auto is_control = [](unsigned char byte) {
+        return byte < ' ' || byte == 0x7f;
+    };
+    return name.front() != ' ' && name.back() != ' ' && std::none_of(name.begin(), name.end(), is_control);
+}
+
+/// Removes the keys that the account must not hold, and says for each why.
+std::vector<std::string> remove_unusable_keys(account_table& table, account& added, std::size_t position) {
+    static const auto empty_key = digest_of({});
+    std::vector<std::string> left_out;
+    std::erase_if(added.keys, [&](const key_digest& key) {
+        if (key == empty_key) {
+            left_out.push_back("a key of account \"" + added.name + "\" that is empty");
+            return true;
+        }
+        const auto [entry, is_new] = table.by_key.emplace(key, position);
+        if (!is_new) {
+            const auto& holder = entry->second == position ? added.name : table.accounts[entry->second].name;
+            left_out.push_back("a key of account \"" + added.name + "\" that \"" + holder +
+                               "\" holds already");
+        }
+        return !is_new;
+    });
+    return left_out;
+}
+
+} // namespace
+
 std::size_t key_digest_hash::operator()(const key_digest& digest) const noexcept {
     std::size_t hash = 0;
     std::memcpy(&hash, digest.data(), sizeof(hash));
@@ -21,20 +55,14 @@
     if (added.name.empty()) {
         return {"an account without a name"};
     }
+    if (!is_field_value(added.name)) {
+        return {"an account named \"" + added.name + "\", which no header field can carry"};
+    }
     const auto position = table.accounts.size();
     if (!table.by_name.emplace(added.name, position).second) {
         return {"a second account named \"" + added.name + "\""};
     }
-    std::vector<std::string> left_out;
-    std::erase_if(added.keys, [&](const key_digest& key) {
-        const auto [entry, is_new] = table.by_key.emplace(key, position);
-        if (!is_new) {
-            const auto& holder = entry->second == position ? added.name : table.accounts[entry->second].name;
-            left_out.push_back("a key of account \"" + added.name + "\" that \"" + holder +
-                               "\" holds already");
-        }
-        return !is_new;
-    });
+    auto left_out = remove_unusable_keys(table, added, position);
     table.accounts.push_back(std::move(added));
     return left_out;
 }
--- a/src/accounts/tests/account_table_tests.cpp
+++ b/src/accounts/tests/account_table_tests.cpp
@@ -62,6 +62,25 @@
     CHECK(find_by_key(table, "third") == nullptr);
 }
 
+TEST_CASE("a name that would end its header field is left out with its keys") {
+    account_table table;
+    for (const std::string name : {"school\r\nX-Admin: yes", "school\n", " school", "school ", "a\x7f"}) {
+        CHECK(add(table, account_with(name, {"first"})).size() == 1);
+    }
+    CHECK(table.accounts.empty());
+    CHECK(find_by_key(table, "first") == nullptr);
+    CHECK(add(table, account_with("Sch\xc3\xbcler 7", {"first"})).empty());
+}
+
+TEST_CASE("an empty key is left out, as a caller without a key would hold it") {
+    account_table table;
+    const auto left_out = add(table, account_with("school", {"", "key"}));
+    REQUIRE(left_out.size() == 1);
+    CHECK(left_out.front() == "a key of account \"school\" that is empty");
+    CHECK(find_by_key(table, "") == nullptr);
+    CHECK(find_by_key(table, "key") != nullptr);
+}
+
 TEST_CASE("digests survive their text form, and other texts are refused") {
     const auto digest = digest_of("key");
     CHECK(parse_key_digest(to_string(digest)) == digest);
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -4,6 +4,7 @@
 #include "configuration/types/document.h"
 #include "core/clock.h"
 #include "entry/caller_protocol.h"
+#include "entry/types/account_use.h"
 #include "gate/nested_budgets.h"
 #include "logging/event_log.h"
 #include "membership/member_directory.h"
@@ -126,6 +127,9 @@
     /// Totals since the start of the entry.
     [[nodiscard]] entry_counters counters() const;
 
+    /// Returns what each client account did at this entry, for a bounded number of accounts and "other".
+    [[nodiscard]] std::vector<account_use> account_uses() const;
+
 private:
     std::shared_ptr<internal::entry_state> m_state;
 };
--- a/src/entry/internal/call_class.cpp
+++ b/src/entry/internal/call_class.cpp
@@ -13,7 +13,7 @@
 
 /// Problems are counted by type. The list bounds the number of counters: all errors in a request's head count
 /// as malformed, and types not listed as other.
-constexpr std::array<std::string_view, 19> problem_names{"shed",
+constexpr std::array<std::string_view, 25> problem_names{"shed",
                                                          "draining",
                                                          "no-backend-server",
                                                          "backend-refused",
@@ -30,10 +30,16 @@
                                                          "no-configuration",
                                                          "unknown-service",
                                                          "unknown-call",
+                                                         "missing-key",
+                                                         "unknown-key",
+                                                         "parent-not-running",
+                                                         "quota-exceeded",
+                                                         "quota-unavailable",
+                                                         "configuration-outdated",
                                                          "malformed",
                                                          "other"};
-constexpr std::size_t malformed = 17;
-constexpr std::size_t other = 18;
+constexpr std::size_t malformed = problem_names.size() - 2;
+constexpr std::size_t other = problem_names.size() - 1;
 
 std::size_t position_of(const problem& trouble) {
     const auto* found = std::find(problem_names.begin(), problem_names.end(), trouble.type);
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -74,7 +74,11 @@
     }
     auto trouble = parse();
     if (trouble) {
-        set_root_id(m_shared.routes.draw_root());
+        if (trouble->request) {
+            set_root_id(*trouble->request);
+        } else if (m_call.context.root == core::root_id{}) {
+            set_root_id(m_shared.routes.draw_root());
+        }
         co_await refuse(*trouble);
         co_return;
     }
@@ -90,13 +94,15 @@
     if (!configuration) {
         return no_configuration();
     }
-    const parsing_rules rules{*configuration, m_shared.options.default_patience, m_shared.sender.self().life};
+    const parsing_rules rules{*configuration, m_shared.options.default_patience, m_shared.sender.self().life,
+                              &m_shared.budgets};
     auto parsed = m_shared.options.protocol.parse(m_connection->request(), rules, m_shared.clock.now());
     if (auto* trouble = std::get_if<problem>(&parsed)) {
         return std::move(*trouble);
     }
     m_call = std::move(std::get<parsed_call>(parsed));
     m_class = &m_shared.classes.of(m_call.context.rank);
+    m_account = m_call.parent ? nullptr : m_shared.accounts.count_call(m_call.context.account);
     if (m_call.parent) {
         set_root_id(m_call.parent->root);
     } else {
@@ -365,6 +371,7 @@
     ++(is_answered ? m_shared.answered : m_shared.failed);
     if (is_answered) {
         m_class->count_end(call_outcome::answered, end.run);
+        count_answered(m_account);
         m_shared.decisions.answered(decided(), ended_now(), m_answer_status);
     } else if (m_caller_gone) {
         count_abandoned(end.run);
@@ -395,6 +402,7 @@
     }
     m_class->count_end(call_outcome::problem, trouble.run);
     m_class->count_problem(trouble);
+    count_problem(m_account, trouble);
     m_shared.events.problem_sent(subject(), trouble);
     m_shared.decisions.refused(decided(), ended_now(), trouble, m_evidence);
     co_await m_connection->write_problem(trouble, attempts_spent());
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -136,7 +136,8 @@
     parsed_call m_call;
     gate::run_progress m_made_by; ///< The run that made the call, as it was when the call came.
     call_class* m_class;          ///< Never nullptr; the class "unknown" until the request's head is parsed.
-    std::string m_first_bytes;    ///< First part of the request body, kept so that the request can be resent.
+    account_count* m_account = nullptr; ///< Counters of a root call's account; nullptr if it has none.
+    std::string m_first_bytes; ///< First part of the request body, kept so that the request can be resent.
     bool m_replayable = true;
     bool m_caller_gone = false;
     bool m_has_budget = false;      ///< Retries were taken from a budget, to be returned in the end.
--- a/src/entry/internal/entry_service.cpp
+++ b/src/entry/internal/entry_service.cpp
@@ -79,4 +79,8 @@
     return m_state->counters();
 }
 
+std::vector<account_use> entry_service::account_uses() const {
+    return m_state->accounts.uses();
+}
+
 } // namespace monsoonlift::entry
--- a/src/entry/internal/entry_state.cpp
+++ b/src/entry/internal/entry_state.cpp
@@ -21,7 +21,7 @@
       classes([&metrics, &time](const std::string& name) {
           return std::make_unique<call_class>(metrics, time, name);
       }),
-      events(written, time), decisions(written, time), counts(written, time),
+      accounts(metrics), events(written, time), decisions(written, time), counts(written, time),
       sessions(chosen.most_connections), m_acceptor(std::move(connections)) {}
 
 void entry_state::start() {
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/entry_service.h"
+#include "entry/internal/account_counts.h"
 #include "entry/internal/attempt_channel.h"
 #include "entry/internal/attempt_counts.h"
 #include "entry/internal/call_class.h"
@@ -78,6 +79,7 @@
     execution::home_directory homes; ///< Homes of keys, learned from the refusals of gates.
 
     call_classes classes;
+    account_counts accounts;
     entry_events events;
     call_decisions decisions;
     attempt_counts counts;
--- a/src/entry/internal/problem.cpp
+++ b/src/entry/internal/problem.cpp
@@ -7,6 +7,12 @@
 
 namespace monsoonlift::entry {
 
+namespace {
+
+constexpr unsigned status_unauthorized = 401;
+
+} // namespace
+
 std::string to_json(const problem& trouble) {
     const boost::json::object document{{"type", "urn:monsoonlift:problem:" + trouble.type},
                                        {"title", trouble.title},
@@ -25,6 +31,9 @@
         head.headers.push_back(
             {"Retry-After", std::to_string(std::max<std::int64_t>(seconds_rounded_up.count(), 1))});
     }
+    if (trouble.status == status_unauthorized) {
+        head.headers.push_back({"WWW-Authenticate", "Token"});
+    }
     head.body = to_json(trouble);
     return head;
 }
--- a/src/entry/internal/request_parsing.cpp
+++ b/src/entry/internal/request_parsing.cpp
@@ -1,5 +1,6 @@
 #include "entry/request_parsing.h"
 
+#include "entry/identify_account.h"
 #include "execution/types/execution_key.h"
 #include "transfer/http_headers.h"
 
@@ -81,6 +82,33 @@
     return patience;
 }
 
+/// Sets in whose name the call is made: a root call in that of its key, a nested call in that of the request
+/// that makes it. The token's text gives no account, as callers could write it.
+std::optional<problem> set_account(parsed_call& call, const request_fields& request,
+                                   const std::optional<gate::context_token>& parent,
+                                   const parsing_rules& rules) {
+    const auto key = key_of(request);
+    std::erase_if(call.headers, [](const transport::header& field) {
+        return boost::beast::iequals(field.name, "Authorization");
+    });
+    if (parent && !key) {
+        const auto checked = verified(*parent, rules);
+        if (!checked) {
+            return parent_not_running();
+        }
+        adopt_parent(call, *checked, rules.self);
+    } else {
+        call.needs_key = true;
+        if (auto trouble = identify_account(call, key, rules.configuration)) {
+            return trouble;
+        }
+    }
+    if (!call.context.account.empty()) {
+        call.headers.push_back({"Monsoonlift-Account", call.context.account});
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 void adopt_parent(parsed_call& call, const gate::context_token& parent, core::incarnation self) {
@@ -194,14 +222,18 @@
     call.context.caller = fields.caller;
     call.context.key = fields.key;
     call.context.deadline = now + std::min(patience, timeout.value_or(patience));
-    if (parent) {
-        adopt_parent(call, *parent, rules.self);
-    }
     call.headers = headers_to_pass(request);
     // NOTE: the gate adds the Idempotency-Key field again from the call's context.
     std::erase_if(call.headers, [](const transport::header& field) {
         return boost::beast::iequals(field.name, "Idempotency-Key");
     });
+    if (rules.configuration.accounts) {
+        if (auto trouble = set_account(call, request, parent, rules)) {
+            return *std::move(trouble);
+        }
+    } else if (parent) {
+        adopt_parent(call, *parent, rules.self);
+    }
     return call;
 }
 
--- a/src/entry/internal/route_call.cpp
+++ b/src/entry/internal/route_call.cpp
@@ -60,8 +60,12 @@
                                   ? configuration::pick_destination(*route, point_of(request.id, route->name))
                                   : nullptr;
     if (destination == nullptr) {
-        return not_known("unknown-route",
-                         "no route leads from " + std::string(request.host) + std::string(path));
+        auto trouble = not_known("unknown-route",
+                                 "no route leads from " + std::string(request.host) + std::string(path));
+        if (!request.id.empty()) {
+            trouble.request = root_of(request.id);
+        }
+        return trouble;
     }
     parsed_call call;
     call.service = destination->service;
--- a/src/entry/request_parsing.h
+++ b/src/entry/request_parsing.h
@@ -6,6 +6,7 @@
 #include "core/types/call_context.h"
 #include "entry/types/problem.h"
 #include "gate/context_token.h"
+#include "gate/nested_budgets.h"
 #include "transport/types/frame.h"
 
 #include <chrono>
@@ -43,6 +44,8 @@
     const configuration::document& configuration;
     std::chrono::milliseconds default_patience{5000};
     core::incarnation self; ///< Deadlines in tokens are valid only in the incarnation that issued them.
+    /// The requests that run on the local backend server; nullptr if none does.
+    const gate::nested_budgets* runs = nullptr;
 };
 
 /// Checks the head and builds the call; the caller of this function sets the context's root id and attempts.
--- a/src/entry/types/problem.h
+++ b/src/entry/types/problem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/types/call_ids.h"
 #include "core/types/verdict.h"
 #include "transport/types/frame.h"
 
@@ -18,6 +19,9 @@
     std::string title;
     std::string detail;
     std::optional<std::chrono::milliseconds> retry_after;
+    /// Root id that the caller's own id gives the refused request; empty if the entry is to draw one. Without
+    /// it, the lines about a request that is refused before it is routed could not be found by that id.
+    std::optional<core::root_id> request = std::nullopt;
 };
 
 /// Makes the response for callers of this project's own protocol, without a reason phrase.
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -256,7 +256,9 @@
 
 boost::asio::awaitable<void> gate_call::run() {
     watch_until(m_head.context.deadline);
-    m_env.budgets.open(m_run, m_head.context.attempts_left, m_attempt.attempt > 0);
+    const auto& context = m_head.context;
+    m_env.budgets.open(m_run, context.attempts_left, m_attempt.attempt > 0,
+                       {context.root, context.depth, context.rank, context.account, context.position});
     const bool ready = co_await open_connection();
     if (ready) {
         co_await exchange();
--- a/src/gate/internal/nested_budgets.cpp
+++ b/src/gate/internal/nested_budgets.cpp
@@ -4,9 +4,15 @@
 
 namespace monsoonlift::gate {
 
-void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat) {
+void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat, run_origin origin) {
     const std::scoped_lock lock(m_mutex);
-    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}};
+    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}, std::move(origin)};
+}
+
+std::optional<run_origin> nested_budgets::origin(std::uint64_t run) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    return found == m_budgets.end() ? std::nullopt : std::optional(found->second.origin);
 }
 
 std::uint32_t nested_budgets::reserve(std::uint64_t run) {
--- a/src/gate/nested_budgets.h
+++ b/src/gate/nested_budgets.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "admission/types/shed_level.h"
+#include "core/types/call_context.h"
+#include "core/types/call_ids.h"
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace monsoonlift::gate {
@@ -15,6 +19,15 @@
     bool is_repeat = false; ///< The request was sent before, so its nested calls may have been made before.
 };
 
+/// What a daemon knows of a request that runs here, whatever the text of its context token says.
+struct run_origin {
+    core::root_id root;
+    std::uint32_t depth = 0;
+    core::class_rank rank = 0;
+    std::string account;                   ///< As in the request's context.
+    std::optional<std::uint32_t> position; ///< As in the request's context.
+};
+
 /// Retry budgets of the requests that run on the local backend server, and the strictest shed level that
 /// their nested calls met. Nested calls draw from the budget of the request that made them, so the root call
 /// has one budget for all hops. Thread-safe.
@@ -22,7 +35,10 @@
 public:
     /// Registers a request that begins to run, with the attempts that its root call may still spend.
     /// `is_repeat` says whether it is sent for the second time or more.
-    void open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat = false);
+    void open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat = false, run_origin origin = {});
+
+    /// Returns what the request was registered with; nothing if it isn't running.
+    [[nodiscard]] std::optional<run_origin> origin(std::uint64_t run) const;
 
     /// Reserves the complete remaining budget for one nested call; concurrent nested calls get zero. Zero for
     /// a run that has ended.
@@ -53,6 +69,7 @@
         std::uint32_t spent = 0;
         admission::shed_level strictest;
         run_progress progress;
+        run_origin origin;
     };
 
     mutable std::mutex m_mutex;
--- a/src/platform/internal/caller_protocol.cpp
+++ b/src/platform/internal/caller_protocol.cpp
@@ -53,16 +53,19 @@
 }
 
 /// Sets in whose name the call is made: a nested call in that of its parent, a root call in that of its key.
+/// A call with a key is a root call whatever its id: otherwise a caller that gives a request the id of a
+/// running one, followed by a dot, would call in the name of that one's account, with any key and beyond its
+/// quota.
 std::optional<problem> set_account(entry::parsed_call& call, const entry::request_fields& request,
-                                   std::string_view id, const entry::parsing_rules& rules) {
-    if (call.parent || !rules.configuration.accounts) {
+                                   std::string_view id, const entry::parsing_rules& rules,
+                                   const gate::running_requests& running) {
+    const auto key = rules.configuration.accounts ? entry::key_of(request) : std::nullopt;
+    const auto parent = key ? std::nullopt : running.find_parent(id);
+    if (parent) {
+        entry::adopt_parent(call, *parent, rules.self);
         return std::nullopt;
     }
-    const auto authorization = entry::single_header(request, wire::authorization_header);
-    // NOTE: a repeated field names no single key, so it counts as none.
-    const auto* text = std::get_if<std::string_view>(&authorization);
-    const auto key = text != nullptr ? entry::key_in(*text) : std::string_view();
-    if (call.needs_key && key.empty() && gate::running_requests::names_nested_call(id)) {
+    if (call.needs_key && !key && gate::running_requests::names_nested_call(id)) {
         return entry::parent_not_running();
     }
     return entry::identify_account(call, key, rules.configuration);
@@ -94,10 +97,8 @@
     auto call = entry::route_call(routed, rules, now);
     if (auto* parsed = std::get_if<entry::parsed_call>(&call)) {
         parsed->headers = headers_to_pass(request, local_service);
-        if (const auto parent = running.find_parent(routed.id)) {
-            entry::adopt_parent(*parsed, *parent, rules.self);
-        }
-        if (auto trouble = set_account(*parsed, request, routed.id, rules)) {
+        if (auto trouble = set_account(*parsed, request, routed.id, rules, running)) {
+            trouble->request = parsed->request;
             return *std::move(trouble);
         }
         if (rules.configuration.accounts) {
--- a/src/platform/internal/configuration_codec.cpp
+++ b/src/platform/internal/configuration_codec.cpp
@@ -209,13 +209,18 @@
     }
     const auto where = "tenant " + name;
     json::array digests;
+    std::size_t not_strings = 0;
     for (const auto& key : list_field(tenant, "ApiKeys", where)) {
-        if (!key.is_string()) {
-            throw bad_field{where + ": a key is not a string"};
+        if (key.is_string()) {
+            digests.emplace_back(accounts::to_string(accounts::digest_of(key.get_string())));
+        } else {
+            ++not_strings;
         }
-        digests.emplace_back(accounts::to_string(accounts::digest_of(key.get_string())));
     }
     json::object account{{"name", name}, {"key_digests", std::move(digests)}};
+    if (not_strings > 0) {
+        account["left_out"] = where + ": " + std::to_string(not_strings) + " keys that are not strings";
+    }
     if (const auto* priority = tenant.if_contains("Priority"); priority != nullptr && !priority->is_null()) {
         account["class"] = class_of(number_field(tenant, "Priority", where));
     }
@@ -236,9 +241,9 @@
     for (const auto& tenant : list_field(content, "Tenants", "the configuration")) {
         try {
             accounts.push_back(account_of(map_at(tenant, "a tenant")));
-        } catch (const bad_field&) {
-            // NOTE: the reader of accepted documents leaves out an account without a name, and reports it.
-            accounts.push_back(json::object{});
+        } catch (const bad_field& fault) {
+            // NOTE: the reader of accepted documents reports an entry that only says what was left out.
+            accounts.push_back(json::object{{"left_out", fault.reason}});
         }
     }
     return accounts;
--- a/src/platform/tests/caller_protocol_tests.cpp
+++ b/src/platform/tests/caller_protocol_tests.cpp
@@ -242,6 +242,43 @@
     CHECK(parse.status_of(request) == 503);
 }
 
+TEST_CASE("a key decides, though the request's id looks like that of a nested call", "[platform]") {
+    parsing parse;
+    parse.rules.accounts.emplace();
+    REQUIRE(accounts::add(*parse.rules.accounts, {"employer", {accounts::digest_of("k1")}, {}, {}}).empty());
+    gate::context_token parent;
+    parent.run = 7;
+    parent.issuer = {1};
+    parent.account = "school";
+    parse.running->begin("9c41", parent);
+    const auto with_key = [](const std::string& id, const std::string& authorization) {
+        auto request = request_of("/status/7", {{"Authorization", authorization}});
+        request.headers[1].value = id;
+        return request;
+    };
+
+    // Otherwise a caller could call in the name of a running request, without a key that is known.
+    CHECK(parse.status_of(with_key("9c41.1", "Token stolen")) == 401);
+    const auto call = parse.must(with_key("9c41.1", "Token k1"));
+    CHECK(call.context.account == "employer");
+    CHECK_FALSE(call.parent);
+    CHECK(values_of(call, "X-Tenant") == std::vector<std::string>{"employer"});
+
+    // A malformed key is none of a backend server's, so the answer is not that of a missing parent.
+    CHECK(parse.status_of(with_key("aaaa.1", "Bearer k1")) == 401);
+}
+
+TEST_CASE("a refused request keeps the id by which its caller and the logs know it", "[platform]") {
+    parsing parse;
+    parse.rules.accounts.emplace();
+    const auto result = parse(request_of("/status/7", {{"Authorization", "Token stolen"}}));
+    REQUIRE(std::holds_alternative<entry::problem>(result));
+    const auto& trouble = std::get<entry::problem>(result);
+    REQUIRE(trouble.request);
+    CHECK(core::to_string(*trouble.request) == "9c41d07be2a35f680000000000000000");
+    CHECK(trouble.detail.find("stolen") == std::string::npos);
+}
+
 TEST_CASE("an answer with status 401 names the scheme of authentication", "[platform]") {
     const auto protocol = platform::make_caller_protocol("mappa", std::make_shared<gate::running_requests>());
     const auto head = protocol.tell({401, core::verdict::not_run, "unknown-key", "", "", {}});
--- a/src/platform/tests/configuration_codec_tests.cpp
+++ b/src/platform/tests/configuration_codec_tests.cpp
@@ -240,7 +240,25 @@
     REQUIRE(employer != nullptr);
     CHECK_FALSE(employer->rank);
     CHECK(employer->limit.rate_per_second == 0);
-    CHECK(rules->left_out.size() == 3);
+    REQUIRE(rules->left_out.size() == 3);
+    CHECK(rules->left_out[1] == "tenant broken: ApiKeys is not a list");
+    CHECK(rules->left_out[2] == "a tenant has no Name");
+}
+
+TEST_CASE("a key that can't be read is left out, and the other keys of its account go on working",
+          "[platform]") {
+    const auto decoded = decode(replaced(
+        R"("Listeners":)", R"("Tenants":[{"Name":"school","ApiKeys":["k1",7,null,""]}],"Listeners":)"));
+    REQUIRE(std::holds_alternative<configuration::stored_configuration>(decoded));
+    testing::silent_log log;
+    configuration::configuration_holder holder(log);
+    REQUIRE(holder.adopt(std::get<configuration::stored_configuration>(decoded)) ==
+            configuration::adoption::adopted);
+    const auto rules = holder.current();
+    CHECK(accounts::find_by_key(*rules->accounts, "k1") != nullptr);
+    REQUIRE(rules->left_out.size() == 2);
+    CHECK(rules->left_out[0] == "tenant school: 2 keys that are not strings");
+    CHECK(rules->left_out[1] == "a key of account \"school\" that is empty");
 }
 
 TEST_CASE("callers need keys only if the configuration lists accounts, even none", "[platform]") {
