Tell changes of accounts without digests, and what of an accepted document was left out

Change: document_diff names added, removed and changed accounts, counts their keys, and tells when callers begin to need a key or a route becomes public. Names of submitted accounts follow the rule of other names.

--- a/src/configuration/document_diff.h
+++ b/src/configuration/document_diff.h
@@ -14,8 +14,8 @@
     std::string after;  ///< New value; empty if there is none.
 };
 
-/// Returns the differences, ordered by path. A service, call or caller that was added or removed is a single
-/// change.
+/// Returns the differences, ordered by path. A service, call, caller or account that was added or removed is
+/// a single change. Keys of accounts are counted; their digests are never part of a change.
 [[nodiscard]] std::vector<document_change> diff(const document& before, const document& after);
 
 /// Formats a change as "services.squadre.slots: 60 -> 70", "services.mappa: added" or "services.mappa:
--- a/src/configuration/internal/account_reader.cpp
+++ b/src/configuration/internal/account_reader.cpp
@@ -12,6 +12,10 @@
 
 const std::vector<std::string> account_keys{"name", "key_digests", "class", "rate_per_second", "burst"};
 
+/// In a document that was accepted elsewhere, an entry also says what of it its writer could not read.
+const std::vector<std::string> accepted_keys{"name",  "key_digests", "class", "rate_per_second",
+                                             "burst", "left_out"};
+
 std::vector<accounts::key_digest> read_digests(yaml_reader& reader) {
     std::vector<accounts::key_digest> digests;
     for (const auto& text : reader.string_list("key_digests")) {
@@ -25,10 +29,14 @@
     return digests;
 }
 
-accounts::account read_account(yaml_reader& reader, const std::vector<std::string>& classes) {
-    reader.refuse_unknown_keys(account_keys);
+accounts::account read_account(yaml_reader& reader, const std::vector<std::string>& classes,
+                               const document_limits& limits) {
+    reader.refuse_unknown_keys(limits.skips_faulty_accounts ? accepted_keys : account_keys);
     accounts::account read;
     read.name = reader.optional_string("name", "");
+    if (!read.name.empty() && !is_name(read.name, limits)) {
+        reader.report("name", "\"" + read.name + "\"", name_rule);
+    }
     read.keys = read_digests(reader);
     if (reader.has("class")) {
         read.rank = rank_of(classes, read_listed(reader, "class", classes));
@@ -40,6 +48,14 @@
 
 } // namespace
 
+void hide_keys(std::vector<settings::settings_error>& errors) {
+    for (auto& error : errors) {
+        if (error.path.ends_with(".key_digests") && error.found.starts_with('"')) {
+            error.found = "a single text";
+        }
+    }
+}
+
 account_list read_accounts(yaml_reader& root, const std::vector<std::string>& classes,
                            const document_limits& limits) {
     account_list list;
@@ -48,7 +64,13 @@
     }
     list.table.emplace();
     for (auto& reader : root.map_list("accounts")) {
-        for (auto& fault : accounts::add(*list.table, read_account(reader, classes))) {
+        if (limits.skips_faulty_accounts && reader.has("left_out")) {
+            list.left_out.push_back(reader.required_string("left_out"));
+            if (!reader.has("name")) {
+                continue;
+            }
+        }
+        for (auto& fault : accounts::add(*list.table, read_account(reader, classes, limits))) {
             if (limits.skips_faulty_accounts) {
                 list.left_out.push_back(std::move(fault));
             } else {
--- a/src/configuration/internal/account_reader.h
+++ b/src/configuration/internal/account_reader.h
@@ -21,4 +21,8 @@
 [[nodiscard]] account_list read_accounts(settings::yaml_reader& root, const std::vector<std::string>& classes,
                                          const document_limits& limits);
 
+/// Replaces the values found in errors about "key_digests", which may be API keys: errors are printed and
+/// logged.
+void hide_keys(std::vector<settings::settings_error>& errors);
+
 } // namespace monsoonlift::configuration::internal
--- a/src/configuration/internal/document_diff.cpp
+++ b/src/configuration/internal/document_diff.cpp
@@ -1,7 +1,10 @@
 #include "configuration/document_diff.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <sstream>
+#include <utility>
 
 namespace monsoonlift::configuration {
 
@@ -50,6 +53,59 @@
     }
 }
 
+std::string limit_text(double value) {
+    return value > 0 ? number_text(value) : "no limit";
+}
+
+void flatten_account(flat_document& flat, const document& configuration, const accounts::account& account) {
+    const auto path = "accounts." + account.name;
+    const bool has_class = account.rank && *account.rank < configuration.classes.size();
+    flat[path] = present;
+    flat[path + ".class"] = has_class ? configuration.classes.at(*account.rank) : "of the route";
+    flat[path + ".rate_per_second"] = limit_text(account.limit.rate_per_second);
+    flat[path + ".burst"] = number_text(account.limit.burst);
+}
+
+void flatten_accounts(flat_document& flat, const document& configuration) {
+    flat["callers_need_keys"] = configuration.accounts ? "true" : "false";
+    for (const auto& route : configuration.routes) {
+        flat["routes." + route.name + ".public"] = route.is_public ? "true" : "";
+    }
+    if (configuration.accounts) {
+        for (const auto& account : configuration.accounts->accounts) {
+            flatten_account(flat, configuration, account);
+        }
+    }
+}
+
+/// Returns how many of the account's keys another list lacks.
+std::size_t count_missing(const accounts::account& account, const accounts::account& other) {
+    return static_cast<std::size_t>(
+        std::count_if(account.keys.begin(), account.keys.end(), [&other](const accounts::key_digest& key) {
+            return std::find(other.keys.begin(), other.keys.end(), key) == other.keys.end();
+        }));
+}
+
+/// Returns the changes of keys of accounts that both documents list, in numbers: neither keys nor digests
+/// belong in an audit trail.
+std::vector<document_change> diff_keys(const document& before, const document& after) {
+    std::vector<document_change> changes;
+    if (!before.accounts || !after.accounts) {
+        return changes;
+    }
+    for (const auto& account : after.accounts->accounts) {
+        const auto* old = accounts::find_by_name(*before.accounts, account.name);
+        const auto added = old == nullptr ? 0 : count_missing(account, *old);
+        const auto removed = old == nullptr ? 0 : count_missing(*old, account);
+        if (added + removed > 0) {
+            changes.push_back({"accounts." + account.name + ".keys", std::to_string(old->keys.size()),
+                               std::to_string(account.keys.size()) + " (" + std::to_string(added) +
+                                   " added, " + std::to_string(removed) + " removed)"});
+        }
+    }
+    return changes;
+}
+
 flat_document flatten(const document& configuration) {
     flat_document flat;
     flat["data_centres"] = joined(configuration.data_centres);
@@ -58,6 +114,7 @@
     flat["retries.ratio"] = number_text(configuration.retries.ratio);
     flat["execution.resend_window"] = duration_text(configuration.execution.resend_window);
     flat["caller_idle_time"] = duration_text(configuration.caller_idle_time);
+    flatten_accounts(flat, configuration);
     for (const auto& caller : configuration.callers) {
         flat["callers." + caller.name] = present;
         flat["callers." + caller.name + ".patience"] = duration_text(caller.patience);
@@ -98,6 +155,10 @@
             changes.push_back(std::move(change));
         }
     }
+    auto keys = diff_keys(before, after);
+    changes.insert(changes.end(), std::make_move_iterator(keys.begin()), std::make_move_iterator(keys.end()));
+    std::stable_sort(changes.begin(), changes.end(),
+                     [](const auto& left, const auto& right) { return left.path < right.path; });
     return changes;
 }
 
--- a/src/configuration/internal/document_reader.cpp
+++ b/src/configuration/internal/document_reader.cpp
@@ -113,6 +113,7 @@
     }
     yaml_reader reader(*root, "", errors);
     auto read = read_root(reader, limits);
+    internal::hide_keys(errors);
     if (!errors.empty()) {
         return errors;
     }
--- a/src/configuration/tests/document_tests.cpp
+++ b/src/configuration/tests/document_tests.cpp
@@ -190,4 +190,51 @@
     CHECK(errors_of(accounts + "  - key_digests: []\n").size() == 1);
     CHECK(errors_of(accounts + "  - name: other\n    key_digests: [key]\n").size() == 1);
     CHECK(errors_of(accounts + "  - name: other\n    class: none\n").size() == 1);
+    CHECK(errors_of(accounts + "  - name: a space\n").size() == 1);
+    CHECK(errors_of(accounts + "  - name: other\n    left_out: text\n").size() == 1);
+}
+
+TEST_CASE("no error of a document quotes what may be an API key", "[configuration]") {
+    const auto of_key_digests = [](const std::string& value) {
+        return sample_document() + "accounts:\n  - name: school\n    key_digests: " + value + "\n";
+    };
+    for (const std::string value : {"s3cret", "[s3cret]", "[[s3cret]]", "{s3cret: 1}", "[{s3cret: 1}]"}) {
+        INFO(value);
+        const auto errors = errors_of(of_key_digests(value));
+        REQUIRE_FALSE(errors.empty());
+        for (const auto& error : errors) {
+            CHECK_THAT(to_string(error), !Catch::Contains("s3cret"));
+        }
+    }
+}
+
+TEST_CASE("changes of accounts are reported without digests", "[configuration]") {
+    const std::string first(64, 'a');
+    const std::string second(64, 'b');
+    const auto school = [](const std::string& more) {
+        return sample_document() + "accounts:\n  - name: school\n" + more;
+    };
+    const auto before = school("    key_digests: [" + first + "]\n");
+    const struct {
+        std::string text;
+        std::vector<std::string> changes;
+    } cases[] = {
+        {before, {}},
+        {sample_document(), {"accounts.school: removed", "callers_need_keys: true -> false"}},
+        {before + "  - {name: employer, key_digests: [" + second + "]}\n", {"accounts.employer: added"}},
+        {school("    key_digests: [" + second + "]\n"),
+         {"accounts.school.keys: 1 -> 1 (1 added, 1 removed)"}},
+        {school("    key_digests: [" + first +
+                "]\n    class: lookup\n    rate_per_second: 5\n    burst: 2\n"),
+         {"accounts.school.burst: 0 -> 2", "accounts.school.class: of the route -> lookup",
+          "accounts.school.rate_per_second: no limit -> 5"}},
+    };
+    for (const auto& each : cases) {
+        INFO(each.text);
+        std::vector<std::string> changes;
+        for (const auto& change : diff(must_read(before), must_read(each.text))) {
+            changes.push_back(to_string(change));
+        }
+        CHECK(changes == each.changes);
+    }
 }
