Show client accounts and their use, and explain the refusals that concern them

Change: monsoonctl accounts prints class, limit and number of keys of each account, and the calls, answers and refusals that a daemon counted. The status of a daemon has these counts if there are any. monsoonctl show hides the digests of API keys unless asked. monsoonctl explain prints a cause for 401, parent-not-running, the refusals by quota and by age of the configuration, and shed.

Process tests not run.

--- a/src/app/monsoonctl/commands.h
+++ b/src/app/monsoonctl/commands.h
@@ -17,7 +17,10 @@
 exit_code run_submit(const command_line& line, const std::string& document, control_session& session,
                      console& out);
 
-/// Prints the configuration document in force.
+/// Prints the client accounts with their limits, and a daemon's counts of their calls if one is named.
+exit_code run_accounts(const command_line& line, control_session& session, console& out);
+
+/// Prints the configuration document in force, by default without the digests of API keys.
 exit_code run_show(const command_line& line, control_session& session, console& out);
 
 /// Prints the changes that a document would make to the configuration in force.
--- a/src/app/monsoonctl/internal/command_line_parser.cpp
+++ b/src/app/monsoonctl/internal/command_line_parser.cpp
@@ -21,7 +21,8 @@
 Usage:
   monsoonctl validate FILE [options]
   monsoonctl submit FILE --as WHO [options]
-  monsoonctl show [options]
+  monsoonctl show [--with-digests] [options]
+  monsoonctl accounts [--daemon ADDRESS] [options]
   monsoonctl diff FILE [options]
   monsoonctl history [options]
   monsoonctl status --daemon ADDRESS [options]
@@ -41,6 +42,7 @@
   --submission ID     Ask again what became of an earlier submission; needs its --base.
   --limit N           Newest entries of the history; 0 for all [default: 20].
   --daemon ADDRESS    Administration port of a daemon, "ip:port".
+  --with-digests      Print the digests of API keys too, to edit and submit the document.
   --token-file PATH   File that holds the daemon's administration token.
   --platform ADDRESS  "ip:port" of the platform; else the variable MONSOONLIFT_PLATFORM.
   --output FORMAT     text or json [default: text].
@@ -85,6 +87,7 @@
     static const std::pair<const char*, command> names[] = {{"validate", command::validate},
                                                             {"submit", command::submit},
                                                             {"show", command::show},
+                                                            {"accounts", command::accounts},
                                                             {"diff", command::diff},
                                                             {"history", command::history},
                                                             {"status", command::status},
@@ -111,13 +114,17 @@
     return variable == nullptr ? std::string{} : std::string(variable);
 }
 
-bool needs_platform(command what) {
+bool needs_platform(const command_line& line) {
+    const auto what = line.what;
+    if (what == command::accounts) {
+        return line.daemon.empty();
+    }
     return what == command::submit || what == command::show || what == command::diff ||
            what == command::history || what == command::fence;
 }
 
 void check(const command_line& line) {
-    if (needs_platform(line.what) && line.platform.empty()) {
+    if (needs_platform(line) && line.platform.empty()) {
         throw std::invalid_argument(std::string("--platform or ") + platform_variable + " is required");
     }
     if (line.what == command::explain && !core::parse_root_id(line.request)) {
@@ -151,6 +158,7 @@
     if (line.logs.empty()) {
         line.logs.emplace_back("-");
     }
+    line.with_digests = is_set(arguments, "--with-digests");
     const auto output = text_of(arguments, "--output");
     if (output != "text" && output != "json") {
         throw std::invalid_argument("--output must be text or json");
--- a/src/app/monsoonctl/internal/configuration_commands.cpp
+++ b/src/app/monsoonctl/internal/configuration_commands.cpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "app/monsoonctl/internal/current_configuration.h"
 #include "app/monsoonctl/result_format.h"
 #include "configuration/audit_trail.h"
 #include "configuration/document_diff.h"
@@ -18,8 +19,6 @@
 
 namespace {
 
-constexpr auto nothing_accepted = "no configuration has been accepted yet";
-
 std::string make_submission_id(std::random_device& random) {
     constexpr std::string_view digits = "0123456789abcdef";
     constexpr std::size_t length = 32;
@@ -31,24 +30,6 @@
     return id;
 }
 
-store::settled<model::stored_configuration> read_current(const command_line& line, control_session& session) {
-    const auto answer = session.wait<store::object>(
-        [&](auto done) { session.api().get(model::current_object, line.patience, std::move(done)); });
-    if (!answer.value) {
-        auto failure = answer.failure;
-        if (failure.code == core::error_code::not_found) {
-            failure.message = nothing_accepted;
-        }
-        return {std::nullopt, failure};
-    }
-    auto stored = model::parse_stored_configuration(answer.value->value);
-    if (!stored) {
-        return {std::nullopt,
-                {core::error_code::internal, "configuration/current does not hold a stored configuration"}};
-    }
-    return {std::move(stored), {}};
-}
-
 exit_code exit_code_of(model::submission_status status) {
     switch (status) {
     case model::submission_status::accepted:
@@ -142,11 +123,12 @@
         return out.print_failure(exit_code_of(current.failure), current.failure.message);
     }
     const auto& stored = *current.value;
-    return out.print_result(exit_code::ok, stored.document,
+    const auto document = line.with_digests ? stored.document : without_key_digests(stored.document);
+    return out.print_result(exit_code::ok, document,
                             {{"revision", stored.revision},
                              {"submission", stored.submission},
                              {"digest", stored.digest},
-                             {"document", stored.document}});
+                             {"document", document}});
 }
 
 exit_code run_diff(const command_line& line, const std::string& document, control_session& session,
--- a/src/app/monsoonctl/internal/request_trace.cpp
+++ b/src/app/monsoonctl/internal/request_trace.cpp
@@ -1,5 +1,7 @@
 #include "app/monsoonctl/request_trace.h"
 
+#include "app/monsoonctl/refusal_cause.h"
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -14,6 +16,7 @@
 namespace {
 
 constexpr std::string_view left_out_event = "lines_left_out";
+constexpr std::string_view refusal_event = "call_refused";
 
 /// Fields that are printed before the others, or that add no information to the trace of one request.
 constexpr std::array<std::string_view, 6> fields_not_listed{"time",     "event",   "name",
@@ -47,6 +50,21 @@
     return text + "\n";
 }
 
+/// The causes of the refusals in the trace that its lines name only by type, each once.
+std::vector<std::string> causes_in(const request_trace& trace) {
+    std::vector<std::string> causes;
+    for (const auto& line : trace.lines) {
+        const auto type = text_of(line.event, "type");
+        const bool is_refusal = text_of(line.event, "name") == refusal_event;
+        const auto cause = is_refusal ? cause_of(type) : std::string_view();
+        auto text = type + ": " + std::string(cause);
+        if (!cause.empty() && std::find(causes.begin(), causes.end(), text) == causes.end()) {
+            causes.push_back(std::move(text));
+        }
+    }
+    return causes;
+}
+
 std::set<std::string> processes_of(const request_trace& trace) {
     std::set<std::string> processes;
     for (const auto& line : trace.lines) {
@@ -112,6 +130,9 @@
     for (const auto& line : trace.lines) {
         text += line_text(line);
     }
+    for (const auto& cause : causes_in(trace)) {
+        text += "cause: " + cause + "\n";
+    }
     text += std::to_string(trace.lines.size()) + " lines of " + std::to_string(processes_of(trace).size()) +
             " processes, of " + std::to_string(trace.lines_read) + " lines read\n";
     if (trace.lines_not_events > 0) {
@@ -127,7 +148,12 @@
 }
 
 boost::json::object trace_json(const request_trace& trace) {
+    boost::json::array causes;
+    for (const auto& cause : causes_in(trace)) {
+        causes.emplace_back(cause);
+    }
     return {{"lines", events_of(trace.lines)},
+            {"causes", std::move(causes)},
             {"left_out", events_of(trace.left_out)},
             {"lines_read", trace.lines_read},
             {"lines_not_events", trace.lines_not_events}};
--- a/src/app/monsoonctl/internal/result_format.cpp
+++ b/src/app/monsoonctl/internal/result_format.cpp
@@ -1,5 +1,6 @@
 #include "app/monsoonctl/result_format.h"
 
+#include <algorithm>
 #include <array>
 #include <ctime>
 
@@ -73,6 +74,25 @@
     return text;
 }
 
+std::string without_key_digests(const std::string& document) {
+    constexpr std::size_t digest_length = 64;
+    constexpr auto digits = "0123456789abcdefABCDEF";
+    std::string text;
+    std::size_t at = 0;
+    while (at < document.size()) {
+        const auto begin = std::min(document.find_first_of(digits, at), document.size());
+        const auto end = std::min(document.find_first_not_of(digits, begin), document.size());
+        text.append(document, at, begin - at);
+        if (end - begin >= digest_length) {
+            text += "(digest)";
+        } else {
+            text.append(document, begin, end - begin);
+        }
+        at = end;
+    }
+    return text;
+}
+
 exit_code exit_code_of(const core::error& failure) {
     switch (failure.code) {
     case core::error_code::conflict:
--- a/src/app/monsoonctl/main.cpp
+++ b/src/app/monsoonctl/main.cpp
@@ -39,6 +39,8 @@
         return tool::run_submit(line, read_file(line.file), session, out);
     case tool::command::show:
         return tool::run_show(line, session, out);
+    case tool::command::accounts:
+        return tool::run_accounts(line, session, out);
     case tool::command::diff:
         return tool::run_diff(line, read_file(line.file), session, out);
     case tool::command::history:
--- a/src/app/monsoonctl/request_trace.h
+++ b/src/app/monsoonctl/request_trace.h
@@ -45,10 +45,11 @@
     request_trace m_trace;
 };
 
-/// Formats the trace as lines of text: time, process, event, and the event's other fields.
+/// Formats the trace as lines of text: time, process, event, and the event's other fields;
+/// then the causes of refusals, as cause_of() words them.
 [[nodiscard]] std::string trace_text(const request_trace& trace);
 
-/// Converts the trace to JSON: `lines`, `left_out`, `lines_read`, `lines_not_events`.
+/// Converts the trace to JSON: `lines`, `causes`, `left_out`, `lines_read`, `lines_not_events`.
 [[nodiscard]] boost::json::object trace_json(const request_trace& trace);
 
 } // namespace monsoonlift::monsoonctl
--- a/src/app/monsoonctl/result_format.h
+++ b/src/app/monsoonctl/result_format.h
@@ -35,6 +35,10 @@
 /// Joins lines, each indented and ended by a line feed.
 [[nodiscard]] std::string indented(const std::vector<std::string>& lines);
 
+/// Returns a document's text with "(digest)" in place of every digest of an API key: 64 hexadecimal digits in
+/// a row, or more. Such a text is no valid document, so that it can't be submitted by mistake.
+[[nodiscard]] std::string without_key_digests(const std::string& document);
+
 /// Returns the exit code for a failed call.
 [[nodiscard]] exit_code exit_code_of(const core::error& failure);
 
--- a/src/app/monsoonctl/tests/command_line_tests.cpp
+++ b/src/app/monsoonctl/tests/command_line_tests.cpp
@@ -32,6 +32,9 @@
     } const cases[] = {
         {{"validate", "f"}, command::validate},
         {{"show", platform}, command::show},
+        {{"show", "--with-digests", platform}, command::show},
+        {{"accounts", platform}, command::accounts},
+        {{"accounts", "--daemon", "127.0.0.1:2"}, command::accounts},
         {{"diff", "f", platform}, command::diff},
         {{"history", platform, "--limit", "3"}, command::history},
         {{"status", "--daemon", "127.0.0.1:2"}, command::status},
--- a/src/app/monsoonctl/tests/explain_tests.cpp
+++ b/src/app/monsoonctl/tests/explain_tests.cpp
@@ -97,3 +97,21 @@
     CHECK(run_explain(line, input, printer) == exit_code::usage);
     CHECK_THAT(out.str(), Catch::Contains("can't read /nowhere/at.all"));
 }
+
+TEST_CASE("the causes of refusals that concern accounts are explained, each once", "[monsoonctl]") {
+    for (const std::string type : {"missing-key", "unknown-key", "parent-not-running", "quota-exceeded",
+                                   "quota-unavailable", "configuration-outdated", "shed"}) {
+        INFO(type);
+        const auto refused =
+            event("05.000001", "entry-1", "call_refused", root_field(root) + R"(,"type":")" + type + "\"");
+        const auto result = explain(refused + refused, false);
+        const auto cause = "cause: " + type + ": ";
+        CHECK_THAT(result.printed, Catch::Contains(cause));
+        CHECK(result.printed.find(cause) == result.printed.rfind(cause));
+        const auto document = boost::json::parse(explain(refused, true).printed).as_object();
+        CHECK(document.at("causes").as_array().size() == 1);
+    }
+    const auto other =
+        event("05.000001", "entry-1", "call_refused", root_field(root) + R"(,"type":"unknown-route")");
+    CHECK_THAT(explain(other, false).printed, !Catch::Contains("cause: "));
+}
--- a/src/app/monsoonctl/tests/fake_daemon.h
+++ b/src/app/monsoonctl/tests/fake_daemon.h
@@ -2,6 +2,8 @@
 
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -10,11 +12,17 @@
 
 namespace monsoonlift::monsoonctl::tests {
 
-/// Answers one request with a fixed JSON body and records the request.
+/// Answers one request, or one for each body in a list, with a fixed JSON body and records the last request.
 class fake_daemon {
 public:
-    explicit fake_daemon(std::string answer)
-        : m_thread([this, answer = std::move(answer)] { serve(answer); }) {}
+    explicit fake_daemon(std::string answer) : fake_daemon(std::vector<std::string>{std::move(answer)}) {}
+
+    explicit fake_daemon(std::vector<std::string> answers)
+        : m_thread([this, answers = std::move(answers)] {
+              for (const auto& answer : answers) {
+                  serve(answer);
+              }
+          }) {}
 
     fake_daemon(const fake_daemon&) = delete;
     fake_daemon& operator=(const fake_daemon&) = delete;
@@ -29,7 +37,7 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
-    /// Returns the raw request; blocks until it has been answered.
+    /// Returns the last raw request; blocks until all were answered.
     [[nodiscard]] std::string request() {
         m_thread.join();
         return m_request;
--- a/src/app/monsoonctl/types/command_line.h
+++ b/src/app/monsoonctl/types/command_line.h
@@ -14,6 +14,7 @@
     validate,
     submit,
     show,
+    accounts,
     diff,
     history,
     status,
@@ -42,6 +43,7 @@
     std::string service;
     std::string platform;
     bool json = false;
+    bool with_digests = false; ///< `show` prints the digests of API keys too.
     std::chrono::milliseconds patience{10'000};
 };
 
--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -68,6 +68,21 @@
             {"shed_bucket", load.level.bucket}};
 }
 
+boost::json::array describe(const std::vector<entry::account_use>& uses) {
+    boost::json::array accounts;
+    for (const auto& use : uses) {
+        boost::json::object refused;
+        for (const auto& [reason, total] : use.refused) {
+            refused[reason] = total;
+        }
+        accounts.push_back({{"name", use.name},
+                            {"calls", use.calls},
+                            {"answered", use.answered},
+                            {"refused", std::move(refused)}});
+    }
+    return accounts;
+}
+
 } // namespace
 
 void daemon::add_routes() {
@@ -201,6 +216,10 @@
         {"transport", describe(m_transport.counters())},
         {"members", std::move(members)},
     };
+    const auto uses = m_entry.account_uses();
+    if (!uses.empty()) {
+        document["accounts"] = describe(uses);
+    }
     return boost::json::serialize(document);
 }
 
