--- a/src/app/monsoonliftd/daemon_status.cpp
+++ b/src/app/monsoonliftd/daemon_status.cpp
@@ -86,6 +86,21 @@
     return {{"owned_shards", std::move(shards)}, {"accounts", std::move(accounts)}};
 }
 
+boost::json::array describe(const std::vector<entry::account_use>& uses) {
+    boost::json::array accounts;
+    for (const auto& use : uses) {
+        boost::json::object refused;
+        for (const auto& [reason, total] : use.refused) {
+            refused[reason] = total;
+        }
+        accounts.push_back({{"name", use.name},
+                            {"calls", use.calls},
+                            {"answered", use.answered},
+                            {"refused", std::move(refused)}});
+    }
+    return accounts;
+}
+
 } // namespace
 
 void daemon::add_routes() {
@@ -222,6 +237,10 @@
         {"quota", describe(m_quota->status())},
         {"members", std::move(members)},
     };
+    const auto uses = m_entry.account_uses();
+    if (!uses.empty()) {
+        document["accounts"] = describe(uses);
+    }
     return boost::json::serialize(document);
 }
 
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -101,7 +101,9 @@
     }
     const auto trouble = m_parse_trouble ? m_parse_trouble : begin();
     if (trouble) {
-        if (m_parse_trouble) {
+        if (trouble->request) {
+            set_root_id(*trouble->request);
+        } else if (m_call.context.root == core::root_id{}) {
             set_root_id(m_shared.routes.draw_root());
         }
         co_await refuse(*trouble);
@@ -127,7 +129,7 @@
         return no_configuration();
     }
     const parsing_rules rules{*m_configuration, m_shared.options.default_patience,
-                              m_shared.sender.self().life};
+                              m_shared.sender.self().life, &m_shared.budgets};
     auto parsed = m_shared.options.protocol.parse(m_connection->request(), rules, m_began);
     if (auto outdated = age_check.refuse(parsed, m_configuration->revision, m_shared.clock, m_shared.log)) {
         return outdated;
@@ -141,6 +143,7 @@
 
 std::optional<problem> call_exchange::begin() {
     m_class = &m_shared.classes.of(m_call.context.rank);
+    m_account = m_call.parent ? nullptr : m_shared.accounts.count_call(m_call.context.account);
     if (m_call.parent) {
         set_root_id(m_call.parent->root);
     } else {
@@ -449,6 +452,7 @@
     ++(is_answered ? m_shared.answered : m_shared.failed);
     if (is_answered) {
         m_class->count_end(call_outcome::answered, end.run);
+        count_answered(m_account);
         m_shared.decisions.answered(decided(), ended_now(), m_answer_status);
     } else if (m_caller_gone) {
         count_abandoned(end.run);
@@ -482,6 +486,7 @@
     }
     m_class->count_end(call_outcome::problem, trouble.run);
     m_class->count_problem(trouble);
+    count_problem(m_account, trouble);
     m_shared.events.problem_sent(subject(), trouble);
     m_shared.decisions.refused(decided(), ended_now(), trouble, m_evidence);
     co_await m_connection->write_problem(trouble, attempts_spent());
--- a/src/entry/internal/quota_exchange.cpp
+++ b/src/entry/internal/quota_exchange.cpp
@@ -41,14 +41,14 @@
         detail << ": " << known->limit.rate_per_second << " calls a second over all entries and "
                << known->limit.burst << " more at once; " << decision.demand << " calls a second come";
     }
-    return {429,          verdict::not_run,    "account-limit", "The account's limit is reached",
+    return {429,          verdict::not_run,    "quota-exceeded", "The account's limit is reached",
             detail.str(), decision.retry_after};
 }
 
 problem limit_unknown(std::chrono::milliseconds retry_after) {
     return {503,
             verdict::not_run,
-            "quota-unknown",
+            "quota-unavailable",
             "The account's limit can't be checked",
             "the daemon that grants calls within the account's limit has not answered",
             retry_after};
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -273,7 +273,10 @@
 
 boost::asio::awaitable<void> gate_call::run() {
     watch_until(m_head.context.deadline);
-    m_env.budgets.open(m_run, m_head.context.attempts_left, m_attempt.attempt > 0, m_head.kind);
+    const auto& context = m_head.context;
+    m_env.budgets.open(
+        m_run, context.attempts_left, m_attempt.attempt > 0,
+        {context.root, context.depth, context.rank, context.account, context.position, m_head.kind});
     const bool ready = co_await open_connection();
     if (ready) {
         co_await exchange();
--- a/src/gate/internal/nested_budgets.cpp
+++ b/src/gate/internal/nested_budgets.cpp
@@ -4,10 +4,15 @@
 
 namespace monsoonlift::gate {
 
-void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat,
-                          const std::string& kind) {
+void nested_budgets::open(std::uint64_t run, std::uint32_t attempts_left, bool is_repeat, run_origin origin) {
     const std::scoped_lock lock(m_mutex);
-    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}, kind};
+    m_budgets[run] = {attempts_left, 0, {}, {0, 0, is_repeat}, std::move(origin)};
+}
+
+std::optional<run_origin> nested_budgets::origin(std::uint64_t run) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_budgets.find(run);
+    return found == m_budgets.end() ? std::nullopt : std::optional(found->second.origin);
 }
 
 std::uint32_t nested_budgets::reserve(std::uint64_t run) {
@@ -55,8 +60,8 @@
                                  const admission::shed_level& own, core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     const auto found = m_budgets.find(run);
-    if (found != m_budgets.end() && !found->second.kind.empty()) {
-        routing::record_called(m_downstream, found->second.kind, service, own, now);
+    if (found != m_budgets.end() && !found->second.origin.kind.empty()) {
+        routing::record_called(m_downstream, found->second.origin.kind, service, own, now);
     }
 }
 
