--- a/src/app/monsoonliftd/tests/quota_process_tests.py
+++ b/src/app/monsoonliftd/tests/quota_process_tests.py
@@ -50,7 +50,9 @@
             assert vm.process is not None
             vm.process.addresses()
             self.addCleanup(print_log_of_failure, self, vm.process)
-        wait_for(lambda: all(self.status_of_a_call(vm) == 200 for vm in self.vms), "calls to be answered")
+        # NOTE: the waits themselves make more calls than the limit allows, so each VM is waited for on its own.
+        for vm in self.vms:
+            wait_for(lambda vm=vm: self.status_of_a_call(vm) == 200, f"a call through vm-{vm.number} to be answered")
 
     def submit(self) -> None:
         spec = configuration(1)
@@ -88,7 +90,8 @@
         self.assertEqual(ran + len(refused), len(answers))
         self.assertLessEqual(ran, BURST + BEYOND_BURST + RATE * (took + 0.5))
         self.assertGreater(len(refused), 0)
-        self.assertTrue(all(int(answer.headers["retry-after"]) >= 1 for answer in refused))
+        # A token comes every 0.2 s, and the owner adds at most 0.1 s.
+        self.assertTrue(all(0 < float(answer.headers["retry-after"]) <= 0.5 for answer in refused))
 
     def test_calls_run_again_after_the_owner_was_killed(self) -> None:
         owner = self.owner()
