Notice a store that was restored from a copy by its era

Watch cursors become void, so that watchers list first; daemons tell each other by a rumor and check their member objects at a bounded rate; the stand-in can come back from a copy.

--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -41,7 +41,8 @@
       m_read_settings(std::move(read_again)), m_settings_text(m_read_settings()),
       m_platform_address(std::make_shared<store::service_address>(m_settings.platform_address)),
       m_lifecycle([this](lifecycle::phase now) { on_phase_entered(now); }), m_scheduler(m_control),
-      m_platform_client(make_store_client(m_settings, m_platform_address, m_control, log)),
+      m_platform_client(make_store_client(m_settings, m_platform_address, m_control, log,
+                                          [this](std::uint64_t era) { notice_restore(era); })),
       m_platform(*m_platform_client, m_scheduler, m_clock, log, store_limits_of(m_settings),
                  m_incarnation.value),
       m_configuration(log), m_proofs(make_proofs(m_settings)), m_peers(m_control),
@@ -239,7 +240,7 @@
         boost::asio::post(m_control, [this, later] { take_later_incarnation(later); });
     };
     hooks.on_rumor = [this](const membership::rumor& received) {
-        m_crashes.receive_rumor(received.topic, received.payload);
+        take_rumor(received);
     };
     hooks.on_recorded_deregistrations = [this](const std::vector<core::departed_incarnation>& past) {
         boost::asio::post(m_control, [this, past] { take_recorded_deregistrations(past); });
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -88,6 +88,11 @@
     /// Prepares to keep proofs that the configuration is recent, if the deployment bounds their age.
     void prepare_freshness();
     void add_freshness_metrics();
+    /// Handles a restore of the platform's store from a copy, seen by this daemon's client.
+    void notice_restore(std::uint64_t era);
+    /// Handles another daemon's report of a restore.
+    void take_rumor(const membership::rumor& received);
+    void take_store_era(std::uint64_t era);
     void start_homes();
     [[nodiscard]] std::vector<core::endpoint_id> other_gates(const std::string& service) const;
     [[nodiscard]] bool has_non_idempotent_calls(const std::string& service) const;
@@ -228,6 +233,7 @@
     std::optional<platform::local_server> m_platform_server; ///< Set only on the users' platform.
     gate::backend_incarnations m_backend_incarnations;       ///< Of the local backend server.
     std::optional<gate::backend_server> m_last_ready;        ///< Latest ready announcement that was not late.
+    std::uint64_t m_store_era = 0;     ///< Of the latest restore of the store that was handled.
     std::uint64_t m_announcements = 0; ///< Received on the admin port and naming an instance.
     core::steady_time m_callers_expected_until;
     core::steady_time m_stop_deadline = core::steady_time::max(); ///< Set only on the users' platform.
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -92,9 +92,12 @@
 std::unique_ptr<store::object_api> make_store_client(const settings::daemon_settings& chosen,
                                                      std::shared_ptr<const store::service_address> platform,
                                                      const boost::asio::any_io_executor& control,
-                                                     logging::event_log& log) {
+                                                     logging::event_log& log,
+                                                     std::function<void(std::uint64_t era)> on_restored) {
     if (chosen.deployment) {
-        return std::make_unique<platform::platform_store>(control, std::move(platform), log);
+        auto client = std::make_unique<platform::platform_store>(control, std::move(platform), log);
+        client->on_restored(std::move(on_restored));
+        return client;
     }
     return std::make_unique<store::http_object_api>(control, std::move(platform));
 }
--- a/src/app/monsoonliftd/daemon_options.h
+++ b/src/app/monsoonliftd/daemon_options.h
@@ -16,6 +16,8 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace monsoonlift::app {
@@ -51,11 +53,12 @@
 [[nodiscard]] store::call_limits store_limits_of(const settings::daemon_settings& chosen);
 
 /// Creates the client of the store: of the platform's store in a deployment on the users' platform, otherwise
-/// of this project's own object API.
+/// of this project's own object API. `on_restored` is called on `control` when the former was restored.
 [[nodiscard]] std::unique_ptr<store::object_api>
 make_store_client(const settings::daemon_settings& chosen,
                   std::shared_ptr<const store::service_address> platform,
-                  const boost::asio::any_io_executor& control, logging::event_log& log);
+                  const boost::asio::any_io_executor& control, logging::event_log& log,
+                  std::function<void(std::uint64_t era)> on_restored);
 
 [[nodiscard]] transport::transport_options transport_options_of(const settings::daemon_settings& chosen);
 
--- a/src/app/platform_standin/internal/request_handler.cpp
+++ b/src/app/platform_standin/internal/request_handler.cpp
@@ -18,6 +18,10 @@
 constexpr std::string_view objects_path = "/objects/";
 constexpr std::chrono::milliseconds max_watch{60'000};
 
+/// Changes within this time of a copy go into the same copy.
+constexpr std::chrono::milliseconds copy_interval{100};
+constexpr std::size_t most_copies = 100;
+
 standin_reply problem(unsigned status, const std::string& text) {
     return {status, json::serialize(json::object{{"error", text}})};
 }
@@ -136,6 +140,35 @@
                                               {"waiting_watches", state.waiting.size()}})};
 }
 
+/// Restores the store; the body is {"age_ms": N}.
+handling restore_store(standin_state& state, const std::string& body) {
+    boost::system::error_code failure;
+    const auto parsed = json::parse(body, failure);
+    const auto* fields = failure ? nullptr : parsed.if_object();
+    const auto* age = fields == nullptr ? nullptr : fields->if_contains("age_ms");
+    const auto number = age == nullptr ? 0 : age->to_number<std::uint32_t>(failure);
+    if (age == nullptr || failure) {
+        return problem(400, "expected {\"age_ms\": N}");
+    }
+    restore(state, std::chrono::milliseconds(number), std::chrono::steady_clock::now());
+    return standin_reply{200, "{}"};
+}
+
+void keep_copy(standin_state& state, std::chrono::steady_clock::time_point now) {
+    auto& copies = state.copies;
+    if (!copies.empty() && copies.back().store.revision() == state.store.revision()) {
+        return;
+    }
+    if (!copies.empty() && now - copies.back().taken < copy_interval) {
+        copies.back().store = state.store;
+        return;
+    }
+    copies.push_back({now, state.store});
+    if (copies.size() > most_copies) {
+        copies.pop_front();
+    }
+}
+
 handling refuse_in_outage(standin_state& state) {
     ++state.counts.refused_in_outage;
     if (state.faults.silent) {
@@ -168,7 +201,17 @@
     state.waiting.erase(key);
 }
 
+void restore(standin_state& state, std::chrono::milliseconds age, std::chrono::steady_clock::time_point now) {
+    while (!state.copies.empty() && now - state.copies.back().taken < age) {
+        state.copies.pop_back();
+    }
+    state.store = state.copies.empty() ? store::testing::memory_store() : state.copies.back().store;
+    ++state.era;
+    notify_waiting(state);
+}
+
 void notify_waiting(standin_state& state) {
+    keep_copy(state, std::chrono::steady_clock::now());
     const auto waiting = std::exchange(state.waiting, {});
     for (const auto& [key, wake] : waiting) {
         wake();
@@ -183,6 +226,9 @@
     if (target->path == "/faults" && request.method == "POST") {
         return set_faults(state, request.body);
     }
+    if (target->path == "/restore" && request.method == "POST") {
+        return restore_store(state, request.body);
+    }
     if (target->path == "/stats") {
         return stats(state);
     }
@@ -213,6 +259,9 @@
     if (state.faults.outage) {
         return refuse_in_outage(state);
     }
+    if (watch.revision > state.store.revision()) {
+        return problem(410, "no such revision");
+    }
     const auto changes = state.store.changes_since(watch.prefix, watch.revision);
     const bool empty = changes.changed.empty() && changes.removed.empty();
     if (empty && !expired) {
--- a/src/app/platform_standin/internal/standin_session.cpp
+++ b/src/app/platform_standin/internal/standin_session.cpp
@@ -1,5 +1,6 @@
 #include "app/platform_standin/standin_session.h"
 
+#include <string>
 #include <utility>
 
 #include <boost/beast/http/read.hpp>
@@ -119,6 +120,9 @@
     m_response.version(request.version());
     m_response.result(reply.status);
     m_response.set(http::field::content_type, "application/json");
+    if (!m_state->era_field.empty()) {
+        m_response.set(m_state->era_field, std::to_string(m_state->era));
+    }
     m_response.keep_alive(request.keep_alive());
     m_response.body() = std::move(reply.body);
     m_response.prepare_payload();
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -53,6 +53,10 @@
     /// membership message.
     void on_peer_revision(const std::string& admin_address, std::uint64_t revision);
 
+    /// Handles a restore of the platform's store from a copy: a watcher lists before it watches again. Must
+    /// be called where the API runs its handlers.
+    void on_store_restored();
+
     /// The revision in force, as reported to peers; 0 if there is none. Thread-safe.
     [[nodiscard]] std::uint64_t current_revision() const { return m_parts.holder.revision(); }
 
@@ -71,7 +75,7 @@
     void list();
     void watch();
     void pull(const peer_offer& offer);
-    void on_listed(core::result<store::object_list> answered);
+    void on_listed(std::uint64_t restores, core::result<store::object_list> answered);
     void on_changed(core::result<store::watch_result> answered);
     void on_pulled(const peer_offer& offer, core::result<std::string> answered);
     /// Returns the platform's answer; if the call failed, logs and records the failure and returns nothing.
--- a/src/configuration/follower_rules.h
+++ b/src/configuration/follower_rules.h
@@ -51,6 +51,10 @@
 void record_pull_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                          core::steady_time now);
 
+/// Records that the platform's store was restored from a copy: its revisions are assigned again, so the
+/// cursor is void and the next call of a watcher is a list.
+void record_restore(follower_state& state);
+
 /// Records that a call to the platform failed: the next one waits for the back-off and is a list.
 void record_store_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                           core::steady_time now);
--- a/src/configuration/freshness_keeper.h
+++ b/src/configuration/freshness_keeper.h
@@ -70,6 +70,8 @@
     /// Returns the revision of a stored configuration, and adopts it if it is new to this keeper; nothing if
     /// it is malformed.
     [[nodiscard]] std::uint64_t take_value(std::string value);
+    /// False if the revision in force has the same number and another content.
+    [[nodiscard]] bool is_in_force(const stored_configuration& read) const;
     void take_proof(const freshness_proof& proof);
     void note_pending();
     void note(const freshness_proof& proof);
--- a/src/configuration/internal/configuration_follower.cpp
+++ b/src/configuration/internal/configuration_follower.cpp
@@ -122,19 +122,29 @@
 }
 
 void configuration_follower::list() {
-    m_parts.api.list(watched_prefix, m_rule.call_patience,
-                     [self = shared_from_this()](core::result<store::object_list> answered) {
-                         self->on_listed(std::move(answered));
-                     });
+    m_parts.api.list(
+        watched_prefix, m_rule.call_patience,
+        [self = shared_from_this(), restores = m_state.restores](core::result<store::object_list> answered) {
+            self->on_listed(restores, std::move(answered));
+        });
     m_state.store_busy = true;
 }
 
-void configuration_follower::on_listed(core::result<store::object_list> answered) {
+void configuration_follower::on_store_restored() {
+    record_restore(m_state);
+}
+
+void configuration_follower::on_listed(std::uint64_t restores, core::result<store::object_list> answered) {
     const auto answer = take_answer(std::move(answered));
     if (!answer) {
         return;
     }
     adopt_current(answer->objects);
+    if (restores != m_state.restores) {
+        // NOTE: the list may have been read before the restore, so its revision is no cursor.
+        step();
+        return;
+    }
     record_list(m_state, answer->revision, current_revision(), m_rule, m_random, m_parts.clock.now());
     step();
 }
--- a/src/configuration/internal/follower_rules.cpp
+++ b/src/configuration/internal/follower_rules.cpp
@@ -159,6 +159,12 @@
     state.next_pull = random_pull_time(rule, random, now);
 }
 
+void record_restore(follower_state& state) {
+    ++state.restores;
+    state.has_cursor = false;
+    state.cursor = 0;
+}
+
 void record_store_failure(follower_state& state, const follower_rule& rule, store::random_engine& random,
                           core::steady_time now) {
     state.retry_at = now + store::next_delay(rule.store_backoff, state.store_failures++, random);
--- a/src/configuration/internal/freshness_keeper.cpp
+++ b/src/configuration/internal/freshness_keeper.cpp
@@ -92,11 +92,20 @@
     } else {
         m_parts.holder.adopt(*offered);
     }
-    m_last_revision = offered ? offered->revision : 0;
+    m_last_revision = offered && is_in_force(*offered) ? offered->revision : 0;
     m_last_value = std::move(value);
     return m_last_revision;
 }
 
+bool freshness_keeper::is_in_force(const stored_configuration& read) const {
+    if (read.revision != m_parts.holder.revision()) {
+        return true;
+    }
+    // NOTE: after a restore of the store a revision may be assigned again, to another text.
+    const auto in_force = parse_stored_configuration(m_parts.holder.peer_copy());
+    return in_force && in_force->digest == read.digest;
+}
+
 void freshness_keeper::received(const core::endpoint_id& from, const std::string& payload) {
     const auto message = decode_freshness_message(payload);
     if (!message || m_stopped) {
--- a/src/configuration/types/follower_state.h
+++ b/src/configuration/types/follower_state.h
@@ -38,6 +38,7 @@
     bool store_busy = false;      ///< A call to the platform is in progress.
     bool pull_busy = false;       ///< A pull from a peer is in progress.
     bool has_cursor = false;      ///< Whether `cursor` is valid; if not, a list comes before the next watch.
+    std::uint64_t restores = 0;   ///< Restores of the platform's store that were noticed.
     std::uint64_t cursor = 0;     ///< The platform's revision up to which changes have been read.
     core::steady_time next_check; ///< Time of the next periodic list.
     core::steady_time retry_at;   ///< No call to the platform is made before this time.
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -105,6 +105,7 @@
     platform_call_failed = 5006,
     configuration_outdated = 5007,
     configuration_current = 5008,
+    store_restored = 5009,
 
     // 6000: transport and transfer
     frame_corrupt = 6000,
@@ -307,6 +308,10 @@
      "The configuration in force is proven to be recent again, and calls that need a key are served: how "
      "many "
      "were refused, and for how long."},
+    {event_id::store_restored, severity::warning, "store_restored",
+     "The platform's store was restored from a copy: its era, the revision in force here, and the time "
+     "within "
+     "which this daemon checks its member object."},
 
     // 6000: transport and transfer
     {event_id::frame_corrupt, severity::warning, "frame_corrupt",
--- a/src/membership/internal/member_object_publisher.cpp
+++ b/src/membership/internal/member_object_publisher.cpp
@@ -307,7 +307,7 @@
         return;
     }
     m_platform.get(object_name(m_self), call_patience,
-                   on_strand<store::object>([](const store::object&) {},
+                   on_strand<store::object>([this](const store::object& found) { write_if_older(found); },
                                             [this](const core::error& failure) {
                                                 const bool gone = failure.code == core::error_code::not_found;
                                                 if (gone && !m_leaving && !m_is_writing) {
@@ -317,6 +317,17 @@
                                             }));
 }
 
+void member_object_publisher::write_if_older(const store::object& found) {
+    const auto content = read_content(found.value);
+    const bool is_of_later = content && content->life > m_self.id.life;
+    const bool is_same = found.value == object_value(m_self, m_deregistrations);
+    if (is_of_later || is_same || m_leaving || m_is_writing) {
+        return;
+    }
+    m_is_writing = true;
+    write(found.version);
+}
+
 void member_object_publisher::remove_gone_object(const std::vector<listed_member_object>& others) {
     const auto chosen = m_cleaner.choose(others, m_clock.now(), m_random);
     if (!chosen || m_leaving) {
--- a/src/membership/internal/member_object_publisher.h
+++ b/src/membership/internal/member_object_publisher.h
@@ -57,7 +57,8 @@
     /// Lists the objects of other daemons now; a failed call is repeated after a pause.
     void list();
 
-    /// Reads this daemon's object and writes it again if it's gone; does nothing while leaving.
+    /// Reads this daemon's object and writes it again if it's gone, or if it isn't as written last and not of
+    /// a later incarnation, as after a restore of the store; does nothing while leaving.
     void check_own();
 
     /// Records that this process is running; call it at least once per second.
@@ -96,6 +97,7 @@
     void report_past(const departed& past);
     void notify_recorded();
     void handle_listing(const store::object_list& found);
+    void write_if_older(const store::object& found);
     void remove_gone_object(const std::vector<listed_member_object>& others);
 
     /// True if deregistrations are to be stored and the platform hasn't acknowledged them.
--- a/src/membership/internal/membership_objects.cpp
+++ b/src/membership/internal/membership_objects.cpp
@@ -68,6 +68,14 @@
     }
 }
 
+void membership_runtime::check_object_within(std::chrono::milliseconds longest) {
+    if (m_object == nullptr) {
+        return;
+    }
+    std::uniform_int_distribution<std::int64_t> jitter(0, longest.count());
+    m_object_check = m_clock.now() + std::chrono::milliseconds(jitter(m_state.random));
+}
+
 void membership_runtime::schedule_object_check(const swim_message& message) {
     const auto reports_own_death = [this](const member& record) {
         return record.id == m_state.self.id && record.status == member_status::dead;
--- a/src/membership/internal/membership_runtime.h
+++ b/src/membership/internal/membership_runtime.h
@@ -43,6 +43,7 @@
     void drain();
     void leave(std::function<void()> done);
     void spread(const rumor& rumor_to_spread);
+    void check_object_within(std::chrono::milliseconds longest);
     void stop();
 
     [[nodiscard]] std::string bound_address() const { return m_options.self.membership_address; }
--- a/src/membership/internal/membership_service.cpp
+++ b/src/membership/internal/membership_service.cpp
@@ -67,6 +67,10 @@
     });
 }
 
+void membership_service::check_object_within(std::chrono::milliseconds longest) {
+    m_runtime->post([longest](membership_runtime& self) { self.check_object_within(longest); });
+}
+
 void membership_service::stop() {
     m_runtime->post([keep_alive = m_runtime](membership_runtime& self) { self.stop(); });
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -114,6 +114,10 @@
     /// Sends a rumor to every member; each member passes it to on_rumor once.
     void spread(rumor rumor_to_spread);
 
+    /// Checks at a random time within `longest` that this daemon's platform object is as it was written last,
+    /// and otherwise writes it again.
+    void check_object_within(std::chrono::milliseconds longest);
+
     /// Cancels the timers and closes the socket; no hook is called afterwards.
     void stop();
 
--- a/src/membership/tests/member_object_tests.cpp
+++ b/src/membership/tests/member_object_tests.cpp
@@ -202,6 +202,26 @@
     }
 }
 
+// The object is as it was in an older copy of the store, or was written by a later process at this address.
+TEST_CASE("after a restore of the store an older object stays, or one of a later incarnation is replaced",
+          "[member_object]") {
+    publisher_fixture fleet;
+    const auto own = fleet.store.get("members/10.0.0.1:7000");
+    REQUIRE(own);
+    const auto check_with = [&](const std::string& value) {
+        const auto known = fleet.store.get(own->name);
+        REQUIRE(fleet.store.update_if(own->name, known->version, value));
+        fleet.publisher->check_own();
+        fleet.run();
+        return fleet.store.get(own->name)->value;
+    };
+    const std::string older = R"({"membership_address":"10.0.0.1:1","incarnation":1})";
+    CHECK(check_with(older) == own->value);
+    CHECK(check_with("") == own->value);
+    const std::string later = R"({"membership_address":"10.0.0.1:1","incarnation":18446744073709551615})";
+    CHECK(check_with(later) == later);
+}
+
 TEST_CASE("a daemon reported dead doesn't check that its object still exists", "[member_object]") {
     boost::asio::io_context io;
     monsoonlift::testing::manual_clock clock;
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -133,6 +133,14 @@
             m_done(core::captured_failure<store::object_list>(answer.failure));
             return;
         }
+        if (m_owner.m_era != m_era && !m_last_name.empty()) {
+            // NOTE: the store was restored between two pages, so the pages before are of another store.
+            m_read = {};
+            m_last_name.clear();
+            next_page();
+            return;
+        }
+        m_era = m_owner.m_era;
         const auto& page = *answer.value;
         // NOTE: returns the first page's revision, so that a watch from it misses no change of later pages.
         m_read.revision = m_last_name.empty() ? page.revision : m_read.revision;
@@ -162,6 +170,7 @@
     handler<store::object_list> m_done;
     store::object_list m_read;
     std::string m_last_name;
+    std::optional<std::uint64_t> m_era; ///< Of the pages read.
 };
 
 platform_store::platform_store(const boost::asio::any_io_executor& executor,
@@ -172,12 +181,32 @@
 template <class T, class Parser>
 void platform_store::call(store::http_request&& request, std::chrono::milliseconds patience, Parser parse,
                           handler<T> done) {
+    request.wanted_fields.emplace_back(wire::store_era_header);
     m_client.send(m_address->current(), std::move(request), patience,
-                  [parse, done = std::move(done)](core::result<http_reply> answered) {
-                      done(store::read_reply<T>(std::move(answered), parse));
+                  [this, parse, done = std::move(done)](core::result<http_reply> answered) {
+                      auto answer = store::settle_result(std::move(answered));
+                      if (!answer.value) {
+                          done(core::captured_failure<T>(answer.failure));
+                          return;
+                      }
+                      take_era(*answer.value);
+                      done(store::read_reply<T>(std::move(*answer.value), parse));
                   });
 }
 
+void platform_store::take_era(const http_reply& answer) {
+    const auto read =
+        answer.headers.empty() ? std::nullopt : store::parse_whole_number(answer.headers.front().value);
+    if (!read || (m_era && *read <= *m_era)) {
+        return;
+    }
+    const bool is_restored = m_era.has_value();
+    m_era = read;
+    if (is_restored && m_on_restored) {
+        m_on_restored(*read);
+    }
+}
+
 void platform_store::get(const std::string& name, std::chrono::milliseconds patience,
                          handler<store::object> done) {
     const auto parse =
--- a/src/platform/testing/store_paths.cpp
+++ b/src/platform/testing/store_paths.cpp
@@ -151,6 +151,7 @@
     if (!target || !target->path.starts_with(wire::objects_path)) {
         return std::nullopt;
     }
+    state.era_field = wire::store_era_header;
     const auto path = target->path.substr(wire::objects_path.size());
     const auto slash = path.find('/');
     const auto kind = path.substr(0, slash);
--- a/src/platform/tests/platform_store_tests.cpp
+++ b/src/platform/tests/platform_store_tests.cpp
@@ -24,6 +24,8 @@
 
     store::object_api& api() override { return m_api; }
 
+    platform::platform_store& client() { return m_api; }
+
 private:
     testing::silent_log m_log;
     platform::platform_store m_api{context().get_executor(),
@@ -110,3 +112,52 @@
         [&](auto done) { environment.api().update_if(name, read.value->version, "text", 5000ms, done); });
     CHECK(written.value);
 }
+
+// Guards against cursors and versions of the store before a restore that are used after it.
+TEST_CASE("a restore of the store is noticed once, by its era", "[platform]") {
+    platform_environment environment;
+    std::vector<std::uint64_t> eras;
+    environment.client().on_restored([&](std::uint64_t era) { eras.push_back(era); });
+    const auto write = [&](const std::string& name) {
+        return environment.wait<std::uint64_t>(
+            [&](auto done) { environment.api().update_if(name, 0, "text", 5000ms, done); });
+    };
+    const auto list = [&] {
+        return environment.wait<store::object_list>(
+            [&](auto done) { environment.api().list("members/", 5000ms, done); });
+    };
+    const auto watch_from = [&](std::uint64_t revision) {
+        return environment.wait<store::watch_result>(
+            [&](auto done) { environment.api().watch("members/", revision, 100ms, done); });
+    };
+    REQUIRE(write("members/10.0.0.1:7000").value);
+    REQUIRE(write("members/10.0.0.2:7000").value);
+    const auto before = list();
+    REQUIRE(before.value);
+    CHECK(before.value->objects.size() == 2);
+    CHECK(eras.empty());
+
+    environment.post("/restore", R"({"age_ms":60000})");
+    CHECK_FALSE(watch_from(before.value->revision).value); // 410: the store has no such revision.
+    CHECK(eras == std::vector<std::uint64_t>{2});
+    const auto after = list();
+    REQUIRE(after.value);
+    CHECK(after.value->objects.empty());
+    CHECK(after.value->revision < before.value->revision);
+    CHECK(watch_from(after.value->revision).value);
+    CHECK(write("members/10.0.0.1:7000").value);
+    CHECK(eras == std::vector<std::uint64_t>{2});
+}
+
+TEST_CASE("the stand-in comes back from a copy that has what was written before it", "[platform]") {
+    platform_environment environment;
+    const auto write = [&](const std::string& name) {
+        return environment.wait<std::uint64_t>(
+            [&](auto done) { environment.api().update_if(name, 0, "text", 5000ms, done); });
+    };
+    REQUIRE(write("members/10.0.0.1:7000").value);
+    environment.post("/restore", R"({"age_ms":0})");
+    const auto read = environment.wait<store::object>(
+        [&](auto done) { environment.api().get("members/10.0.0.1:7000", 5000ms, done); });
+    CHECK(read.value);
+}
--- a/src/platform/types/wire_names.h
+++ b/src/platform/types/wire_names.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view account_header = "X-Tenant";            ///< Name of the client account.
 inline constexpr std::string_view authorization_header = "Authorization"; ///< "Token" and the API key.
 inline constexpr std::string_view authenticate_header = "WWW-Authenticate";
+inline constexpr std::string_view store_era_header = "Store-Era"; ///< Rises with each restore of the store.
 inline constexpr std::string_view retry_after_header = "Retry-After";
 
 inline constexpr std::string_view ready_path = "/api/ready";
--- a/src/store/internal/http_exchange.cpp
+++ b/src/store/internal/http_exchange.cpp
@@ -32,7 +32,8 @@
 http_exchange::http_exchange(std::shared_ptr<connection_pool> pool, std::string address, http_request request,
                              std::chrono::milliseconds patience, http_client::handler done)
     : m_pool(std::move(pool)), m_address(std::move(address)),
-      m_deadline(std::chrono::steady_clock::now() + patience), m_done(std::move(done)) {
+      m_deadline(std::chrono::steady_clock::now() + patience),
+      m_wanted_fields(std::move(request.wanted_fields)), m_done(std::move(done)) {
     m_request.method_string(request.method);
     m_request.target(request.target);
     m_request.version(http_1_1);
@@ -107,6 +108,12 @@
         return;
     }
     http_reply reply{m_parser->get().result_int(), std::move(m_parser->get().body())};
+    for (const auto& name : m_wanted_fields) {
+        const auto found = m_parser->get().find(name);
+        if (found != m_parser->get().end()) {
+            reply.headers.push_back({name, std::string(found->value())});
+        }
+    }
     if (m_parser->get().keep_alive()) {
         m_stream->expires_never();
         m_pool->give_back(m_address, std::move(m_stream));
--- a/src/store/internal/http_exchange.h
+++ b/src/store/internal/http_exchange.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
@@ -39,6 +40,7 @@
     std::string m_address;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     std::chrono::steady_clock::time_point m_deadline;
+    std::vector<std::string> m_wanted_fields;
     http_client::handler m_done;
     connection_pool::stream_ptr m_stream;
     bool m_reused = false;
--- a/src/store/types/http_message.h
+++ b/src/store/types/http_message.h
@@ -17,12 +17,14 @@
     std::string target = "/";
     std::string body;
     std::vector<http_header> headers;
+    std::vector<std::string> wanted_fields{}; ///< Names of header fields of the answer to return.
 };
 
 /// Status and body of an HTTP answer.
 struct http_reply {
     unsigned status = 0;
     std::string body;
+    std::vector<http_header> headers{}; ///< Those of the wanted fields that the answer has.
 };
 
 } // namespace monsoonlift::store
