--- a/src/gate/tests/nested_budgets_tests.cpp
+++ b/src/gate/tests/nested_budgets_tests.cpp
@@ -80,3 +80,18 @@
         REQUIRE_FALSE(parse_context_token(wrong));
     }
 }
+
+TEST_CASE("a gate does not learn where the runs of a kind lead, or learns it for runs of no known kind",
+          "[nested_budgets]") {
+    const monsoonlift::core::steady_time now{std::chrono::hours(1)};
+    const monsoonlift::admission::shed_level strict{1, 40};
+    nested_budgets budgets;
+    budgets.open(1, 0, false, "lookup");
+    budgets.open(2, 0);
+    budgets.note_called(1, "baggage", strict, now);
+    budgets.note_called(2, "fares", {0, 3}, now);
+    REQUIRE(budgets.level_below("lookup", now) == strict);
+    REQUIRE(budgets.level_below("", now) == monsoonlift::admission::shed_level{});
+    REQUIRE(budgets.level_below("lookup", now + std::chrono::seconds(2)) ==
+            monsoonlift::admission::shed_level{});
+}
