--- a/src/gate/tests/nested_budgets_tests.cpp
+++ b/src/gate/tests/nested_budgets_tests.cpp
@@ -1,5 +1,8 @@
 #include "gate/context_token.h"
 #include "gate/nested_budgets.h"
+#include "gate/tests/gate_fixture.h"
+#include "gate/tests/request_frame.h"
+#include "testing/manual_clock.h"
 
 #include <catch2/catch.hpp>
 
@@ -80,3 +83,36 @@
         REQUIRE_FALSE(parse_context_token(wrong));
     }
 }
+
+TEST_CASE("a request is known with its account while it runs, so that no caller can claim another") {
+    const testing::manual_clock clock;
+    tests::gate_fixture fixture(clock);
+    fixture.announce("first");
+    auto frame = tests::request_frame(1, clock.now() + std::chrono::seconds(1));
+    auto& context = std::get<transport::request_head>(frame.payload).context;
+    context.account = "school";
+    context.rank = 2;
+    context.depth = 3;
+    context.position = 17;
+    fixture.service.received(std::move(frame));
+    std::optional<run_origin> known;
+    constexpr std::uint64_t most_runs = 16;
+    const auto is_known = [&] {
+        for (std::uint64_t run = 0; run < most_runs && !known; ++run) {
+            known = fixture.budgets.origin(run);
+        }
+        return known.has_value();
+    };
+    REQUIRE(fixture.run_until(is_known));
+    CHECK(known->account == "school");
+    CHECK(known->rank == 2);
+    CHECK(known->depth == 3);
+    CHECK(known->position == 17);
+    auto connection = fixture.accept();
+    REQUIRE(fixture.read_request(connection));
+    connection.close();
+    REQUIRE(fixture.run_until_idle());
+    for (std::uint64_t run = 0; run < most_runs; ++run) {
+        CHECK_FALSE(fixture.budgets.origin(run));
+    }
+}
