--- a/src/gate/tests/nested_budgets_tests.cpp
+++ b/src/gate/tests/nested_budgets_tests.cpp
@@ -1,5 +1,8 @@
 #include "gate/context_token.h"
 #include "gate/nested_budgets.h"
+#include "gate/tests/gate_fixture.h"
+#include "gate/tests/request_frame.h"
+#include "testing/manual_clock.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,12 +84,22 @@
     }
 }
 
+namespace {
+
+run_origin origin_of_kind(const std::string& kind) {
+    run_origin origin;
+    origin.kind = kind;
+    return origin;
+}
+
+} // namespace
+
 TEST_CASE("a gate does not learn where the runs of a kind lead, or learns it for runs of no known kind",
           "[nested_budgets]") {
     const monsoonlift::core::steady_time now{std::chrono::hours(1)};
     const monsoonlift::admission::shed_level strict{1, 40};
     nested_budgets budgets;
-    budgets.open(1, 0, false, "lookup");
+    budgets.open(1, 0, false, origin_of_kind("lookup"));
     budgets.open(2, 0);
     budgets.note_called(1, "baggage", strict, now);
     budgets.note_called(2, "fares", {0, 3}, now);
@@ -95,3 +108,36 @@
     REQUIRE(budgets.level_below("lookup", now + std::chrono::seconds(2)) ==
             monsoonlift::admission::shed_level{});
 }
+
+TEST_CASE("a request is known with its account while it runs, so that no caller can claim another") {
+    const testing::manual_clock clock;
+    tests::gate_fixture fixture(clock);
+    fixture.announce("first");
+    auto frame = tests::request_frame(1, clock.now() + std::chrono::seconds(1));
+    auto& context = std::get<transport::request_head>(frame.payload).context;
+    context.account = "school";
+    context.rank = 2;
+    context.depth = 3;
+    context.position = 17;
+    fixture.service.received(std::move(frame));
+    std::optional<run_origin> known;
+    constexpr std::uint64_t most_runs = 16;
+    const auto is_known = [&] {
+        for (std::uint64_t run = 0; run < most_runs && !known; ++run) {
+            known = fixture.budgets.origin(run);
+        }
+        return known.has_value();
+    };
+    REQUIRE(fixture.run_until(is_known));
+    CHECK(known->account == "school");
+    CHECK(known->rank == 2);
+    CHECK(known->depth == 3);
+    CHECK(known->position == 17);
+    auto connection = fixture.accept();
+    REQUIRE(fixture.read_request(connection));
+    connection.close();
+    REQUIRE(fixture.run_until_idle());
+    for (std::uint64_t run = 0; run < most_runs; ++run) {
+        CHECK_FALSE(fixture.budgets.origin(run));
+    }
+}
