--- a/src/app/monsoonliftd/daemon_restore.cpp
+++ b/src/app/monsoonliftd/daemon_restore.cpp
@@ -57,6 +57,7 @@
                  {"in_force", std::to_string(m_configuration.revision())},
                  {"object_check_within_ms", std::to_string(check_time.count())}});
     m_membership->check_object_within(check_time);
+    m_quota->note_store_restored();
 }
 
 } // namespace monsoonlift::app
