Mend what a newcomer stumbled on: lost tokens and ids, retries of continuing calls, names

Cause: a reader of the whole diff found that a call broken off by an internal error kept its quota token, that a token granted after its call had stopped waiting was lost, that a refusal for an outdated configuration lost the caller's id, that the entry denied retries to calls the gate would admit, and some private names.

--- a/src/admission/call_queue.h
+++ b/src/admission/call_queue.h
@@ -34,7 +34,8 @@
     last_come,
     adaptive, ///< First come, but last come while the oldest call has waited for over half the longest wait.
     earliest_deadline,
-    by_position ///< By waiting_call::order, then first come; all hops starve calls of the same root calls.
+    by_position ///< By waiting_call::order, then first come; so that all hops refuse calls of the same root
+                ///< calls.
 };
 
 /// Calls that wait at a gate, by class; both the waiting time and the length are bounded. A call waits for at
--- a/src/admission/internal/call_queue.cpp
+++ b/src/admission/internal/call_queue.cpp
@@ -96,7 +96,8 @@
 }
 
 /// Returns the call of the least preferred class that makes room for a new call; end() if there is none.
-class_queue::iterator victim_in(const call_queue& queue, class_queue& calls, const waiting_call& fresh) {
+class_queue::iterator call_to_replace(const call_queue& queue, class_queue& calls,
+                                      const waiting_call& fresh) {
     if (calls.front().rank > fresh.rank) {
         return queue.order == queue_order::by_position
                    ? std::max_element(calls.begin(), calls.end(), comes_before)
@@ -138,14 +139,14 @@
         queue.by_rank.resize(std::size_t{call.rank} + 1);
     }
     if (queue.length >= queue.max_length) {
-        const std::size_t victim_rank = least_preferred_class(queue);
-        const auto victim = victim_in(queue, queue.by_rank[victim_rank], call);
-        if (victim_rank < call.rank || victim == queue.by_rank[victim_rank].end()) {
+        const std::size_t replaced_rank = least_preferred_class(queue);
+        const auto replaced = call_to_replace(queue, queue.by_rank[replaced_rank], call);
+        if (replaced_rank < call.rank || replaced == queue.by_rank[replaced_rank].end()) {
             outcome.refused.push_back(call);
             return outcome;
         }
-        outcome.refused.push_back(*victim);
-        queue.by_rank[victim_rank].erase(victim);
+        outcome.refused.push_back(*replaced);
+        queue.by_rank[replaced_rank].erase(replaced);
         --queue.length;
     }
     queue.by_rank[call.rank].push_back(call);
--- a/src/app/monsoonctl/internal/refusal_cause.cpp
+++ b/src/app/monsoonctl/internal/refusal_cause.cpp
@@ -28,8 +28,9 @@
      "this daemon could not make sure in time that no newer configuration had been accepted, so it served no "
      "call "
      "that needs a key; look for a partition from the store and from peers since the time in the detail"},
-    {"shed", "overload: the threshold admitted other classes or accounts before this call; `level` tells the "
-             "threshold, and `class` and `account` what the call was ordered by"},
+    {"shed",
+     "overload: the threshold admitted other classes or root calls before this call; `level` tells the "
+     "threshold, and `class` and `account` what the call was ordered by"},
 }};
 
 } // namespace
--- a/src/configuration/freshness_keeper.h
+++ b/src/configuration/freshness_keeper.h
@@ -67,8 +67,8 @@
     void on_read(core::boot_time sent, core::result<store::object> answered);
     void on_answer(const core::endpoint_id& from, const freshness_answer& answer);
     void answer(const core::endpoint_id& from, const freshness_question& question) const;
-    /// Returns the revision of a stored configuration, and adopts it if it is new to this keeper; nothing if
-    /// it is malformed.
+    /// Returns the revision of a stored configuration, and adopts it if it is new to this keeper; 0 if it is
+    /// malformed or differs from the one of that revision in force.
     [[nodiscard]] std::uint64_t take_value(std::string value);
     /// False if the revision in force has the same number and another content.
     [[nodiscard]] bool is_in_force(const stored_configuration& read) const;
--- a/src/configuration/internal/freshness_rules.cpp
+++ b/src/configuration/internal/freshness_rules.cpp
@@ -16,8 +16,8 @@
 /// Once all watchers were asked in vain, one round of questions in so many goes to a watcher again.
 constexpr std::uint32_t watcher_share_of_rounds = 4;
 
-/// Peers that are asked in each round while the proof is late. With 1, a proof that a single daemon of 67 had
-/// reached the last one after more than the bound.
+/// Peers that are asked in each round while the proof is late. More than one, so that a proof that few
+/// daemons have reaches all others within the bound.
 constexpr std::size_t random_peers_asked = 3;
 
 /// Above the number of watchers, so that each is drawn as the first about as often.
@@ -79,7 +79,8 @@
     rule.read_patience = bound * 2 / 5;
     rule.ask_interval = bound / 5;
     rule.retry_interval = bound / 16;
-    // NOTE: above the age that a proof reaches with regular reads and questions, which is 31% of the bound.
+    // NOTE: above the sum of read_interval, ask_interval and tick, the age that a proof reaches with regular
+    // reads and questions.
     rule.late_after = bound / 3;
     rule.read_after = bound * 2 / 5;
     rule.role_check = bound * 2 / 5;
--- a/src/entry/internal/broken_exchange.cpp
+++ b/src/entry/internal/broken_exchange.cpp
@@ -16,6 +16,11 @@
     m_connection->stop_watching();
     try_step([this] { break_off_attempt(); });
     try_step([this] { return_budget(); });
+    try_step([this] {
+        if (verdict_after_failure() == verdict::not_run) {
+            return_token();
+        }
+    });
     const problem trouble{500,
                           verdict_after_failure(),
                           "internal-error",
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -6,7 +6,7 @@
 #include "entry/internal/in_flight_mark.h"
 #include "entry/internal/request_connection.h"
 #include "execution/types/execution_key.h"
-#include "quota/purse.h"
+#include "quota/held_tokens.h"
 #include "transfer/body_receiver.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/src/entry/internal/freshness_check.cpp
+++ b/src/entry/internal/freshness_check.cpp
@@ -59,12 +59,15 @@
                    {"bound_ms", std::to_string(proofs->bound().count())},
                    {"revision", std::to_string(revision)}});
     }
-    return problem{503,
-                   core::verdict::not_run,
-                   "configuration-outdated",
-                   "The configuration may be outdated",
-                   detail_text(proven, proofs->bound(), now),
-                   outdated_retry_after};
+    problem outdated{503,
+                     core::verdict::not_run,
+                     "configuration-outdated",
+                     "The configuration may be outdated",
+                     detail_text(proven, proofs->bound(), now),
+                     outdated_retry_after};
+    const auto* refused = std::get_if<problem>(&parsed);
+    outdated.request = refused != nullptr ? refused->request : std::get<parsed_call>(parsed).request;
+    return outdated;
 }
 
 freshness_check begin_freshness_check(configuration::freshness_holder* proofs) {
--- a/src/entry/internal/presence_watch.cpp
+++ b/src/entry/internal/presence_watch.cpp
@@ -44,7 +44,7 @@
     const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     switch (presence_from_peek(got, errno)) {
     case caller_presence::unknown:
-        // NOTE: the socket became readable with bytes of this request, which its handler has read since.
+        // NOTE: the bytes that made the socket readable have been read since.
         wait_for_readable();
         break;
     case caller_presence::gone:
--- a/src/entry/internal/quota_exchange.cpp
+++ b/src/entry/internal/quota_exchange.cpp
@@ -22,13 +22,14 @@
 
 using namespace std::chrono_literals;
 
-/// Time after which a call no longer relies on the decision that the quota promises within a shorter time.
+/// Longest wait for a decision. The quota decides within longest_wait; this bounds the wait if it fails to.
 constexpr std::chrono::milliseconds decision_timeout = 1000ms;
 
 /// A decision on its way to the call that waits for it; used on the strand of the connection.
 struct token_wait {
     boost::asio::steady_timer timer;
     std::optional<quota::token_decision> decision;
+    bool is_over = false; ///< The call no longer waits, so a token that is granted now goes back.
 };
 
 problem limit_reached(const std::string& account, const configuration::document* rules,
@@ -75,6 +76,8 @@
             co_return true;
         }
         return_token();
+        m_is_counted = true;
+        ++m_shared.refused;
         count_abandoned(verdict::not_run);
         m_connection->abort();
         co_return false;
@@ -89,9 +92,13 @@
 
 boost::asio::awaitable<quota::token_decision> call_exchange::await_token() {
     const auto strand = m_connection->strand();
-    const auto wait = std::make_shared<token_wait>(token_wait{boost::asio::steady_timer(strand), {}});
-    auto decided_later = [wait, strand](quota::token_decision later) {
-        boost::asio::post(strand, [wait, later = std::move(later)]() mutable {
+    const auto wait = std::make_shared<token_wait>(token_wait{boost::asio::steady_timer(strand), {}, false});
+    auto decided_later = [wait, strand, source = m_shared.options.quota](quota::token_decision later) {
+        boost::asio::post(strand, [wait, source, later = std::move(later)]() mutable {
+            if (wait->is_over) {
+                source->give_back(later.token);
+                return;
+            }
             wait->decision = std::move(later);
             wait->timer.cancel();
         });
@@ -103,6 +110,7 @@
     }
     wait->timer.expires_after(decision_timeout);
     co_await wait->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    wait->is_over = true;
     co_return wait->decision.value_or(no_decision());
 }
 
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -90,7 +90,8 @@
 
 bool call_exchange::is_refused_below(const transport::attempt_end& end) const {
     return m_shared.options.whole_chains && end.reason == end_reason::shed &&
-           !admission::admits_nested(end.nested_level, m_call.context);
+           !admission::continues_chain(m_call.context) &&
+           !routing::chain_admits(end.nested_level, m_call.context);
 }
 
 std::string_view call_exchange::reason_against_retry(end_reason reason) {
--- a/src/quota/purse.h
+++ b/src/quota/held_tokens.h
@@ -38,7 +38,7 @@
 };
 
 /// Tokens that one request brought.
-struct purse_lot {
+struct token_lot {
     std::uint64_t sequence = 0;
     std::uint32_t tokens = 0;
     core::boot_time received; ///< When the request was sent, from which on their lifetime counts.
@@ -51,9 +51,9 @@
 };
 
 /// State of one account at an entry.
-struct account_purse {
+struct account_tokens {
     std::uint32_t shard = 0;
-    std::vector<purse_lot> lots; ///< Oldest first.
+    std::vector<token_lot> lots; ///< Oldest first.
     std::deque<waiting_call> waiting;
     std::uint32_t asked = 0; ///< Waiting calls that requests in progress ask for.
     demand_meter demand;     ///< At this entry.
@@ -74,8 +74,8 @@
 };
 
 /// State of an entry.
-struct purse {
-    std::map<std::string, account_purse, std::less<>> accounts;
+struct held_tokens {
+    std::map<std::string, account_tokens, std::less<>> accounts;
     std::vector<pending_ask> pending;
     std::uint64_t last_sequence = 0;
     std::uint64_t last_waiter = 0;
@@ -88,43 +88,43 @@
 };
 
 /// Sets the accounts with limits. Returns the calls that need not wait any more.
-[[nodiscard]] std::vector<settled_call> set_accounts(purse& entry, const account_limits& limits);
+[[nodiscard]] std::vector<settled_call> set_accounts(held_tokens& entry, const account_limits& limits);
 
 /// Decides about a call that arrives now and waits at most until `until`.
-[[nodiscard]] token_decision take(purse& entry, std::string_view account, core::boot_time now,
+[[nodiscard]] token_decision take(held_tokens& entry, std::string_view account, core::boot_time now,
                                   core::boot_time until);
 
 /// Gives back the token of a call that did not run.
-void give_back(purse& entry, const taken_token& token, core::boot_time now);
+void give_back(held_tokens& entry, const taken_token& token, core::boot_time now);
 
 /// Returns the request for the calls that wait at `account` and were not asked for; no asks if there are
 /// none.
-[[nodiscard]] ask_message ask_for_waiting(purse& entry, std::string_view account, core::boot_time now);
+[[nodiscard]] ask_message ask_for_waiting(held_tokens& entry, std::string_view account, core::boot_time now);
 
 /// Returns the request to a shard that reports demand, asks in advance and returns unused tokens; without
 /// asks and returns if there is nothing to say.
-[[nodiscard]] ask_message ask_ahead(purse& entry, std::uint32_t shard, core::boot_time now);
+[[nodiscard]] ask_message ask_ahead(held_tokens& entry, std::uint32_t shard, core::boot_time now);
 
 /// Notes that the request was sent to `to` now.
-void note_sent(purse& entry, ask_message message, const core::endpoint_id& to, core::boot_time now);
+void note_sent(held_tokens& entry, ask_message message, const core::endpoint_id& to, core::boot_time now);
 
 /// Handles an answer from `from`. Ignores one that is not for a request in progress to that daemon, so that
 /// repeats and answers to an earlier incarnation bring no tokens.
-[[nodiscard]] std::vector<settled_call> take_answer(purse& entry, const core::endpoint_id& from,
+[[nodiscard]] std::vector<settled_call> take_answer(held_tokens& entry, const core::endpoint_id& from,
                                                     const grant_message& received, core::boot_time now);
 
 /// Returns the decisions of the calls that have waited long enough.
-[[nodiscard]] std::vector<settled_call> expire_waiting(purse& entry, core::boot_time now);
+[[nodiscard]] std::vector<settled_call> expire_waiting(held_tokens& entry, core::boot_time now);
 
 /// Marks the requests without an answer for answer_patience and returns the daemons that did not answer, with
 /// the shard of each.
-[[nodiscard]] std::vector<std::pair<std::uint32_t, core::endpoint_id>> find_overdue(purse& entry,
+[[nodiscard]] std::vector<std::pair<std::uint32_t, core::endpoint_id>> find_overdue(held_tokens& entry,
                                                                                     core::boot_time now);
 
 /// Whether calls wait at the shard for which no request is in progress.
-[[nodiscard]] bool has_unasked(const purse& entry, std::uint32_t shard);
+[[nodiscard]] bool has_unasked(const held_tokens& entry, std::uint32_t shard);
 
 /// Tokens of the account that a call could take now.
-[[nodiscard]] std::uint32_t tokens_of(const account_purse& account, core::boot_time now);
+[[nodiscard]] std::uint32_t tokens_of(const account_tokens& account, core::boot_time now);
 
 } // namespace monsoonlift::quota
--- a/src/quota/internal/entry_quota.cpp
+++ b/src/quota/internal/entry_quota.cpp
@@ -18,7 +18,7 @@
     {
         const std::scoped_lock lock(m_mutex);
         m_limits = limits;
-        then.settled = set_accounts(m_purse, limits);
+        then.settled = set_accounts(m_tokens, limits);
     }
     m_has_limits = !limits.empty();
     m_demands.forget_if([&](const std::string& account) { return !limits.contains(account); });
@@ -43,10 +43,10 @@
         const std::scoped_lock lock(m_mutex);
         const auto now = m_clock.boot_now();
         const auto patience = std::min<std::chrono::nanoseconds>(longest_wait, deadline - m_clock.now());
-        decision = quota::take(m_purse, account, now, now + patience);
+        decision = quota::take(m_tokens, account, now, now + patience);
         if (decision.what == outcome::waits) {
             m_waiters.emplace(decision.waiter, waiter{account, std::move(done)});
-            prepare(ask_for_waiting(m_purse, account, now), now, then);
+            prepare(ask_for_waiting(m_tokens, account, now), now, then);
         }
     }
     if (decision.what != outcome::waits) {
@@ -61,17 +61,17 @@
         return;
     }
     const std::scoped_lock lock(m_mutex);
-    quota::give_back(m_purse, token, m_clock.boot_now());
+    quota::give_back(m_tokens, token, m_clock.boot_now());
 }
 
 void entry_quota::prepare(ask_message message, core::boot_time now, effects& then) {
     if (message.asks.empty() && message.returned.empty()) {
         return;
     }
-    message.sequence = m_purse.last_sequence + 1;
+    message.sequence = m_tokens.last_sequence + 1;
     const auto to = target_of(m_routes[message.shard]).value_or(core::endpoint_id());
     // NOTE: without a member to ask, the request is noted all the same, so that it is asked again later.
-    note_sent(m_purse, message, to, now);
+    note_sent(m_tokens, message, to, now);
     if (!to.address.empty()) {
         then.messages.push_back({to, std::move(message)});
     }
@@ -83,7 +83,7 @@
         const std::scoped_lock lock(m_mutex);
         const auto now = m_clock.boot_now();
         auto& route = m_routes[received.shard];
-        then.settled = take_answer(m_purse, from, received, now);
+        then.settled = take_answer(m_tokens, from, received, now);
         if (received.holds) {
             note_holder(route, from);
         } else if (note_not_holder(route, from, received.holder)) {
@@ -100,14 +100,14 @@
 }
 
 void entry_quota::ask_for_shard(std::uint32_t shard, core::boot_time now, effects& then) {
-    prepare(ask_ahead(m_purse, shard, now), now, then);
+    prepare(ask_ahead(m_tokens, shard, now), now, then);
 }
 
 void entry_quota::expire() {
     effects then;
     {
         const std::scoped_lock lock(m_mutex);
-        then.settled = expire_waiting(m_purse, m_clock.boot_now());
+        then.settled = expire_waiting(m_tokens, m_clock.boot_now());
     }
     carry_out(then);
 }
@@ -117,14 +117,14 @@
     {
         const std::scoped_lock lock(m_mutex);
         const auto now = m_clock.boot_now();
-        then.settled = expire_waiting(m_purse, now);
-        for (const auto& [shard, silent] : find_overdue(m_purse, now)) {
+        then.settled = expire_waiting(m_tokens, now);
+        for (const auto& [shard, silent] : find_overdue(m_tokens, now)) {
             note_silence(m_routes[shard], silent);
         }
         const bool reports = now - m_reported >= report_interval;
         m_reported = reports ? now : m_reported;
         for (std::uint32_t shard = 0; shard < shard_count; ++shard) {
-            if (reports || has_unasked(m_purse, shard)) {
+            if (reports || has_unasked(m_tokens, shard)) {
                 ask_for_shard(shard, now, then);
             }
         }
@@ -186,7 +186,7 @@
 std::vector<entry_quota::account_status> entry_quota::accounts() const {
     const std::scoped_lock lock(m_mutex);
     std::vector<account_status> all;
-    for (const auto& [name, known] : m_purse.accounts) {
+    for (const auto& [name, known] : m_tokens.accounts) {
         const auto limit = m_limits.find(name);
         all.push_back({name, limit == m_limits.end() ? accounts::account_limit() : limit->second, known.taken,
                        known.limited, known.unanswered, tokens_of(known, m_clock.boot_now())});
--- a/src/quota/internal/entry_quota.h
+++ b/src/quota/internal/entry_quota.h
@@ -3,7 +3,7 @@
 #include "logging/event_log.h"
 #include "logging/event_throttle.h"
 #include "quota/account_demand.h"
-#include "quota/purse.h"
+#include "quota/held_tokens.h"
 #include "quota/quota_rules.h"
 #include "quota/shards.h"
 #include "quota/token_source.h"
@@ -91,7 +91,7 @@
     totals m_totals;
     std::atomic<bool> m_has_limits = false;
     mutable std::mutex m_mutex;
-    purse m_purse;
+    held_tokens m_tokens;
     account_limits m_limits;
     std::array<shard_route, shard_count> m_routes;
     core::boot_time m_reported;
--- a/src/quota/internal/purse.cpp
+++ b/src/quota/internal/held_tokens.cpp
@@ -1,4 +1,4 @@
-#include "quota/purse.h"
+#include "quota/held_tokens.h"
 
 #include "quota/quota_rules.h"
 #include "quota/shards.h"
@@ -16,12 +16,12 @@
 /// Retry-After for calls that got no answer: a new owner takes about as long.
 constexpr std::chrono::milliseconds no_answer_retry = std::chrono::milliseconds(1000);
 
-bool is_valid(const purse_lot& lot, core::boot_time now) {
+bool is_valid(const token_lot& lot, core::boot_time now) {
     return lot.tokens > 0 && now - lot.received < token_lifetime;
 }
 
 /// Takes the token that expires first.
-std::optional<taken_token> take_token(account_purse& account, std::string_view name, core::boot_time now) {
+std::optional<taken_token> take_token(account_tokens& account, std::string_view name, core::boot_time now) {
     const auto found = std::find_if(account.lots.begin(), account.lots.end(),
                                     [now](const auto& lot) { return is_valid(lot, now); });
     if (found == account.lots.end()) {
@@ -32,7 +32,7 @@
     return taken_token{std::string(name), found->sequence, found->received + token_lifetime};
 }
 
-token_decision limited(account_purse& account, core::boot_time now) {
+token_decision limited(account_tokens& account, core::boot_time now) {
     ++account.limited;
     token_decision decision;
     decision.what = outcome::limited;
@@ -42,7 +42,7 @@
     return decision;
 }
 
-token_decision unanswered(account_purse& account) {
+token_decision unanswered(account_tokens& account) {
     ++account.unanswered;
     token_decision decision;
     decision.what = outcome::no_answer;
@@ -50,7 +50,7 @@
     return decision;
 }
 
-std::vector<settled_call> serve_waiting(account_purse& account, const std::string& name,
+std::vector<settled_call> serve_waiting(account_tokens& account, const std::string& name,
                                         core::boot_time now) {
     std::vector<settled_call> settled;
     while (!account.waiting.empty()) {
@@ -65,7 +65,7 @@
 }
 
 /// Refuses the calls for which an answer brought no token.
-void refuse_waiting(account_purse& account, const account_grant& grant, std::uint32_t refused,
+void refuse_waiting(account_tokens& account, const account_grant& grant, std::uint32_t refused,
                     core::boot_time now, std::vector<settled_call>& settled) {
     account.fleet_demand = grant.demand;
     account.refused_until = std::max(account.refused_until, now + grant.retry_after);
@@ -76,7 +76,7 @@
 }
 
 /// Takes over the tokens of a grant, not more than were asked for.
-void add_tokens(account_purse& account, const account_ask& asked, const account_grant& grant,
+void add_tokens(account_tokens& account, const account_ask& asked, const account_grant& grant,
                 const pending_ask& request, core::boot_time now) {
     const auto tokens = std::min(grant.tokens, asked.needed + asked.ahead);
     std::erase_if(account.lots, [now](const auto& lot) { return !is_valid(lot, now); });
@@ -85,7 +85,7 @@
     }
 }
 
-void forget_asked(purse& entry, const pending_ask& request) {
+void forget_asked(held_tokens& entry, const pending_ask& request) {
     for (const auto& ask : request.message.asks) {
         const auto found = entry.accounts.find(ask.account);
         if (found != entry.accounts.end()) {
@@ -94,13 +94,13 @@
     }
 }
 
-std::uint32_t missing(const account_purse& account) {
+std::uint32_t missing(const account_tokens& account) {
     const auto waiting = static_cast<std::uint32_t>(account.waiting.size());
     return waiting > account.asked ? waiting - account.asked : 0;
 }
 
 /// Removes the tokens that are old enough to be returned.
-void return_unused(account_purse& account, const std::string& name, ask_message& request,
+void return_unused(account_tokens& account, const std::string& name, ask_message& request,
                    core::boot_time now) {
     for (auto& lot : account.lots) {
         if (is_valid(lot, now) && now - lot.received >= return_age) {
@@ -111,7 +111,7 @@
     std::erase_if(account.lots, [now](const auto& lot) { return !is_valid(lot, now); });
 }
 
-std::uint32_t wanted_ahead(const account_purse& account, core::boot_time now) {
+std::uint32_t wanted_ahead(const account_tokens& account, core::boot_time now) {
     const double demand = demand_at(account.demand, now);
     if (demand < least_demand_ahead || now < account.refused_until) {
         return 0;
@@ -121,7 +121,7 @@
     return target > held ? target - held : 0;
 }
 
-account_ask begin_ask(account_purse& account, const std::string& name) {
+account_ask begin_ask(account_tokens& account, const std::string& name) {
     account_ask ask{name, missing(account), 0, std::exchange(account.unreported, 0)};
     account.asked += ask.needed;
     return ask;
@@ -129,7 +129,7 @@
 
 } // namespace
 
-std::vector<settled_call> set_accounts(purse& entry, const account_limits& limits) {
+std::vector<settled_call> set_accounts(held_tokens& entry, const account_limits& limits) {
     std::vector<settled_call> settled;
     for (auto& [name, account] : entry.accounts) {
         if (limits.contains(name)) {
@@ -146,7 +146,8 @@
     return settled;
 }
 
-token_decision take(purse& entry, std::string_view account, core::boot_time now, core::boot_time until) {
+token_decision take(held_tokens& entry, std::string_view account, core::boot_time now,
+                    core::boot_time until) {
     const auto found = entry.accounts.find(account);
     if (found == entry.accounts.end()) {
         return {};
@@ -170,7 +171,7 @@
     return decision;
 }
 
-void give_back(purse& entry, const taken_token& token, core::boot_time now) {
+void give_back(held_tokens& entry, const taken_token& token, core::boot_time now) {
     const auto found = entry.accounts.find(token.account);
     if (found == entry.accounts.end() || token.expires <= now) {
         return;
@@ -188,7 +189,7 @@
     lots.insert(place, {token.sequence, 1, received});
 }
 
-ask_message ask_for_waiting(purse& entry, std::string_view account, core::boot_time now) {
+ask_message ask_for_waiting(held_tokens& entry, std::string_view account, core::boot_time now) {
     ask_message request;
     const auto found = entry.accounts.find(account);
     if (found == entry.accounts.end() || missing(found->second) == 0) {
@@ -201,7 +202,7 @@
     return request;
 }
 
-ask_message ask_ahead(purse& entry, std::uint32_t shard, core::boot_time now) {
+ask_message ask_ahead(held_tokens& entry, std::uint32_t shard, core::boot_time now) {
     ask_message request;
     request.shard = shard;
     for (auto& [name, account] : entry.accounts) {
@@ -219,12 +220,12 @@
     return request;
 }
 
-void note_sent(purse& entry, ask_message message, const core::endpoint_id& to, core::boot_time now) {
+void note_sent(held_tokens& entry, ask_message message, const core::endpoint_id& to, core::boot_time now) {
     entry.last_sequence = std::max(entry.last_sequence, message.sequence);
     entry.pending.push_back({std::move(message), to, now, false});
 }
 
-std::vector<settled_call> take_answer(purse& entry, const core::endpoint_id& from,
+std::vector<settled_call> take_answer(held_tokens& entry, const core::endpoint_id& from,
                                       const grant_message& received, core::boot_time now) {
     const auto request = std::find_if(entry.pending.begin(), entry.pending.end(), [&](const auto& each) {
         return each.message.sequence == received.sequence && each.message.shard == received.shard &&
@@ -257,7 +258,7 @@
     return settled;
 }
 
-std::vector<settled_call> expire_waiting(purse& entry, core::boot_time now) {
+std::vector<settled_call> expire_waiting(held_tokens& entry, core::boot_time now) {
     std::vector<settled_call> settled;
     for (auto& [name, account] : entry.accounts) {
         auto& waiting = account.waiting;
@@ -273,7 +274,8 @@
     return settled;
 }
 
-std::vector<std::pair<std::uint32_t, core::endpoint_id>> find_overdue(purse& entry, core::boot_time now) {
+std::vector<std::pair<std::uint32_t, core::endpoint_id>> find_overdue(held_tokens& entry,
+                                                                      core::boot_time now) {
     std::vector<std::pair<std::uint32_t, core::endpoint_id>> silent;
     for (auto& request : entry.pending) {
         if (!request.is_overdue && now - request.sent >= answer_patience) {
@@ -286,13 +288,13 @@
     return silent;
 }
 
-bool has_unasked(const purse& entry, std::uint32_t shard) {
+bool has_unasked(const held_tokens& entry, std::uint32_t shard) {
     return std::any_of(entry.accounts.begin(), entry.accounts.end(), [shard](const auto& each) {
         return each.second.shard == shard && missing(each.second) > 0;
     });
 }
 
-std::uint32_t tokens_of(const account_purse& account, core::boot_time now) {
+std::uint32_t tokens_of(const account_tokens& account, core::boot_time now) {
     std::uint32_t sum = 0;
     for (const auto& lot : account.lots) {
         sum += is_valid(lot, now) ? lot.tokens : 0;
--- a/src/quota/internal/quota_service.cpp
+++ b/src/quota/internal/quota_service.cpp
@@ -147,9 +147,6 @@
 }
 
 void quota_service::drain() {
-    if (!m_has_limits) {
-        return;
-    }
     m_parts.scheduler.after(release_delay, [owner = m_owner] { owner->release(); });
 }
 
--- a/src/quota/internal/token_bucket.cpp
+++ b/src/quota/internal/token_bucket.cpp
@@ -72,13 +72,13 @@
     return true;
 }
 
-void tell_demands(shard_owner& owner, const core::endpoint_id& entry, grant_message& reply,
-                  core::boot_time now) {
+void report_demands(shard_owner& owner, const core::endpoint_id& entry, grant_message& reply,
+                    core::boot_time now) {
     auto& known = owner.entries[entry.address];
-    if (known.demands_told != core::boot_time() && now - known.demands_told < demands_interval) {
+    if (known.demands_reported != core::boot_time() && now - known.demands_reported < demands_interval) {
         return;
     }
-    known.demands_told = now;
+    known.demands_reported = now;
     for (const auto& [account, bucket] : owner.buckets) {
         reply.demands.push_back({account, demand_at(bucket.demand, now)});
     }
@@ -200,7 +200,7 @@
             reply.grants.push_back(grant(found->second, entry, request.sequence, ask, now));
         }
     }
-    tell_demands(owner, entry, reply, now);
+    report_demands(owner, entry, reply, now);
     return reply;
 }
 
--- a/src/quota/quota_rules.h
+++ b/src/quota/quota_rules.h
@@ -9,8 +9,8 @@
 /// Shards of the accounts. A constant, as daemons that disagreed on it would ask two owners for one account.
 inline constexpr std::uint32_t shard_count = 4;
 
-/// How long a token may be used, counted by the entry from the moment it sent the request for it. The limit
-/// allows 10% beyond rate x 5 s, which is the rate for this time.
+/// How long a token may be used, counted by the entry from the moment it sent the request for it. The bound
+/// allows 10% beyond rate x 5 s, which the rate during this time uses up.
 inline constexpr std::chrono::milliseconds token_lifetime{500};
 
 /// Time between two messages of an entry to one owner, unless a call waits.
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -64,6 +64,8 @@
 public:
     explicit quota_service(quota_parts parts);
     ~quota_service() override;
+    quota_service(const quota_service&) = delete;
+    quota_service& operator=(const quota_service&) = delete;
 
     /// Sets the accounts with limits of the configuration in force, and starts as soon as there is one.
     void set_limits(const account_limits& limits);
@@ -75,8 +77,8 @@
     /// Handles a control message of the topic quota; `from` is its sender.
     void received(const core::endpoint_id& from, std::string_view payload);
 
-    /// Begins a planned stop: after a moment in which another daemon becomes the candidate, releases the
-    /// leases.
+    /// Begins a planned stop: releases the leases after release_delay, in which another daemon becomes the
+    /// candidate.
     void drain();
 
     /// Stops the timer.
--- a/src/quota/tests/purse_tests.cpp
+++ b/src/quota/tests/held_tokens_tests.cpp
@@ -1,4 +1,4 @@
-#include "quota/purse.h"
+#include "quota/held_tokens.h"
 
 #include "quota/quota_rules.h"
 #include "quota/shards.h"
@@ -18,18 +18,18 @@
     return core::boot_time(1h + time);
 }
 
-purse new_purse() {
-    purse entry;
+held_tokens new_tokens() {
+    held_tokens entry;
     REQUIRE(set_accounts(entry, {{"a", {10, 10}}}).empty());
     return entry;
 }
 
-token_decision call(purse& entry, std::chrono::milliseconds now) {
+token_decision call(held_tokens& entry, std::chrono::milliseconds now) {
     return take(entry, "a", at(now), at(now + longest_wait));
 }
 
 /// Sends the request for the calls that wait and returns its number.
-std::uint64_t ask(purse& entry, std::chrono::milliseconds now) {
+std::uint64_t ask(held_tokens& entry, std::chrono::milliseconds now) {
     auto request = ask_for_waiting(entry, "a", at(now));
     REQUIRE(request.asks.size() == 1);
     request.sequence = entry.last_sequence + 1;
@@ -48,15 +48,15 @@
 
 } // namespace
 
-TEST_CASE("a call of an account without a limit takes no token", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("a call of an account without a limit takes no token", "[held_tokens]") {
+    auto entry = new_tokens();
     const auto decision = take(entry, "b", at(0ms), at(100ms));
     REQUIRE(decision.what == outcome::granted);
     REQUIRE(decision.token.account.empty());
 }
 
-TEST_CASE("two calls of one account don't use the same token", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("two calls of one account don't use the same token", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto sequence = ask(entry, 0ms);
@@ -66,8 +66,9 @@
     REQUIRE(call(entry, 8ms).what == outcome::waits);
 }
 
-TEST_CASE("an answer counts once, from the daemon that was asked, in the time of its tokens", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("an answer counts once, from the daemon that was asked, in the time of its tokens",
+          "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto sequence = ask(entry, 0ms);
     REQUIRE(take_answer(entry, {owner.address, {2}}, grant_of(sequence, 1), at(7ms)).empty());
@@ -81,15 +82,15 @@
     REQUIRE(take_answer(entry, owner, grant_of(late, 1), at(1500ms)).empty());
 }
 
-TEST_CASE("an answer with more tokens than were asked for brings only those", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("an answer with more tokens than were asked for brings only those", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     REQUIRE(take_answer(entry, owner, grant_of(ask(entry, 0ms), 50), at(7ms)).size() == 1);
     REQUIRE(tokens_of(entry.accounts["a"], at(7ms)) == 0);
 }
 
-TEST_CASE("tokens expire from the moment of the request on", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("tokens expire from the moment of the request on", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto settled = take_answer(entry, owner, grant_of(ask(entry, 0ms), 1), at(100ms));
     REQUIRE(settled.size() == 1);
@@ -103,8 +104,8 @@
     REQUIRE(tokens_of(entry.accounts["a"], at(500ms)) == 0);
 }
 
-TEST_CASE("a token that is given back serves the next call", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("a token that is given back serves the next call", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto settled = take_answer(entry, owner, grant_of(ask(entry, 0ms), 1), at(7ms));
     give_back(entry, settled.front().decision.token, at(10ms));
@@ -112,8 +113,8 @@
     REQUIRE(call(entry, 20ms).what == outcome::waits);
 }
 
-TEST_CASE("after a definite no calls are refused without asking until there is a token", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("after a definite no calls are refused without asking until there is a token", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto settled = take_answer(entry, owner, grant_of(ask(entry, 0ms), 0, true), at(7ms));
     REQUIRE(settled.size() == 1);
@@ -125,8 +126,8 @@
     REQUIRE(call(entry, 77ms).what == outcome::waits);
 }
 
-TEST_CASE("a call without an answer waits for its time and not past its deadline", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("a call without an answer waits for its time and not past its deadline", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     REQUIRE(take(entry, "a", at(0ms), at(40ms)).what == outcome::waits);
     REQUIRE(take(entry, "a", at(0ms), at(0ms)).what == outcome::no_answer);
@@ -137,8 +138,8 @@
     REQUIRE(settled.front().decision.what == outcome::no_answer);
 }
 
-TEST_CASE("a call is asked for again when no answer comes, and both answers count", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("a call is asked for again when no answer comes, and both answers count", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto first = ask(entry, 0ms);
     REQUIRE(find_overdue(entry, at(50ms)).empty());
@@ -152,8 +153,8 @@
     REQUIRE(tokens_of(entry.accounts["a"], at(90ms)) == 1);
 }
 
-TEST_CASE("unused tokens are returned while they are valid, and can't be used any more", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("unused tokens are returned while they are valid, and can't be used any more", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto sequence = ask(entry, 0ms);
@@ -167,8 +168,9 @@
     REQUIRE(call(entry, 210ms).what == outcome::waits);
 }
 
-TEST_CASE("tokens are asked for ahead from the entry's own demand, and not for thin demand", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("tokens are asked for ahead from the entry's own demand, and not for thin demand",
+          "[held_tokens]") {
+    auto entry = new_tokens();
     for (auto now = 0ms; now < 10'000ms; now += 500ms) {
         static_cast<void>(call(entry, now));
     }
@@ -181,15 +183,15 @@
     REQUIRE(ahead <= 8);
 }
 
-TEST_CASE("calls that wait are let through when their account's limit is removed", "[purse]") {
-    auto entry = new_purse();
+TEST_CASE("calls that wait are let through when their account's limit is removed", "[held_tokens]") {
+    auto entry = new_tokens();
     REQUIRE(call(entry, 0ms).what == outcome::waits);
     const auto settled = set_accounts(entry, {});
     REQUIRE(settled.size() == 1);
     REQUIRE(settled.front().decision.what == outcome::granted);
 }
 
-TEST_CASE("an entry asks the holder it knows, else the candidates in turn", "[purse]") {
+TEST_CASE("an entry asks the holder it knows, else the candidates in turn", "[held_tokens]") {
     const core::endpoint_id first{"10.0.0.1:7000", {1}};
     const core::endpoint_id second{"10.0.0.2:7000", {1}};
     shard_route route;
--- a/src/quota/tests/model_quota.h
+++ b/src/quota/tests/model_quota.h
@@ -2,8 +2,8 @@
 /// a store of the test's own.
 #pragma once
 
+#include "quota/held_tokens.h"
 #include "quota/lease.h"
-#include "quota/purse.h"
 #include "quota/quota_rules.h"
 #include "quota/shards.h"
 #include "quota/token_bucket.h"
@@ -47,7 +47,7 @@
 /// One daemon: an entry, and a possible owner of the shard that is modelled.
 struct model_daemon {
     core::endpoint_id id;
-    purse entry;
+    held_tokens entry;
     shard_route route;
     shard_owner owner;
     lease_state lease;
--- a/src/quota/token_bucket.h
+++ b/src/quota/token_bucket.h
@@ -79,7 +79,7 @@
     core::incarnation life;
     std::uint64_t last_sequence = 0;
     core::boot_time heard;
-    core::boot_time demands_told;
+    core::boot_time demands_reported;
 };
 
 /// State of the owner of one shard, empty at the start of each tenure.
--- a/src/quota/token_source.h
+++ b/src/quota/token_source.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "quota/purse.h"
+#include "quota/held_tokens.h"
 
 #include <functional>
 #include <string>
