Free what tests of the entry left behind, and hold the source of tokens weakly

Leak sanitizer: the pipelining case of a request behind one that isn't idempotent ended with a run in progress, so gate and run kept each other; and since the handler of a waiting call held the source of tokens, which holds the handler.

Change: that case lets its caller leave and checks that nothing is at work afterwards. The handler holds the source weakly. The fake source of tokens lets go of a handler that was called, since it outlives the fleet to which the handler's timer belongs.

--- a/src/entry/internal/quota_exchange.cpp
+++ b/src/entry/internal/quota_exchange.cpp
@@ -93,10 +93,13 @@
 boost::asio::awaitable<quota::token_decision> call_exchange::await_token() {
     const auto strand = m_connection->strand();
     const auto wait = std::make_shared<token_wait>(token_wait{boost::asio::steady_timer(strand), {}, false});
-    auto decided_later = [wait, strand, source = m_shared.options.quota](quota::token_decision later) {
+    auto decided_later = [wait, strand,
+                          source = std::weak_ptr(m_shared.options.quota)](quota::token_decision later) {
         boost::asio::post(strand, [wait, source, later = std::move(later)]() mutable {
             if (wait->is_over) {
-                source->give_back(later.token);
+                if (const auto quota = source.lock()) {
+                    quota->give_back(later.token);
+                }
                 return;
             }
             wait->decision = std::move(later);
--- a/src/entry/tests/account_limit_tests.cpp
+++ b/src/entry/tests/account_limit_tests.cpp
@@ -125,7 +125,8 @@
     REQUIRE_FALSE(got);
     quota::token_decision later;
     later.token = {"acme", 2, {}};
-    limited.tokens->waiting(later);
+    // The handler refers to the fleet, which is destroyed before the tokens.
+    std::exchange(limited.tokens->waiting, nullptr)(later);
     REQUIRE(limited.fleet.run_until([&] { return got.has_value(); }));
     REQUIRE(got->status == 200);
 }
--- a/src/entry/tests/pipelining_tests.cpp
+++ b/src/entry/tests/pipelining_tests.cpp
@@ -199,6 +199,9 @@
     piped.go_on();
     CHECK(piped.arrived() == 1);
     CHECK(piped.fleet.daemon(0).entry().counters().calls == 1);
+    // A gate that is destroyed with a run in progress is never freed, as the two refer to each other.
+    piped.caller->finish();
+    REQUIRE(piped.fleet.run_until([&] { return piped.at_work() == 0; }));
 }
 
 TEST_CASE("requests of a caller that has left go on", "[pipelining]") {
