--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,8 +14,9 @@
 SERVICES = ["priorita", "squadre"]
 ZONES = ["palermo", "catania", "agrigento"]  # with an endpoint of each service, as on the site
 BACK_AFTER_S = 2.0  # a crashed endpoint is started again
-COMES_EACH_S = 6.0
-COMES_FOR_S = 35.0
+POLLS_BEFORE = 4
+COMES_EACH = 6  # polls
+COMES_TIMES = 6
 CRASHES = "/flag/poison"
 
 
@@ -71,23 +72,18 @@
 
     async def poll():
         """The usual traffic: each machine's client asks once a second, all within a tenth of a second."""
-        at = 0
-        while True:
-            for each in daemons:
-                at += 1
-                asyncio.ensure_future(ask(each, f"/flag/{at}"))
-                await asyncio.sleep(0.1 / len(daemons))
-            await asyncio.sleep(0.9)
+        for each in daemons:
+            asyncio.ensure_future(ask(each, "/flag/%d" % sent[0]))
+            await asyncio.sleep(0.1 / len(daemons))
+        await asyncio.sleep(0.45)
 
-    polling = asyncio.ensure_future(poll())
-    await asyncio.sleep(4.3)
-    until, at = now() + COMES_FOR_S, 0
-    while now() < until:
-        # It comes again with the same path, caller and body, at any machine.
-        asyncio.ensure_future(ask(daemons[at % len(daemons)], CRASHES))
-        at += 1
-        await asyncio.sleep(COMES_EACH_S)
-    polling.cancel()
+    for at in range(POLLS_BEFORE + COMES_EACH * COMES_TIMES):
+        await poll()
+        times, rest = divmod(at - POLLS_BEFORE, COMES_EACH)
+        if times >= 0 and rest == 0:
+            # It comes again with the same path, caller and body, at any machine.
+            asyncio.ensure_future(ask(daemons[times % len(daemons)], CRASHES))
+        await asyncio.sleep(0.45)
 
     reached = sorted(when for when, _, target in runs if target == CRASHES)
     rig.record("the request reached endpoints", len(reached), "times:", [round(when, 2) for when in reached])
