--- a/review/lib-2/endpoint.py
+++ b/review/lib-2/endpoint.py
@@ -23,6 +23,8 @@
     note("run", run["id"], run["target"], time.monotonic(), endpoint.id)
     await asyncio.sleep(WORK_S)
     if run["target"] == sys.argv[5]:
+        # Nothing listens any more when the connections break, whatever the order in which a kernel closes them.
+        endpoint.server.close()
         os.kill(os.getpid(), signal.SIGKILL)
     return 200, b"ok"
 
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -461,6 +461,10 @@
         return self.store.address
 
     async def end(self):
+        """Ends what still runs: first the tasks, as some of them start processes, then the processes."""
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        await asyncio.sleep(0)
         for process in self.processes:
             if process.returncode is None:
                 try:
