--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -484,21 +484,22 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        rig = Rig(os.path.join(folder, "record.txt"))
-        rig.record("trouble" if trouble else "no trouble")
+        rig = None
         try:
+            rig = Rig(os.path.join(folder, "record.txt"))
+            rig.record("trouble" if trouble else "no trouble")
             await rig.store.start()
             held = await asyncio.wait_for(case(rig, trouble), 110)
             rig.record("the rule", "held" if held else "was broken")
             return 0 if held else 1
         except Exception as failure:  # the case couldn't run
-            rig.record("couldn't run:", repr(failure))
-            if os.environ.get("KEEP"):
-                import traceback
-                traceback.print_exc()
+            print(repr(failure), file=sys.stderr)
+            if rig:
+                rig.record("couldn't run:", repr(failure))
             return 2
         finally:
-            await rig.end()
+            if rig:
+                await rig.end()
 
     code = asyncio.run(run())
     print({0: "held", 1: "broken", 2: "couldn't run"}[code])
