Read an answer of the store or of a peer only if its status is a final one

What a daemon saw, and its callers through it: a message of the store with status 000, 099, 101, 600 or 999 was an answer for store::http_client; below 500 the call counted as refused with the verdict not_run although it may have taken effect. An interim answer (103) was taken for the final one, its connection went back to the pool, and the next call on it read the answer of the one before (MIXED). Peers' configurations and monsoonctl use the same client.

Cause: the same as at the gate. http_exchange took whatever Beast had parsed for the answer, whatever its status.

Fix: http_exchange reads on after an interim answer, up to 15, by the same core functions as the gate; a message that is neither interim nor final ends the call as a broken connection does (timeout, may_have_run), and its connection is closed.

--- a/src/core/http_status.h
+++ b/src/core/http_status.h
@@ -16,4 +16,11 @@
     return status >= 200 && status <= 599;
 }
 
+/// Whether another answer to the same request follows the one whose head `parser`, one of Beast's, has read.
+/// One that states a body is malformed instead: its body would be read as the next head.
+template <class Parser> [[nodiscard]] bool is_interim(const Parser& parser) {
+    const bool states_body = parser.content_length() || parser.chunked();
+    return is_interim_status(parser.get().result_int()) && !states_body;
+}
+
 } // namespace monsoonlift::core
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -50,14 +50,6 @@
     return is_about_http && failure != http::error::partial_message && failure != http::error::end_of_stream;
 }
 
-/// Whether another answer to the same request follows. One that states a body is malformed instead: its body
-/// would be read as the next head.
-template <class Parser> bool is_interim(const Parser& parser) {
-    const auto& answer = parser.get();
-    const bool states_body = parser.content_length() || parser.chunked();
-    return core::is_interim_status(answer.result_int()) && !states_body;
-}
-
 } // namespace
 
 boost::asio::awaitable<bool> gate_call::send_and_read_head() {
@@ -242,7 +234,7 @@
             m_is_malformed = is_malformed(failure);
             co_return false;
         }
-        if (is_interim(*m_parser)) {
+        if (core::is_interim(*m_parser)) {
             continue;
         }
         m_is_malformed = !core::is_final_status(m_parser->get().result_int());
--- a/src/store/internal/http_exchange.cpp
+++ b/src/store/internal/http_exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "core/http_status.h"
 #include "core/network_address.h"
 
 namespace monsoonlift::store::internal {
@@ -17,6 +18,7 @@
 
 constexpr std::uint64_t max_answer_bytes = 16ULL * 1024 * 1024;
 constexpr unsigned http_1_1 = 11;
+constexpr unsigned max_interim_answers = 15;
 
 bool is_safe(http::verb method) {
     return method == http::verb::get || method == http::verb::head;
@@ -94,6 +96,10 @@
         return;
     }
     m_buffer.clear();
+    read_answer();
+}
+
+void http_exchange::read_answer() {
     m_parser.emplace();
     m_parser->body_limit(max_answer_bytes);
     http::async_read(*m_stream, m_buffer, *m_parser,
@@ -107,6 +113,15 @@
         on_stream_error(failure);
         return;
     }
+    if (core::is_interim(*m_parser) && m_interim_answers < max_interim_answers) {
+        ++m_interim_answers;
+        read_answer();
+        return;
+    }
+    if (!core::is_final_status(m_parser->get().result_int())) {
+        fail("its status is none of HTTP");
+        return;
+    }
     http_reply reply{m_parser->get().result_int(), std::move(m_parser->get().body())};
     for (const auto& name : m_wanted_fields) {
         const auto found = m_parser->get().find(name);
@@ -128,8 +143,12 @@
         connect();
         return;
     }
+    fail(failure.message());
+}
+
+void http_exchange::fail(const std::string& why) {
     finish(core::captured_failure<http_reply>({core::error_code::timeout,
-                                               "no answer from " + m_address + ": " + failure.message(),
+                                               "no answer from " + m_address + ": " + why,
                                                core::verdict::may_have_run}));
 }
 
--- a/src/store/internal/http_exchange.h
+++ b/src/store/internal/http_exchange.h
@@ -32,8 +32,10 @@
     void on_connected(const boost::system::error_code& failure);
     void write();
     void on_written(const boost::system::error_code& failure);
+    void read_answer();
     void on_read(const boost::system::error_code& failure);
     void on_stream_error(const boost::system::error_code& failure);
+    void fail(const std::string& why);
     void finish(core::result<http_reply> outcome);
 
     std::shared_ptr<connection_pool> m_pool;
@@ -45,6 +47,7 @@
     connection_pool::stream_ptr m_stream;
     bool m_reused = false;
     core::http_read_buffer m_buffer;
+    unsigned m_interim_answers = 0;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
 };
 
