Don't resend a call on whose idle connection something has come back

What callers would see: an idempotent call ran once more than its budget says. It was sent on a connection that had been idle for long, an interim answer or a head with a folded line came back, and the call counted as lost before the server had received it.

Cause: was_lost_on_idle_connection() asked the current parser, which is a new one after each interim answer, and which has not seen what the gate refuses itself.

Evidence: the new case of gate_tests [idle_connection] on the commit before: two of four answers (folded line, 103) have the call resent, and the run never ends; status 000 and a part of a head were not resent.

Fix: the gate notes that bytes have come, whoever takes them.

Verified: gate_tests, linter on the changed sources.

--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -241,6 +241,7 @@
     bool m_uploaded = false;        ///< The complete request was written to the connection.
     bool m_reads_answer = false;    ///< The answer is awaited or being read.
     bool m_streams_answer = false;  ///< The time limit is that of a stalled answer, no longer the deadline.
+    bool m_has_received = false;    ///< Bytes have come from the backend server.
     bool m_is_malformed = false;    ///< What was received in place of an answer's head is none.
     bool m_is_given_up = false;     ///< At the deadline, the entry ceased to wait: one look suffices.
     bool m_is_late = false;         ///< The time limit has passed, and what has arrived is being read.
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -69,8 +69,7 @@
 }
 
 bool gate_call::was_lost_on_idle_connection() const {
-    const bool has_answer = m_parser && m_parser->got_some();
-    return m_was_idle_long && !has_answer && !m_stopped && is_resendable(m_head);
+    return m_was_idle_long && !m_has_received && !m_stopped && is_resendable(m_head);
 }
 
 boost::asio::awaitable<void> gate_call::exchange() {
@@ -286,6 +285,7 @@
             co_await m_connection->socket.async_read_some(buffer.prepare(room), to_tuple);
     } while (reads_on(failure));
     buffer.commit(got);
+    m_has_received = m_has_received || got > 0;
     co_return failure;
 }
 
--- a/src/gate/tests/idle_connection_tests.cpp
+++ b/src/gate/tests/idle_connection_tests.cpp
@@ -102,6 +102,24 @@
     CHECK(end->run == core::verdict::may_have_run);
 }
 
+TEST_CASE("a call whose answer on an idle connection is malformed or broken off is not resent",
+          "[idle_connection]") {
+    const std::string received =
+        GENERATE("HTTP/1.1 200 OK\r\nA: b\r\n folded\r\n\r\n", "HTTP/1.1 000 Odd\r\n\r\n",
+                 "HTTP/1.1 103 Early Hints\r\n\r\n", "H");
+    CAPTURE(received);
+    idle_connection_fixture gate(2s);
+    gate.begin_request(true);
+    REQUIRE(gate.fixture.read_request(gate.connection));
+    boost::asio::write(gate.connection, boost::asio::buffer(received));
+    gate.connection.close();
+    REQUIRE(gate.fixture.run_until_idle());
+    REQUIRE(gate.fixture.sender.sent.size() == 1);
+    const auto* end = std::get_if<transport::attempt_end>(&gate.fixture.sender.sent.front().payload);
+    REQUIRE(end != nullptr);
+    CHECK(end->run == core::verdict::may_have_run);
+}
+
 TEST_CASE("a call lost on an idle connection is not reported as not_run if no new connection can be made",
           "[idle_connection]") {
     idle_connection_fixture gate(2s);
