Read the head of an answer in one coroutine

Reading a head had gone from one asynchronous operation to two coroutines inside another.

Change: one of the two is gone.

Verified: gate_tests, linter.

--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -146,7 +146,6 @@
     /// Reads one head into the parser; bad_field if a line of it is folded. A field that the gate reads could
     /// otherwise get a value that the backend server never meant.
     awaitable<boost::system::error_code> read_whole_head();
-    awaitable<boost::system::error_code> read_more();
     awaitable<void> relay_answer();
     awaitable<void> stream_answer();
 
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -142,30 +142,23 @@
         if (m_parser->is_header_done() || failure != http::error::need_more) {
             co_return failure;
         }
-        failure = co_await read_more();
+        const auto room = boost::beast::read_size(buffer, buffer.max_size());
+        if (room == 0) {
+            co_return http::error::buffer_overflow;
+        }
+        std::size_t got = 0;
+        do {
+            std::tie(failure, got) =
+                co_await m_connection->socket.async_read_some(buffer.prepare(room), to_tuple);
+        } while (reads_on(failure));
         if (failure) {
             co_return failure;
         }
+        buffer.commit(got);
+        m_has_received = true;
     }
 }
 
-boost::asio::awaitable<boost::system::error_code> gate_call::read_more() {
-    auto& buffer = m_connection->buffer;
-    const auto room = boost::beast::read_size(buffer, buffer.max_size());
-    if (room == 0) {
-        co_return http::error::buffer_overflow;
-    }
-    boost::system::error_code failure;
-    std::size_t got = 0;
-    do {
-        std::tie(failure, got) =
-            co_await m_connection->socket.async_read_some(buffer.prepare(room), to_tuple);
-    } while (reads_on(failure));
-    buffer.commit(got);
-    m_has_received = m_has_received || got > 0;
-    co_return failure;
-}
-
 bool gate_call::has_echoed_id() const {
     const auto name = m_env.options.protocol.echoed_id_header;
     const auto& answer = m_parser->get();
