Refuse late calls that would outlast a planned stop, and wait longer for those that fit

What callers saw: in a planned stop (GraceS 6) calls that a backend server made 5.2 s after SIGTERM were passed on, begun and broken off 0.2 s later with a 504 of our own; their parents, which may not be repeated, failed with them (LOST).

Cause: the entry knew only "refuses roots" and "refuses all", not when the attempts in flight will be cancelled. Nested calls were taken until 0.9 of the stop bound, whatever they needed, and then cancelled, though the process ends at 0.96.

Fix: the daemon tells the entry when attempts are cancelled, now 0.94 of the bound. Before each attempt (first, retry, redirect) a call is refused with 503 not_run unless its deadline comes before, or its kind has likely been answered by then: smoothed duration and four mean deviations (RFC 6298); the latency objective for a kind that nobody has called yet. A fixed earlier refusal was not taken: it turns away calls that fit. The refusal says so in its detail. The wait for the farewell ends with the process's own end, which it would otherwise outlast.

--- a/src/app/monsoonliftd/daemon_stop.cpp
+++ b/src/app/monsoonliftd/daemon_stop.cpp
@@ -21,9 +21,10 @@
 
 /// Share of the platform's stop bound after which calls still in flight are aborted, so that the process can
 /// end in order within the bound.
-constexpr double platform_stop_share = 0.9;
+constexpr double platform_stop_share = 0.94;
 
-/// Share of the stop bound after which the process ends though callers are still being answered.
+/// Share of the stop bound after which the process ends though callers are still being answered. What is left
+/// of the bound covers a process that is given the processor late.
 constexpr double platform_end_share = 0.96;
 
 constexpr std::chrono::milliseconds platform_leave_timeout = 300ms;
@@ -114,6 +115,7 @@
     m_callers_expected_until = arrived + platform_calls_after_stop;
     m_stop_deadline = arrived + share_of_stop_bound(platform_stop_share);
     m_end_deadline = arrived + share_of_stop_bound(platform_end_share);
+    m_entry.end_calls_at(m_stop_deadline);
 }
 
 std::chrono::milliseconds daemon::share_of_stop_bound(double share) const {
@@ -212,7 +214,9 @@
 void daemon::end_later() {
     // NOTE: the store may be unavailable, so this doesn't wait for the member's object to be removed; the
     // next incarnation writes it anew.
-    m_scheduler.after(platform_leave_timeout, [this] { end_once_answered(); });
+    const auto time_left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_end_deadline - m_clock.now());
+    m_scheduler.after(std::clamp(time_left, 0ms, platform_leave_timeout), [this] { end_once_answered(); });
 }
 
 void daemon::end_once_answered() {
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -107,6 +107,10 @@
     /// Refuses new root calls; nested calls, which requests in flight make, are still served.
     void refuse_root_calls();
 
+    /// Announces when cancel_all_attempts() will be called: from now on, calls and further attempts that
+    /// would likely be in flight then are refused before they are sent.
+    void end_calls_at(core::steady_time end);
+
     /// Refuses every new call and every further attempt of those in flight: the process is about to end.
     void refuse_all_calls();
 
--- a/src/entry/internal/call_exchange.cpp
+++ b/src/entry/internal/call_exchange.cpp
@@ -38,12 +38,12 @@
             std::chrono::seconds(1)};
 }
 
-problem stopping() {
+problem stopping(std::string detail) {
     return {503,
             verdict::not_run,
             "draining",
             "The daemon is about to stop",
-            "this daemon is about to stop and takes no new calls",
+            std::move(detail),
             stopping_retry_after};
 }
 
@@ -153,8 +153,11 @@
         m_caller_gone = true;
         return not_begun(end_reason::cancelled, "the caller went away before the request could run");
     }
-    if (m_shared.refuses_all() || (m_shared.refuses_roots() && !m_call.parent)) {
-        return stopping();
+    if (m_shared.refuses_roots() && !m_call.parent) {
+        return stopping("this daemon is about to stop and takes no new root calls");
+    }
+    if (auto refused = refuse_by_stop()) {
+        return refused;
     }
     const bool has_waited_too_long =
         m_call.context.deadline > m_began && m_shared.clock.now() >= m_call.context.deadline;
@@ -167,6 +170,21 @@
     return std::nullopt;
 }
 
+std::optional<problem> call_exchange::refuse_by_stop() const {
+    if (m_shared.refuses_all()) {
+        return stopping("this daemon is about to stop and takes no new calls");
+    }
+    const auto end = m_shared.calls_end();
+    if (end == core::steady_time::max()) {
+        return std::nullopt;
+    }
+    const auto likely = m_shared.routes.likely_call_time(m_call.kind, m_call.latency_objective);
+    if (routing::ends_before(end, m_call.context.deadline, m_shared.clock.now(), likely)) {
+        return std::nullopt;
+    }
+    return stopping("this daemon stops before the call is likely to end");
+}
+
 void call_exchange::set_root_id(const core::root_id& root) {
     m_call.context.root = root;
     m_connection->set_request_id(root);
@@ -285,8 +303,8 @@
 
 std::optional<problem> call_exchange::begin_attempt() {
     // NOTE: the process would end under the attempt, and the caller's connection with it.
-    if (m_shared.refuses_all()) {
-        return stopping();
+    if (auto refused = refuse_by_stop()) {
+        return refused;
     }
     auto chosen = choose_destination();
     if (auto* trouble = std::get_if<problem>(&chosen)) {
--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -62,6 +62,10 @@
 
     [[nodiscard]] std::optional<problem> parse();
 
+    /// Returns why nothing of the call may be sent any more: the process ends before the call, or is about
+    /// to.
+    [[nodiscard]] std::optional<problem> refuse_by_stop() const;
+
     /// Begins a call that was parsed, or returns why it is refused.
     [[nodiscard]] std::optional<problem> begin();
     void set_root_id(const core::root_id& root);
--- a/src/entry/internal/entry_service.cpp
+++ b/src/entry/internal/entry_service.cpp
@@ -47,6 +47,10 @@
     m_state->refuse_root_calls();
 }
 
+void entry_service::end_calls_at(core::steady_time end) {
+    m_state->end_calls_at(end);
+}
+
 void entry_service::refuse_all_calls() {
     m_state->refuse_all_calls();
 }
--- a/src/entry/internal/entry_state.h
+++ b/src/entry/internal/entry_state.h
@@ -33,6 +33,7 @@
     void close_connections_after_answers() { m_closing = true; }
     void refuse_root_calls() { m_refuses_roots = true; }
     void refuse_all_calls() { m_refuses_all = true; }
+    void end_calls_at(core::steady_time end) { m_calls_end = end; }
     void stop_accepting();
     void close_idle_connections();
     void cancel_all_attempts();
@@ -69,6 +70,9 @@
     /// Whether new calls and further attempts are refused, as the process is about to end.
     [[nodiscard]] bool refuses_all() const { return m_refuses_all; }
 
+    /// When the attempts still in flight are cancelled, as the process ends; the largest time if it doesn't.
+    [[nodiscard]] core::steady_time calls_end() const { return m_calls_end; }
+
     const entry_options options;
     transport::frame_sender& sender;
     gate::nested_budgets& budgets;
@@ -108,6 +112,7 @@
     std::atomic<bool> m_closing = false;
     std::atomic<bool> m_refuses_roots = false;
     std::atomic<bool> m_refuses_all = false;
+    std::atomic<core::steady_time> m_calls_end = core::steady_time::max();
     std::atomic<std::uint64_t> m_next_call = 1;
     std::atomic<std::uint64_t> m_next_permit = 1;
 
--- a/src/entry/internal/routing_state.cpp
+++ b/src/entry/internal/routing_state.cpp
@@ -15,6 +15,10 @@
 /// Latency objective assumed for calls for which the operators set none.
 constexpr std::chrono::milliseconds default_objective = 1000ms;
 
+std::chrono::milliseconds objective_or_default(std::chrono::milliseconds objective) {
+    return objective > 0ms ? objective : default_objective;
+}
+
 } // namespace
 
 routing_state::routing_state(bool decisions_on, std::string data_centre, std::uint64_t random_seed,
@@ -94,6 +98,15 @@
                                   core::steady_time now) {
     const std::scoped_lock lock(m_mutex);
     routing::record_result(m_table, endpoint, result, now);
+    if (result.succeeded) {
+        routing::record_call_time(m_call_times, result.kind, result.latency);
+    }
+}
+
+std::chrono::nanoseconds routing_state::likely_call_time(const std::string& kind,
+                                                         std::chrono::milliseconds latency_objective) {
+    const std::scoped_lock lock(m_mutex);
+    return routing::likely_call_time(m_call_times, kind, objective_or_default(latency_objective));
 }
 
 void routing_state::record_chain(const std::string& kind, const admission::shed_level& met,
@@ -103,7 +116,7 @@
 }
 
 std::chrono::milliseconds routing_state::return_time(std::chrono::milliseconds latency_objective) {
-    const auto objective = latency_objective > 0ms ? latency_objective : default_objective;
+    const auto objective = objective_or_default(latency_objective);
     const std::scoped_lock lock(m_mutex);
     std::uniform_int_distribution<std::int64_t> any(objective.count() / 4, objective.count() * 3 / 4);
     return std::chrono::milliseconds(any(m_random));
--- a/src/entry/internal/routing_state.h
+++ b/src/entry/internal/routing_state.h
@@ -4,6 +4,7 @@
 #include "gate/nested_budgets.h"
 #include "membership/member_directory.h"
 #include "retry/retry_budget.h"
+#include "routing/call_times.h"
 #include "routing/chain_levels.h"
 #include "routing/routing_table.h"
 
@@ -54,6 +55,11 @@
     void record_result(const core::endpoint_id& endpoint, const routing::attempt_result& result,
                        core::steady_time now);
 
+    /// Returns the time that a call of this kind is likely to take from its sending on. While none has been
+    /// answered, that is its latency objective; an objective of 0 means the default, 1000 ms.
+    [[nodiscard]] std::chrono::nanoseconds likely_call_time(const std::string& kind,
+                                                            std::chrono::milliseconds latency_objective);
+
     /// Records the strictest shedding threshold that a root call of this kind met.
     void record_chain(const std::string& kind, const admission::shed_level& met, core::steady_time now);
 
@@ -105,6 +111,7 @@
     bool m_whole_chains;
     std::mutex m_mutex;
     routing::routing_table m_table;
+    routing::call_times m_call_times;
     routing::chain_levels m_chains;
     retry::retry_budgets m_retries;
     retry::ratio_state m_grants; ///< Token bucket for grants to root calls; only root calls refill it.
