Recognise a request that crashes backend servers on connections that have rested

What callers saw: a safe request that crashes each backend server that begins to run it was sent to all servers of its service each time it came, and never held; other callers got 503 until one was back (BUDGET).

Cause: a safe request that is lost on a connection that rested over 100 ms is sent once more on a new one. The server had crashed, the connect was refused, and the run ended with the reason of its last sending, no_backend. The crash guard, the probe, the limit of two broken attempts and the count of arrivals all ask for backend_failed.

On the gate's code before, 3 of the 5 new cases of [idle_connection] fail; the other two guard what held: an idle connection that the server closed is no crash, and a non-idempotent request is recognised.

Fix: the gate keeps what all sendings say. After a lost one, a reason that says "not run" becomes backend_failed, may_have_run (a resend that was refused unrun was told as not_run, which was false), and the run counts as broken off unless a complete answer came. The entry counts each end that says "may have run" as an arrival. Requests that were answered lately at a gate are as safe from suspicion as before; a rested connection that is closed already is not used.

--- a/src/entry/internal/call_exchange.h
+++ b/src/entry/internal/call_exchange.h
@@ -140,7 +140,7 @@
     [[nodiscard]] retry_choice choose_retry(const attempt_outcome& outcome);
 
     /// Returns why a call must not be retried after an attempt with this end; empty if it may be.
-    [[nodiscard]] std::string_view reason_against_retry(transport::end_reason reason);
+    [[nodiscard]] std::string_view reason_against_retry(const transport::attempt_end& end);
 
     /// Returns why the retry budgets or the time left did not allow a retry; counts it if it was a budget.
     [[nodiscard]] std::string_view note_withheld(core::verdict run, bool reached_server, bool is_leaf);
--- a/src/entry/internal/retry_exchange.cpp
+++ b/src/entry/internal/retry_exchange.cpp
@@ -29,9 +29,12 @@
 }
 
 /// Whether the backend server may have received the request. The other reasons come from its daemon, before
-/// the request is forwarded.
-bool may_have_arrived(end_reason reason) {
-    switch (reason) {
+/// the request is forwarded, unless the verdict says otherwise.
+bool may_have_arrived(const transport::attempt_end& end) {
+    if (end.run != verdict::not_run) {
+        return true;
+    }
+    switch (end.reason) {
     case end_reason::shed:
     case end_reason::draining:
     case end_reason::no_backend:
@@ -63,14 +66,13 @@
     if (is_refused_below(outcome.end)) {
         return {std::nullopt, "a service further down refuses it"};
     }
-    const auto reason_against = reason_against_retry(outcome.end.reason);
+    const auto reason_against = reason_against_retry(outcome.end);
     if (!reason_against.empty()) {
         return {std::nullopt, reason_against};
     }
     // NOTE: a call bound to the home of its key is resent to the same gate, so each resend is charged to the
     // budgets even if the gate refused it.
-    const bool counts_as_reached =
-        may_have_arrived(outcome.end.reason) || outcome.end.run != verdict::not_run || is_bound_to_home();
+    const bool counts_as_reached = may_have_arrived(outcome.end) || is_bound_to_home();
     const retry::attempt_outcome ended{outcome.end.run, m_attempts - 1, outcome.end.service_time,
                                        outcome.end.retry_after, counts_as_reached};
     const bool is_leaf = m_call.parent && counts_as_reached && outcome.end.run == verdict::not_run &&
@@ -94,9 +96,10 @@
            !routing::chain_admits(end.nested_level, m_call.context);
 }
 
-std::string_view call_exchange::reason_against_retry(end_reason reason) {
+std::string_view call_exchange::reason_against_retry(const transport::attempt_end& end) {
+    const auto reason = end.reason;
     m_broken_attempts += reason == end_reason::backend_failed ? 1 : 0;
-    m_arrivals += may_have_arrived(reason) ? 1 : 0;
+    m_arrivals += may_have_arrived(end) ? 1 : 0;
     if (m_call.attempts && m_arrivals >= *m_call.attempts) {
         return "the attempts that the route allows are spent";
     }
--- a/src/gate/internal/attempt_decisions.cpp
+++ b/src/gate/internal/attempt_decisions.cpp
@@ -67,7 +67,8 @@
                                         {"service_ms", milliseconds_text(service_time)}});
 }
 
-void attempt_decisions::broken(const decided_attempt& subject, const transport::attempt_end& end, bool sent) {
+void attempt_decisions::broken(const decided_attempt& subject, const transport::attempt_end& end,
+                               const sendings& made) {
     if (!m_log.wants(event_id::attempt_broken)) {
         return;
     }
@@ -79,7 +80,8 @@
                                            {"reason", std::string(transport::to_string(end.reason))},
                                            {"verdict", std::string(core::to_string(end.run))},
                                            {"detail", end.detail},
-                                           {"sent", sent ? "yes" : "no"},
+                                           {"sent", made.any ? "yes" : "no"},
+                                           {"resent", made.resent ? "yes" : "no"},
                                            {"service_ms", milliseconds_text(end.service_time)}});
 }
 
--- a/src/gate/internal/attempt_decisions.h
+++ b/src/gate/internal/attempt_decisions.h
@@ -23,6 +23,12 @@
     const std::string& account;
 };
 
+/// What was sent of a request to the backend server.
+struct sendings {
+    bool any = false;    ///< The backend server may have received the request.
+    bool resent = false; ///< A sending was lost on an idle connection, and another one followed or was tried.
+};
+
 /// Logs each decision of a gate on an attempt, within the log's rate limit. Thread-safe.
 class attempt_decisions {
 public:
@@ -40,9 +46,8 @@
     /// Logs that the backend server sent a complete answer.
     void ran(const decided_attempt& subject, std::chrono::nanoseconds service_time);
 
-    /// Logs that the attempt had a slot but ended without a complete answer; `sent` is true if the backend
-    /// server may have received the request.
-    void broken(const decided_attempt& subject, const transport::attempt_end& end, bool sent);
+    /// Logs that the attempt had a slot but ended without a complete answer.
+    void broken(const decided_attempt& subject, const transport::attempt_end& end, const sendings& made);
 
     /// Logs how the record of a non-idempotent request allowed the attempt or replayed the stored answer.
     void key_admitted(const decided_attempt& subject, std::string_view what);
--- a/src/gate/internal/gate_call.cpp
+++ b/src/gate/internal/gate_call.cpp
@@ -42,6 +42,11 @@
     }
 }
 
+/// Whether the reason tells callers that the backend server did not run the request.
+bool says_not_run(end_reason reason) {
+    return reason == end_reason::no_backend || reason == end_reason::backend_refused;
+}
+
 std::string describe_refusal_below() {
     return "a service that calls of this kind need further down refuses this class for now";
 }
@@ -311,7 +316,9 @@
         if (!m_stopped) {
             m_env.events.connection_refused(m_backend.address, refused.message());
         }
-        fail(verdict_so_far(), end_reason::no_backend, "the backend server refuses connections");
+        fail(verdict_so_far(), end_reason::no_backend,
+             m_was_lost ? "the backend server broke the request off and refuses connections"
+                        : "the backend server refuses connections");
         co_return false;
     }
     boost::system::error_code ignored;
@@ -360,6 +367,10 @@
 void gate_call::fail(verdict run, end_reason reason, std::string detail) {
     m_end.run = run;
     m_end.reason = m_stopped.value_or(reason);
+    if (m_was_lost && says_not_run(m_end.reason)) {
+        // NOTE: the reason has to tell of all sendings, and the earlier one may have crashed the server.
+        m_end.reason = end_reason::backend_failed;
+    }
     if (m_failed) {
         m_end.detail = broken_off;
     } else {
@@ -396,7 +407,7 @@
     if (m_answered) {
         m_env.decisions.ran(decided(), m_report.service_time);
     } else {
-        m_env.decisions.broken(decided(), m_end, m_sent);
+        m_env.decisions.broken(decided(), m_end, {m_sent, m_was_lost});
     }
     if (m_report.broken) {
         m_env.events.backend_aborted(m_class, m_attempt, m_end.detail);
@@ -415,8 +426,7 @@
     try_step("the end of a run", [this] { unregister_running(); });
     try_step("the end of a run", [this] { close_inputs(); });
     m_report.answered = m_answered;
-    m_report.broken =
-        m_sent && !m_answered && !m_stopped && !m_failed && m_end.reason == end_reason::backend_failed;
+    m_report.broken = was_broken_off();
     try_step("the line of a run", [this] { note_end(); });
     try_step("the end of an admission", [this] { end_admission(); });
     const bool is_recorded = try_step("the record of a run", [this] { end_record(); });
@@ -431,6 +441,11 @@
     try_step("the slot of a run", [this] { std::exchange(m_ended, nullptr)(m_report); });
 }
 
+bool gate_call::was_broken_off() const {
+    const bool is_last_broken = m_sent && !m_stopped && m_end.reason == end_reason::backend_failed;
+    return (is_last_broken || m_was_lost) && !m_answered && !m_failed;
+}
+
 void gate_call::close_inputs() {
     m_watchdog->stop();
     m_inbox.close();
--- a/src/gate/internal/gate_call.h
+++ b/src/gate/internal/gate_call.h
@@ -54,7 +54,7 @@
     concurrency::run_outcome outcome = concurrency::run_outcome::failed;
     std::chrono::nanoseconds service_time{0};
     bool answered = false;
-    bool broken = false; ///< The backend server closed the connection before a complete answer.
+    bool broken = false; ///< The backend server broke off a sending, and no other was answered completely.
 };
 
 /// One attempt at this gate, from its request to the last byte of its answer. Keeps itself alive while it
@@ -187,6 +187,10 @@
     [[nodiscard]] bool reads_on(const boost::system::error_code& failure);
     void fail(core::verdict run, transport::end_reason reason, std::string detail);
     transport::attempt_end complete_end();
+
+    /// Whether the backend server broke off any sending of the request, and answered none. It may have
+    /// crashed because of the request, whatever became of the last sending.
+    [[nodiscard]] bool was_broken_off() const;
     void note_refusal(transport::attempt_end& end);
     void note_end();
     void note_failure(const std::exception_ptr& failure);
@@ -237,6 +241,7 @@
     bool m_execution_begun = false; ///< The record of a non-idempotent request is open.
     bool m_was_idle_long = false;   ///< The connection had been idle for longer than safe_idle_time.
     bool m_sent = false;            ///< Sending has begun, so the request may have run.
+    bool m_was_lost = false;        ///< An earlier sending was lost on an idle connection.
     bool m_uploaded = false;        ///< The complete request was written to the connection.
     bool m_reads_answer = false;    ///< The answer is awaited or being read.
     bool m_streams_answer = false;  ///< The time limit is that of a stalled answer, no longer the deadline.
--- a/src/gate/internal/gate_exchange.cpp
+++ b/src/gate/internal/gate_exchange.cpp
@@ -73,6 +73,7 @@
     bool answered = co_await send_and_read_head();
     if (!answered && was_lost_on_idle_connection()) {
         m_reads_answer = false;
+        m_was_lost = true;
         const bool ready = co_await make_connection();
         if (!ready) {
             co_return;
@@ -88,7 +89,9 @@
     m_report.service_time = m_env.clock.now() - m_sent_at;
     if (was_refused_by_backend()) {
         m_report.outcome = concurrency::run_outcome::refused;
-        fail(verdict::not_run, end_reason::backend_refused, "the backend server refused the request");
+        fail(m_was_lost ? verdict::may_have_run : verdict::not_run, end_reason::backend_refused,
+             m_was_lost ? "the backend server refused the request, which was lost on an earlier connection"
+                        : "the backend server refused the request");
         co_return;
     }
     if (!has_known_end()) {
--- a/src/gate/tests/attempt_decisions_tests.cpp
+++ b/src/gate/tests/attempt_decisions_tests.cpp
@@ -66,7 +66,7 @@
     attempt_under_test test;
     transport::attempt_end end;
     end.reason = end_reason::backend_failed;
-    test.decisions.broken(test.subject(), end, true);
+    test.decisions.broken(test.subject(), end, {true, false});
     CHECK(test.log.lines.at(0).id == event_id::attempt_broken);
     CHECK(test.field("verdict") == "may_have_run");
     CHECK(test.field("sent") == "yes");
--- a/src/gate/tests/idle_connection_tests.cpp
+++ b/src/gate/tests/idle_connection_tests.cpp
@@ -46,12 +46,22 @@
         fixture.sender.sent.clear();
     }
 
-    void begin_request(bool idempotent) {
+    void begin_request(bool idempotent, const std::string& target = "/map") {
         auto message = tests::request_frame(++calls, clock.now() + 60s);
-        std::get<transport::request_head>(message.payload).context.idempotent = idempotent;
+        auto& head = std::get<transport::request_head>(message.payload);
+        head.context.idempotent = idempotent;
+        head.target = target;
         fixture.service.received(message);
     }
 
+    /// Returns how the only attempt ended since the idle connection was there.
+    [[nodiscard]] transport::attempt_end end_of_attempt() const {
+        REQUIRE(fixture.sender.sent.size() == 1);
+        const auto* end = std::get_if<transport::attempt_end>(&fixture.sender.sent.front().payload);
+        REQUIRE(end != nullptr);
+        return *end;
+    }
+
     void answer(tcp::socket& with) {
         REQUIRE(fixture.read_request(with));
         boost::asio::write(with, boost::asio::buffer(complete_answer));
@@ -183,3 +193,76 @@
     head.total.reset();
     CHECK_FALSE(is_resendable(head));
 }
+
+// Guards against requests that crash backend servers unrecognised, as the crash is seen on an idle connection
+// and the resend is refused (BUDGET).
+TEST_CASE(
+    "a backend server that breaks a call off on an idle connection and is gone then is reported as crashed",
+    "[idle_connection]") {
+    idle_connection_fixture gate(2s);
+    gate.begin_request(true, "/crashes");
+    gate.fixture.backend.close();
+    gate.reset_connection();
+    REQUIRE(gate.fixture.run_until_idle());
+    CHECK(gate.end_of_attempt().reason == transport::end_reason::backend_failed);
+    CHECK(gate.end_of_attempt().run == core::verdict::may_have_run);
+    REQUIRE(gate.fixture.run_until([&] { return !gate.fixture.reports.empty(); }));
+    CHECK(gate.fixture.reports.front().in_flight.size() == 1);
+}
+
+TEST_CASE("a call lost on an idle connection is suspected if the resend meets another instance",
+          "[idle_connection]") {
+    const std::string refusal =
+        "HTTP/1.1 503 Full\r\nMonsoonlift-Verdict: not_run\r\nContent-Length: 0\r\n\r\n";
+    idle_connection_fixture gate(2s);
+    gate.begin_request(true, "/crashes");
+    gate.reset_connection();
+    auto fresh = gate.fixture.accept();
+    REQUIRE(gate.fixture.read_request(fresh));
+    boost::asio::write(fresh, boost::asio::buffer(refusal));
+    REQUIRE(gate.fixture.run_until_idle());
+    CHECK(gate.end_of_attempt().reason == transport::end_reason::backend_failed);
+    CHECK(gate.end_of_attempt().run == core::verdict::may_have_run);
+    CHECK(gate.fixture.reports.empty());
+    gate.fixture.announce("second");
+    REQUIRE(gate.fixture.reports.size() == 1);
+    CHECK(gate.fixture.reports.front().in_flight.size() == 1);
+}
+
+TEST_CASE("a call lost on an idle connection is suspected if another instance is announced before the resend",
+          "[idle_connection]") {
+    idle_connection_fixture gate(2s);
+    gate.begin_request(true, "/crashes");
+    REQUIRE(gate.fixture.read_request(gate.connection));
+    gate.fixture.announce("second");
+    gate.fixture.service.leave("second", gate.clock.now());
+    gate.connection.set_option(boost::asio::socket_base::linger(true, 0));
+    gate.connection.close();
+    REQUIRE(gate.fixture.run_until_idle());
+    CHECK(gate.end_of_attempt().reason == transport::end_reason::backend_failed);
+    CHECK(gate.end_of_attempt().run == core::verdict::may_have_run);
+    CHECK(gate.fixture.reports.size() == 1);
+}
+
+TEST_CASE("an idle connection that its backend server closed is no crash", "[idle_connection]") {
+    idle_connection_fixture gate(2s);
+    gate.begin_request(true, "/other");
+    gate.reset_connection();
+    auto fresh = gate.fixture.accept();
+    gate.answer(fresh);
+    CHECK(gate.was_answered());
+    gate.fixture.announce("second");
+    CHECK(gate.fixture.reports.empty());
+}
+
+TEST_CASE("a non-idempotent call that crashes its backend server is reported with the crash",
+          "[idle_connection]") {
+    idle_connection_fixture gate(0ms);
+    gate.begin_request(false, "/crashes");
+    gate.fixture.backend.close();
+    gate.reset_connection();
+    REQUIRE(gate.fixture.run_until_idle());
+    CHECK(gate.end_of_attempt().reason == transport::end_reason::backend_failed);
+    REQUIRE(gate.fixture.run_until([&] { return !gate.fixture.reports.empty(); }));
+    CHECK(gate.fixture.reports.front().in_flight.size() == 1);
+}
