Take no read of a restored store for a proof without knowing what was accepted before

What callers saw: the store came back from a copy that still had a key which a later version had taken away. A daemon that started before the operators had written again ran requests of that key, over RevokeMs after the key was gone (CONFIG).

Cause: a read that shows the revision in force proves that nothing higher was accepted. A process that starts after a restore has nothing in force, so that the restored version proved itself. A read says nothing about what was accepted before a restore that its reader didn't live through.

Line 5010 tells when a daemon doesn't know what was accepted before, 5011 when it stops waiting.

Fix: a daemon's own reads count only while it knows the store's era: it is the first one, or the daemon's knowledge was at most a third of the bound old as it saw the era rise, or a daemon that knows the era has answered. Answers about the age carry that era and the highest revision accepted, below which no read counts. Two daemons that started later can't tell each other; one that was cut off through the restore is treated like them. If nobody who knows answers, reads count again after the bound (half of it for a daemon that had a proof before); until then calls that need a key get 503, and the daemon is ready for all others. Nothing changes in era 1, without the header and without the bound.

--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -54,6 +54,7 @@
     program: DaemonProgram = DaemonProgram()
     starts: int = 0
     store_address: str = ""  # Where the daemon finds the store; its proxied link unless a test says otherwise.
+    revocation_bound: str = ""  # As in the settings; empty if the deployment sets none.
     process: Process | None = None
     lock: threading.Lock = field(default_factory=threading.Lock)
     server_lock: threading.Lock = field(default_factory=threading.Lock)
@@ -137,6 +138,8 @@
             "heartbeat_address": self.at("heartbeat"), "ready_address": self.at("ready"),
             "configuration_bound": "2s", "drain_bound": "2s", "stop_bound": f"{STOP_BOUND_S:.0f}s",
         }
+        if self.revocation_bound:
+            deployment["revocation_bound"] = self.revocation_bound
         lines = [f"{key}: {json.dumps(value)}\n" for key, value in settings.items()]
         lines += ["deployment:\n", *[f"  {key}: {json.dumps(value)}\n" for key, value in deployment.items()]]
         return "".join(lines)
--- a/src/app/monsoonliftd/daemon.cpp
+++ b/src/app/monsoonliftd/daemon.cpp
@@ -42,7 +42,10 @@
       m_platform_address(std::make_shared<store::service_address>(m_settings.platform_address)),
       m_lifecycle([this](lifecycle::phase now) { on_phase_entered(now); }), m_scheduler(m_control),
       m_platform_client(make_store_client(m_settings, m_platform_address, m_control, log,
-                                          [this](std::uint64_t era) { notice_restore(era); })),
+                                          {[this](std::uint64_t era) { note_era(era); },
+                                           [this](std::uint64_t era) {
+                                               notice_restore(era);
+                                           }})),
       m_platform(*m_platform_client, m_scheduler, m_clock, log, store_limits_of(m_settings),
                  m_incarnation.value),
       m_configuration(log), m_proofs(make_proofs(m_settings)), m_peers(m_control),
@@ -273,8 +276,9 @@
 }
 
 void daemon::check_ready() {
-    const bool is_proven = !m_proofs || m_proofs->proven();
-    if (m_follower->has_settled() && m_configuration.revision() > 0 && is_proven && m_membership->joined()) {
+    // NOTE: without a proof only the calls that need a key wait.
+    const bool may_serve = !m_proofs || m_proofs->proven() || m_freshness->awaits_earlier_revisions();
+    if (m_follower->has_settled() && m_configuration.revision() > 0 && may_serve && m_membership->joined()) {
         m_lifecycle.handle(lifecycle::signal::configuration_known);
     }
 }
--- a/src/app/monsoonliftd/daemon.h
+++ b/src/app/monsoonliftd/daemon.h
@@ -89,6 +89,8 @@
     /// Prepares to keep proofs that the configuration is recent, if the deployment bounds their age.
     void prepare_freshness();
     void add_freshness_metrics();
+    /// Tells the keeper of proofs the era of the platform's store.
+    void note_era(std::uint64_t era);
     /// Handles a restore of the platform's store from a copy, seen by this daemon's client.
     void notice_restore(std::uint64_t era);
     /// Handles another daemon's report of a restore.
--- a/src/app/monsoonliftd/daemon_options.cpp
+++ b/src/app/monsoonliftd/daemon_options.cpp
@@ -97,11 +97,11 @@
 std::unique_ptr<store::object_api> make_store_client(const settings::daemon_settings& chosen,
                                                      std::shared_ptr<const store::service_address> platform,
                                                      const boost::asio::any_io_executor& control,
-                                                     logging::event_log& log,
-                                                     std::function<void(std::uint64_t era)> on_restored) {
+                                                     logging::event_log& log, era_hooks hooks) {
     if (chosen.deployment) {
         auto client = std::make_unique<platform::platform_store>(control, std::move(platform), log);
-        client->on_restored(std::move(on_restored));
+        client->on_first_era(std::move(hooks.on_first));
+        client->on_restored(std::move(hooks.on_restored));
         return client;
     }
     return std::make_unique<store::http_object_api>(control, std::move(platform));
--- a/src/app/monsoonliftd/daemon_options.h
+++ b/src/app/monsoonliftd/daemon_options.h
@@ -54,13 +54,18 @@
 /// bounds.
 [[nodiscard]] store::call_limits store_limits_of(const settings::daemon_settings& chosen);
 
+/// Called with the era of the platform's store, before the answer that shows it is used.
+struct era_hooks {
+    std::function<void(std::uint64_t era)> on_first;    ///< For the first era seen.
+    std::function<void(std::uint64_t era)> on_restored; ///< For each later one: the store was restored.
+};
+
 /// Creates the client of the store: of the platform's store in a deployment on the users' platform, otherwise
-/// of this project's own object API. `on_restored` is called on `control` when the former was restored.
+/// of this project's own object API, which has no eras. The hooks are called on `control`.
 [[nodiscard]] std::unique_ptr<store::object_api>
 make_store_client(const settings::daemon_settings& chosen,
                   std::shared_ptr<const store::service_address> platform,
-                  const boost::asio::any_io_executor& control, logging::event_log& log,
-                  std::function<void(std::uint64_t era)> on_restored);
+                  const boost::asio::any_io_executor& control, logging::event_log& log, era_hooks hooks);
 
 [[nodiscard]] transport::transport_options transport_options_of(const settings::daemon_settings& chosen);
 
--- a/src/app/monsoonliftd/daemon_restore.cpp
+++ b/src/app/monsoonliftd/daemon_restore.cpp
@@ -26,6 +26,12 @@
 
 } // namespace
 
+void daemon::note_era(std::uint64_t era) {
+    if (m_freshness) {
+        m_freshness->note_era(era);
+    }
+}
+
 void daemon::notice_restore(std::uint64_t era) {
     m_follower->on_store_restored();
     if (era > m_store_era) {
@@ -49,6 +55,7 @@
         return;
     }
     m_store_era = era;
+    note_era(era);
     const auto members = m_directory.members().size();
     const auto check_time =
         std::max(shortest_check_time, check_time_per_member * static_cast<std::int64_t>(members));
--- a/src/configuration/freshness_keeper.h
+++ b/src/configuration/freshness_keeper.h
@@ -55,6 +55,14 @@
     /// Stops the keeper: it reads and asks no more. Thread-safe.
     void stop();
 
+    /// Records the era of an answer of the store, before the answer is passed on. Call it on the scheduler's
+    /// strand.
+    void note_era(std::uint64_t era);
+
+    /// Whether the store was restored and this daemon waits for one that knows what was accepted before, so
+    /// that nothing but calls that need a key has to wait. Thread-safe.
+    [[nodiscard]] bool awaits_earlier_revisions() const { return m_awaits_earlier_revisions; }
+
     /// Handles a message of another daemon. Questions are answered at once, on any thread.
     void received(const core::endpoint_id& from, const std::string& payload);
 
@@ -62,6 +70,8 @@
     void tick();
     void step();
     void check_role();
+    void check_restore();
+    void publish_knowledge();
     void ask();
     void read();
     void on_read(core::boot_time sent, core::result<store::object> answered);
@@ -84,6 +94,9 @@
     std::string m_last_value; ///< Read last, so that the same text is not parsed again.
     std::uint64_t m_last_revision = 0;
     std::atomic<bool> m_stopped{false};
+    std::atomic<bool> m_awaits_earlier_revisions{false};
+    std::atomic<std::uint64_t> m_known_era{0}; ///< As in restore_knowledge, for answers on any thread.
+    std::atomic<std::uint64_t> m_accepted{0};  ///< `highest` of restore_knowledge.
 };
 
 } // namespace monsoonlift::configuration
--- a/src/configuration/internal/freshness_keeper.cpp
+++ b/src/configuration/internal/freshness_keeper.cpp
@@ -1,10 +1,12 @@
 #include "configuration/freshness_keeper.h"
 
 #include "configuration/freshness_rules.h"
+#include "configuration/restore_rules.h"
 #include "configuration/stored_configuration_json.h"
 #include "core/go_on.h"
 #include "store/settled.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -32,8 +34,8 @@
 
 void freshness_keeper::step() {
     using self_type = freshness_keeper;
-    constexpr std::array steps{&self_type::check_role, &self_type::note_pending, &self_type::read,
-                               &self_type::ask};
+    constexpr std::array steps{&self_type::check_role, &self_type::check_restore, &self_type::note_pending,
+                               &self_type::read, &self_type::ask};
     core::for_each_apart(steps, [this](auto each) { (this->*each)(); });
 }
 
@@ -47,6 +49,33 @@
                                          m_rule.watchers_per_data_centre);
 }
 
+void freshness_keeper::note_era(std::uint64_t era) {
+    configuration::note_era(m_state.restore, m_rule, era, m_parts.clock.boot_now());
+    if (!reads_prove(m_state.restore)) {
+        m_parts.log.write(logging::event_id::earlier_revisions_unknown,
+                          {{"era", std::to_string(era)},
+                           {"known_era", std::to_string(m_state.restore.known_era)},
+                           {"in_force", std::to_string(m_parts.holder.revision())}});
+    }
+    publish_knowledge();
+}
+
+void freshness_keeper::check_restore() {
+    if (end_wait(m_state.restore, m_rule, m_parts.clock.boot_now())) {
+        m_parts.log.write(logging::event_id::earlier_revisions_assumed,
+                          {{"era", std::to_string(m_state.restore.era)},
+                           {"in_force", std::to_string(m_parts.holder.revision())}});
+    }
+    publish_knowledge();
+}
+
+void freshness_keeper::publish_knowledge() {
+    const auto& known = m_state.restore;
+    m_accepted = std::max(known.highest, m_parts.holder.revision());
+    m_known_era = known.known_era;
+    m_awaits_earlier_revisions = !reads_prove(known);
+}
+
 void freshness_keeper::ask() {
     const auto now = m_parts.clock.boot_now();
     for (const auto& peer : next_to_ask(m_state, m_rule, m_parts.proofs.proven(), m_random, now)) {
@@ -75,7 +104,12 @@
         return;
     }
     const auto revision = take_value(std::move(answer.value->value));
-    if (const auto proof = proof_of_read(revision, m_parts.holder.revision(), sent)) {
+    if (!reads_prove(m_state.restore)) {
+        return;
+    }
+    note_covered(m_state.restore, sent);
+    const auto highest = std::max(m_parts.holder.revision(), m_state.restore.highest);
+    if (const auto proof = proof_of_read(revision, highest, sent)) {
         take_proof(*proof);
     }
 }
@@ -126,9 +160,12 @@
     if (!proof) {
         return;
     }
+    // NOTE: the era is read first, so that the revision covers what it stands for.
+    const std::uint64_t known_era = m_known_era;
+    const auto accepted = std::max(m_accepted.load(), m_parts.holder.revision());
     // NOTE: the clock is read after the proof and before sending, so the age is never told too low.
     const auto age = std::chrono::ceil<std::chrono::microseconds>(m_parts.clock.boot_now() - proof->at);
-    m_parts.send(from, encode(freshness_answer{question.number, proof->revision, age}));
+    m_parts.send(from, encode(freshness_answer{question.number, proof->revision, age, accepted, known_era}));
 }
 
 void freshness_keeper::on_answer(const core::endpoint_id& from, const freshness_answer& answer) {
@@ -136,9 +173,12 @@
     if (!sent || m_stopped) {
         return;
     }
+    note_told(m_state.restore, answer);
+    publish_knowledge();
     const auto in_force = m_parts.holder.revision();
-    if (answer.revision > in_force && m_parts.on_higher_revision) {
-        m_parts.on_higher_revision(from.address, answer.revision);
+    const auto accepted = std::max(answer.revision, answer.accepted);
+    if (accepted > in_force && m_parts.on_higher_revision) {
+        m_parts.on_higher_revision(from.address, accepted);
     }
     if (const auto proof = proof_of_answer(answer, in_force, *sent)) {
         record_useful_answer(m_state, m_rule, proof->at, m_parts.clock.boot_now());
@@ -147,6 +187,7 @@
 }
 
 void freshness_keeper::take_proof(const freshness_proof& proof) {
+    note_covered(m_state.restore, proof.at);
     if (counts(proof, m_parts.holder.revision())) {
         note(proof);
         return;
--- a/src/configuration/internal/freshness_message.cpp
+++ b/src/configuration/internal/freshness_message.cpp
@@ -23,6 +23,8 @@
         written.set_is_answer(true);
         written.set_revision(answer.revision);
         written.set_age_us(static_cast<std::uint64_t>(answer.age.count()));
+        written.set_accepted(answer.accepted);
+        written.set_known_era(answer.known_era);
     }
     return written.SerializeAsString();
 }
@@ -39,7 +41,8 @@
         return std::nullopt;
     }
     return freshness_answer{read.question(), read.revision(),
-                            std::chrono::microseconds(static_cast<std::int64_t>(read.age_us()))};
+                            std::chrono::microseconds(static_cast<std::int64_t>(read.age_us())),
+                            read.accepted(), read.known_era()};
 }
 
 } // namespace monsoonlift::configuration
--- a/src/configuration/internal/freshness_rules.cpp
+++ b/src/configuration/internal/freshness_rules.cpp
@@ -84,6 +84,7 @@
     rule.late_after = bound / 3;
     rule.read_after = bound * 2 / 5;
     rule.role_check = bound * 2 / 5;
+    rule.restore_patience = bound / 2;
     return rule;
 }
 
--- a/src/configuration/tests/freshness_fleet.h
+++ b/src/configuration/tests/freshness_fleet.h
@@ -98,6 +98,28 @@
         REQUIRE(store.update_if(current_object, known->version, to_json(stored_sample(revision))));
     }
 
+    /// Brings the store back from a copy with an earlier configuration; every daemon that runs sees the era.
+    void restore(std::uint64_t revision) {
+        accept(revision);
+        ++era;
+        for (const auto& each : daemons) {
+            each->keeper->note_era(era);
+        }
+    }
+
+    /// Starts a daemon anew: it knows nothing until it has read the store or heard of its peers.
+    void restart(std::size_t at) {
+        auto& daemon = daemons[at];
+        daemon->keeper->stop();
+        m_ended.push_back(std::move(daemon));
+        const auto& before = *m_ended.back();
+        daemon =
+            std::make_unique<fresh_daemon>(before.id.address, before.data_centre, store, timer, rule.bound);
+        connect(*daemon);
+        daemon->keeper->note_era(era);
+        daemon->keeper->start();
+    }
+
     /// Advances the clock; notes the highest age of any daemon at each step.
     void run_for(std::chrono::milliseconds span) {
         highest_age = 0ms;
@@ -173,6 +195,7 @@
     /// Whether a message from the first daemon reaches the second; if empty, every one does.
     std::function<bool(const fresh_daemon& from, const fresh_daemon& to)> can_send;
     std::uint64_t messages = 0;
+    std::uint64_t era = 1; ///< Of the store, as its answers tell.
     std::chrono::milliseconds highest_age{0};
     std::vector<std::unique_ptr<fresh_daemon>> daemons;
 
@@ -204,6 +227,7 @@
     }
 
     std::uint64_t m_seed = 0;
+    std::vector<std::unique_ptr<fresh_daemon>> m_ended; ///< Kept, as their tasks may still be due.
 };
 
 } // namespace monsoonlift::configuration::tests
--- a/src/configuration/tests/freshness_fleet_tests.cpp
+++ b/src/configuration/tests/freshness_fleet_tests.cpp
@@ -32,6 +32,31 @@
     }
 };
 
+/// A fleet that has revision 7, which took a key away, when the store comes back from a copy with revision 5.
+struct restored_fleet : running_fleet {
+    restored_fleet() {
+        for (const auto& each : daemons) {
+            each->keeper->note_era(era);
+        }
+        accept(7);
+        run_for(3s);
+        REQUIRE(std::all_of(daemons.begin(), daemons.end(),
+                            [](const auto& each) { return each->holder.revision() == 7; }));
+    }
+
+    /// Daemons that serve calls that need a key by the configuration of before.
+    std::size_t wrong() const {
+        return static_cast<std::size_t>(std::count_if(daemons.begin(), daemons.end(), [&](const auto& each) {
+            return serves(*each) && each->holder.revision() < 7;
+        }));
+    }
+
+    /// Runs for a while; returns whether a daemon served by the configuration of before meanwhile.
+    bool was_wrong_within(std::chrono::milliseconds span) {
+        return time_until([&] { return wrong() > 0; }, span) < span;
+    }
+};
+
 } // namespace
 
 TEST_CASE("with all healthy the age stays below half of the bound at a small cost", "[freshness]") {
@@ -271,3 +296,91 @@
     fleet.run_for(10s);
     CHECK(refusing.log.count(logging::event_id::configuration_current) == 1);
 }
+
+// Guards against a key that was taken away and works again in a daemon that starts after a restore (CONFIG).
+TEST_CASE("a daemon that starts after a restore of the store serves by no earlier configuration",
+          "[freshness][restore]") {
+    restored_fleet fleet;
+    fleet.restore(5);
+    fleet.restart(0);
+    CHECK_FALSE(fleet.was_wrong_within(2s));
+    CHECK(fleet.daemons[0]->holder.revision() == 7);
+    CHECK(fleet.serves(*fleet.daemons[0]));
+}
+
+TEST_CASE("daemons that start after a restore don't prove it to each other", "[freshness][restore]") {
+    restored_fleet fleet;
+    fleet.restore(5);
+    for (std::size_t at = 0; at + 1 < fleet.daemons.size(); ++at) {
+        fleet.restart(at);
+    }
+    CHECK_FALSE(fleet.was_wrong_within(3s));
+    fleet.accept(8);
+    CHECK(fleet.time_until([&] { return fleet.serving() == fleet.daemons.size(); }, 10s) < 2s);
+}
+
+TEST_CASE("daemons that are restarted in series after a restore pass on what one remembers",
+          "[freshness][restore]") {
+    restored_fleet fleet;
+    fleet.restore(5);
+    for (std::size_t at = 0; at + 1 < fleet.daemons.size(); ++at) {
+        fleet.restart(at);
+        CHECK_FALSE(fleet.was_wrong_within(60ms));
+    }
+    fleet.restart(fleet.daemons.size() - 1);
+    CHECK_FALSE(fleet.was_wrong_within(1s));
+}
+
+TEST_CASE(
+    "a daemon that is cut off while the store is restored serves by no earlier configuration afterwards",
+    "[freshness][restore]") {
+    running_fleet fleet;
+    for (const auto& each : fleet.daemons) {
+        each->keeper->note_era(1);
+    }
+    auto& cut_off = fleet.one_that([&](const auto& each) { return fleet.is_watcher(each); });
+    fleet.can_send = [&](const auto& from, const auto& to) {
+        return &from != &cut_off && &to != &cut_off;
+    };
+    cut_off.api.set_outage(true, true);
+    fleet.run_for(500ms);
+    fleet.accept(7);
+    const auto accepted = fleet.clock.boot_now();
+    fleet.run_for(2s);
+    fleet.era = 2;
+    fleet.accept(1);
+    for (const auto& each : fleet.daemons) {
+        each->keeper->note_era(2);
+    }
+    fleet.can_send = {};
+    cut_off.api.set_outage(false);
+    while (fleet.clock.boot_now() < accepted + 10s) {
+        fleet.run_for(fleet.step);
+        const bool is_late = fleet.clock.boot_now() > accepted + fleet.rule.bound;
+        REQUIRE_FALSE((is_late && fleet.serves(cut_off) && cut_off.holder.revision() < 7));
+    }
+    CHECK(cut_off.holder.revision() == 7);
+}
+
+TEST_CASE("two restores in a row leave a daemon that follows the store its knowledge",
+          "[freshness][restore]") {
+    restored_fleet fleet;
+    fleet.restore(5);
+    fleet.run_for(2s);
+    fleet.restore(5);
+    fleet.restart(0);
+    CHECK_FALSE(fleet.was_wrong_within(2s));
+    fleet.accept(8);
+    CHECK(fleet.time_until([&] { return fleet.serving() == fleet.daemons.size(); }, 10s) < 2s);
+}
+
+TEST_CASE("a fleet of which nobody remembers waits for the bound before the store counts again",
+          "[freshness][restore]") {
+    restored_fleet fleet;
+    fleet.restore(5);
+    for (std::size_t at = 0; at < fleet.daemons.size(); ++at) {
+        fleet.restart(at);
+    }
+    CHECK(fleet.time_until([&] { return fleet.serving() > 0; }, 10s) >= fleet.rule.bound);
+    CHECK(fleet.time_until([&] { return fleet.serving() == fleet.daemons.size(); }, 10s) < 2s);
+}
--- a/src/configuration/tests/freshness_rules_tests.cpp
+++ b/src/configuration/tests/freshness_rules_tests.cpp
@@ -104,8 +104,10 @@
     const auto question = decode_freshness_message(encode(freshness_question{12}));
     REQUIRE(question);
     CHECK(std::get<freshness_question>(*question).number == 12);
-    const auto answer = decode_freshness_message(encode(freshness_answer{12, 7, 1500us}));
+    const auto answer = decode_freshness_message(encode(freshness_answer{12, 7, 1500us, 9, 2}));
     REQUIRE(answer);
+    CHECK(std::get<freshness_answer>(*answer).accepted == 9);
+    CHECK(std::get<freshness_answer>(*answer).known_era == 2);
     CHECK(std::get<freshness_answer>(*answer).question == 12);
     CHECK(std::get<freshness_answer>(*answer).revision == 7);
     CHECK(std::get<freshness_answer>(*answer).age == 1500us);
--- a/src/configuration/types/freshness_state.h
+++ b/src/configuration/types/freshness_state.h
@@ -23,6 +23,9 @@
     std::chrono::milliseconds late_after{0}; ///< Age from which a proof is late, so that others are asked.
     std::chrono::milliseconds read_after{0}; ///< Age from which daemons that aren't watchers read the store.
     std::chrono::milliseconds role_check{0}; ///< Interval at which the watchers are elected again.
+    /// How long after a restore of the store was seen a daemon waits for one that remembers what was accepted
+    /// before; twice as long if it has never had a proof.
+    std::chrono::milliseconds restore_patience{0};
     std::size_t watchers_per_data_centre = 2;
     std::size_t most_reads =
         4; ///< Reads of one daemon in flight, so that a slow store is still read regularly.
@@ -43,6 +46,19 @@
     std::uint64_t question = 0;
     std::uint64_t revision = 0;
     std::chrono::microseconds age{0};
+    std::uint64_t accepted = 0; ///< Highest revision that the daemon knows to have been accepted.
+    /// Era of the store's latest restore before which the daemon knows what was accepted; 0 if it knows none.
+    std::uint64_t known_era = 0;
+};
+
+/// What a daemon knows of the configurations accepted before the latest restore of the store.
+struct restore_knowledge {
+    std::uint64_t era = 0;       ///< Highest era seen in an answer of the store; 0 before the first.
+    std::uint64_t known_era = 0; ///< What was accepted before the restore that began this era is known.
+    std::uint64_t highest = 0;   ///< Highest revision known to have been accepted.
+    core::boot_time era_seen;    ///< When `era` was first seen.
+    /// Latest time at which no revision above the highest known one had been accepted.
+    std::optional<core::boot_time> covered_at;
 };
 
 /// Daemons that can be asked.
@@ -68,6 +84,7 @@
         0; ///< Position of the watcher that is asked first; drawn after such an answer.
     std::uint64_t last_question = 0;
     std::map<std::uint64_t, core::boot_time> questions; ///< Times at which unanswered questions were sent.
+    restore_knowledge restore;
     std::vector<freshness_proof> pending; ///< Proofs for revisions that are not in force here yet.
 };
 
--- a/src/logging/event_catalogue.h
+++ b/src/logging/event_catalogue.h
@@ -106,6 +106,8 @@
     configuration_outdated = 5007,
     configuration_current = 5008,
     store_restored = 5009,
+    earlier_revisions_unknown = 5010,
+    earlier_revisions_assumed = 5011,
 
     // 6000: transport and transfer
     frame_corrupt = 6000,
@@ -318,6 +320,13 @@
      "The platform's store was restored from a copy: its era, the revision in force here, and the time "
      "within "
      "which this daemon checks its member object."},
+    {event_id::earlier_revisions_unknown, severity::warning, "earlier_revisions_unknown",
+     "The platform's store was restored while this daemon did not follow it, and calls that need a key wait "
+     "for a daemon that knows what was accepted before: the store's era, the era up to which this daemon "
+     "knows it, and the revision in force here."},
+    {event_id::earlier_revisions_assumed, severity::warning, "earlier_revisions_assumed",
+     "No daemon that knows what was accepted before the restore has answered, and reads of the store count "
+     "again: the store's era and the revision in force here."},
 
     // 6000: transport and transfer
     {event_id::frame_corrupt, severity::warning, "frame_corrupt",
--- a/src/platform/internal/platform_store.cpp
+++ b/src/platform/internal/platform_store.cpp
@@ -202,8 +202,9 @@
     }
     const bool is_restored = m_era.has_value();
     m_era = read;
-    if (is_restored && m_on_restored) {
-        m_on_restored(*read);
+    const auto& told = is_restored ? m_on_restored : m_on_first_era;
+    if (told) {
+        told(*read);
     }
 }
 
--- a/src/platform/platform_store.h
+++ b/src/platform/platform_store.h
@@ -33,6 +33,10 @@
     /// use.
     void on_restored(std::function<void(std::uint64_t era)> restored) { m_on_restored = std::move(restored); }
 
+    /// Calls `seen` with the first era that an answer shows, before the answer is passed on. Call it before
+    /// the first use.
+    void on_first_era(std::function<void(std::uint64_t era)> seen) { m_on_first_era = std::move(seen); }
+
     void get(const std::string& name, std::chrono::milliseconds patience,
              handler<store::object> done) override;
     void list(const std::string& prefix, std::chrono::milliseconds patience,
@@ -57,6 +61,7 @@
     std::shared_ptr<const store::service_address> m_address;
     logging::event_log& m_log;
     std::function<void(std::uint64_t)> m_on_restored;
+    std::function<void(std::uint64_t)> m_on_first_era;
     std::optional<std::uint64_t> m_era; ///< Highest era seen; used on the executor only.
     std::shared_ptr<read_configuration> m_last_configuration; ///< Used on the executor only.
 };
--- a/src/platform/tests/platform_store_tests.cpp
+++ b/src/platform/tests/platform_store_tests.cpp
@@ -117,7 +117,9 @@
 TEST_CASE("a restore of the store is noticed once, by its era", "[platform]") {
     platform_environment environment;
     std::vector<std::uint64_t> eras;
+    std::vector<std::uint64_t> first_eras;
     environment.client().on_restored([&](std::uint64_t era) { eras.push_back(era); });
+    environment.client().on_first_era([&](std::uint64_t era) { first_eras.push_back(era); });
     const auto write = [&](const std::string& name) {
         return environment.wait<std::uint64_t>(
             [&](auto done) { environment.api().update_if(name, 0, "text", 5000ms, done); });
@@ -147,6 +149,7 @@
     CHECK(watch_from(after.value->revision).value);
     CHECK(write("members/10.0.0.1:7000").value);
     CHECK(eras == std::vector<std::uint64_t>{2});
+    CHECK(first_eras == std::vector<std::uint64_t>{1});
 }
 
 TEST_CASE("the stand-in comes back from a copy that has what was written before it", "[platform]") {
